--- /dev/null
+++ b/crates/sapphireknot/src/ids.rs
@@ -0,0 +1,175 @@
+//! Identifiers.
+//!
+//! Text identifiers are 1 to 64 characters of `[a-z0-9._-]`, so that they can stand in a path, a header and a store
+//! key without escaping. Numeric identifiers are ordered: a higher one is newer.
+
+use std::{fmt, str::FromStr};
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use thiserror::Error;
+
+/// Longest text identifier, in bytes.
+pub const MAX_ID_BYTES: usize = 64;
+
+/// Text that is no identifier.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{kind} {text:?} is not 1 to {MAX_ID_BYTES} characters of a-z, 0-9, '.', '_' and '-'")]
+pub struct IdError {
+    kind: &'static str,
+    text: String,
+}
+
+fn check_text(kind: &'static str, text: &str) -> Result<String, IdError> {
+    let is_allowed = |byte: u8| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'.' | b'_' | b'-');
+    if text.is_empty() || text.len() > MAX_ID_BYTES || !text.bytes().all(is_allowed) {
+        return Err(IdError { kind, text: text.to_owned() });
+    }
+    Ok(text.to_owned())
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(String);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_text($kind, text).map(Self)
+            }
+        }
+    };
+}
+
+text_id!(
+    /// Entry host.
+    HostId,
+    "host"
+);
+text_id!(
+    /// Region.
+    RegionId,
+    "region"
+);
+text_id!(
+    /// Data centre.
+    DatacentreId,
+    "data centre"
+);
+text_id!(
+    /// Organisation.
+    OrganisationId,
+    "organisation"
+);
+text_id!(
+    /// Key of an organisation; names it without revealing it.
+    KeyId,
+    "key"
+);
+text_id!(
+    /// Service.
+    ServiceId,
+    "service"
+);
+text_id!(
+    /// Route of a service.
+    RouteId,
+    "route"
+);
+text_id!(
+    /// Version of a service.
+    VersionId,
+    "version"
+);
+text_id!(
+    /// Backend server.
+    ServerId,
+    "backend server"
+);
+text_id!(
+    /// Release note.
+    NoteId,
+    "release note"
+);
+text_id!(
+    /// Traffic plan.
+    PlanId,
+    "traffic plan"
+);
+
+/// Text that is no number.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{text:?} is not a decimal number")]
+pub struct NumberError {
+    text: String,
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $number:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay,
+            DeserializeFromStr,
+        )]
+        pub struct $name(pub $number);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NumberError;
+
+            fn from_str(text: &str) -> Result<Self, NumberError> {
+                text.parse().map(Self).map_err(|_| NumberError { text: text.to_owned() })
+            }
+        }
+    };
+}
+
+number_id!(
+    /// One run of a host's process; higher after a restart.
+    IncarnationId,
+    u64
+);
+number_id!(
+    /// Generation of the configuration; raised by one per accepted release note.
+    ConfigGeneration,
+    u64
+);
+number_id!(
+    /// Store revision at which a role was taken; a lower one is refused.
+    FencingToken,
+    u64
+);
+number_id!(
+    /// One transfer of quota between hosts.
+    TransferId,
+    u128
+);
+
+impl ConfigGeneration {
+    /// The generation after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/keys.rs
@@ -0,0 +1,90 @@
+//! Keys of organisations.
+//!
+//! Only digests are held. A digest is found by its first bytes and then compared whole in constant time, so that the
+//! time of a look-up tells nothing about the remaining bytes.
+
+use std::{collections::HashMap, fmt};
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::{
+    config::ConfigDocument,
+    ids::{KeyId, OrganisationId},
+};
+
+/// Bytes of a digest that select the bucket.
+const BUCKET_BYTES: usize = 8;
+
+/// SHA-256 of a key.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// The digest of `key`.
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+
+    /// A digest given as 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes).ok()?;
+        Some(Self(bytes))
+    }
+
+    /// The digest as 64 hexadecimal digits.
+    pub fn to_hex(self) -> String {
+        hex::encode(self.0)
+    }
+
+    fn bucket(&self) -> [u8; BUCKET_BYTES] {
+        let mut bucket = [0; BUCKET_BYTES];
+        bucket.copy_from_slice(&self.0[..BUCKET_BYTES]);
+        bucket
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    /// Leaves the digest out, so that no log line carries it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+/// Owner of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyOwner {
+    /// Organisation.
+    pub organisation: OrganisationId,
+    /// Name of the key.
+    pub key: KeyId,
+}
+
+/// Keys of all organisations.
+#[derive(Debug, Default)]
+pub struct KeyRing {
+    buckets: HashMap<[u8; BUCKET_BYTES], Vec<(KeyDigest, KeyOwner)>>,
+}
+
+impl KeyRing {
+    /// The keys of `document`; entries that are no digest are left out, which the check of a document excludes.
+    pub fn new(document: &ConfigDocument) -> Self {
+        let mut ring = Self::default();
+        for organisation in &document.organisations {
+            for key in &organisation.keys {
+                let Some(digest) = KeyDigest::from_hex(&key.sha256) else { continue };
+                let owner = KeyOwner { organisation: organisation.id.clone(), key: key.id.clone() };
+                ring.buckets.entry(digest.bucket()).or_default().push((digest, owner));
+            }
+        }
+        ring
+    }
+
+    /// The owner of the key with `digest`.
+    pub fn owner(&self, digest: &KeyDigest) -> Option<&KeyOwner> {
+        let bucket = self.buckets.get(&digest.bucket())?;
+        let is_same = |other: &KeyDigest| bool::from(other.0.ct_eq(&digest.0));
+        bucket.iter().find(|(other, _)| is_same(other)).map(|(_, owner)| owner)
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/membership.rs
@@ -0,0 +1,5 @@
+//! Membership of hosts.
+
+mod record;
+
+pub use self::record::{MemberRecord, MemberState};
--- /dev/null
+++ b/crates/sapphireknot/src/membership/record.rs
@@ -0,0 +1,60 @@
+//! What is known of one host.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use crate::ids::{ConfigGeneration, DatacentreId, HostId, IncarnationId, RegionId};
+
+/// State of a host as seen by another one, in the order in which states override one another within an incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum MemberState {
+    /// Answers probes.
+    Alive,
+    /// Announced a graceful shutdown and still serves.
+    Leaving,
+    /// Did not answer; failed unless it refutes.
+    Suspect,
+    /// Declared failed.
+    Failed,
+    /// Ended a graceful shutdown.
+    Left,
+}
+
+impl MemberState {
+    /// Whether the host counts as running.
+    pub fn is_live(self) -> bool {
+        matches!(self, Self::Alive | Self::Leaving | Self::Suspect)
+    }
+
+    /// Whether callers may be sent to the host.
+    pub fn takes_callers(self) -> bool {
+        self == Self::Alive
+    }
+}
+
+/// One host.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct MemberRecord {
+    /// Identifier.
+    pub id: HostId,
+    /// Region.
+    pub region: RegionId,
+    /// Data centre.
+    pub datacentre: DatacentreId,
+    /// Address for other hosts.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Run of the process.
+    pub incarnation: IncarnationId,
+    /// State.
+    pub state: MemberState,
+    /// Configuration generation in force there, as last told by the host.
+    pub generation: ConfigGeneration,
+    /// Requests in flight per thousand of capacity, as last told by the host.
+    pub load_permille: u32,
+    /// Orders what the host tells of itself within one incarnation.
+    pub version: u64,
+}
--- /dev/null
+++ b/crates/sapphireknot/src/refusal.rs
@@ -0,0 +1,148 @@
+//! Refusals that a caller sees.
+//!
+//! A refusal says whether the request ran. "Not run" is a promise: it is given only where no byte of the request
+//! reached a backend server, or where the server said that it refused before running it.
+
+use std::fmt;
+
+use crate::time::MonoTime;
+
+/// Response header that says whether a refused request ran.
+pub const RAN_HEADER: &str = "x-sapphireknot-ran";
+/// Response header with the reason of a refusal.
+pub const REASON_HEADER: &str = "x-sapphireknot-reason";
+
+/// Whether a refused request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunState {
+    /// It provably did not run; the caller may send it again.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl fmt::Display for RunState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RefusalReason {
+    /// No route fits the path or the method.
+    UnknownRoute,
+    /// The request is malformed or too large.
+    BadRequest,
+    /// The route needs a key and the request carries none.
+    KeyMissing,
+    /// The key belongs to no organisation.
+    KeyRejected,
+    /// The host cannot tell whether keys were withdrawn.
+    Stale,
+    /// The organisation used up its rate and burst.
+    OverRate,
+    /// Every backend server is full.
+    NoRoom,
+    /// No backend server is usable.
+    NoServer,
+    /// The request cannot finish in time.
+    Deadline,
+    /// The host is shutting down.
+    Draining,
+    /// The host has no configuration yet.
+    NotReady,
+    /// The backend server failed or its response was broken.
+    UpstreamFailed,
+    /// A request with this idempotency key runs or ran already.
+    Duplicate,
+}
+
+impl RefusalReason {
+    /// Every reason, for documentation and metrics.
+    pub const ALL: [Self; 13] = [
+        Self::UnknownRoute,
+        Self::BadRequest,
+        Self::KeyMissing,
+        Self::KeyRejected,
+        Self::Stale,
+        Self::OverRate,
+        Self::NoRoom,
+        Self::NoServer,
+        Self::Deadline,
+        Self::Draining,
+        Self::NotReady,
+        Self::UpstreamFailed,
+        Self::Duplicate,
+    ];
+
+    /// Value of the reason header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownRoute => "unknown-route",
+            Self::BadRequest => "bad-request",
+            Self::KeyMissing => "key-missing",
+            Self::KeyRejected => "key-rejected",
+            Self::Stale => "stale",
+            Self::OverRate => "over-rate",
+            Self::NoRoom => "no-room",
+            Self::NoServer => "no-server",
+            Self::Deadline => "deadline",
+            Self::Draining => "draining",
+            Self::NotReady => "not-ready",
+            Self::UpstreamFailed => "upstream-failed",
+            Self::Duplicate => "duplicate",
+        }
+    }
+
+    /// HTTP status of the response.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::UnknownRoute => 404,
+            Self::BadRequest => 400,
+            Self::KeyMissing | Self::KeyRejected => 401,
+            Self::OverRate => 429,
+            Self::Deadline => 504,
+            Self::UpstreamFailed => 502,
+            Self::Duplicate => 409,
+            Self::Stale | Self::NoRoom | Self::NoServer | Self::Draining | Self::NotReady => 503,
+        }
+    }
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Refusal of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestRefusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Whether the request ran.
+    pub ran: RunState,
+    /// When another try may succeed.
+    pub retry_at: Option<MonoTime>,
+}
+
+impl RequestRefusal {
+    /// A refusal before the request ran.
+    pub fn not_run(reason: RefusalReason) -> Self {
+        Self { reason, ran: RunState::NotRun, retry_at: None }
+    }
+
+    /// A refusal after the request may have run.
+    pub fn unknown(reason: RefusalReason) -> Self {
+        Self { reason, ran: RunState::Unknown, retry_at: None }
+    }
+
+    /// The same refusal with the time of a useful retry.
+    pub fn retry_at(self, time: MonoTime) -> Self {
+        Self { retry_at: Some(time), ..self }
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/units.rs
@@ -0,0 +1,276 @@
+//! Sizes, rates and shares.
+//!
+//! All are integers in a fixed small unit, so that sums are exact: a sum of shares that must not exceed the whole is
+//! compared without rounding.
+
+use std::{fmt, str::FromStr};
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use thiserror::Error;
+
+use crate::time::MonoTime;
+
+/// Text that is no value of a unit.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{text:?} is not {allowed}")]
+pub struct UnitError {
+    text: String,
+    allowed: &'static str,
+}
+
+impl UnitError {
+    fn new(text: &str, allowed: &'static str) -> Self {
+        Self { text: text.to_owned(), allowed }
+    }
+}
+
+/// Parses a non-negative decimal number with at most `places` digits after the point, scaled by `10^places`.
+fn parse_decimal(text: &str, places: u32) -> Option<u64> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, ""));
+    let digits = |it: &str| it.bytes().all(|byte| byte.is_ascii_digit());
+    if whole.is_empty() || !digits(whole) || !digits(part) || part.len() > places as usize {
+        return None;
+    }
+    let scale = 10u64.checked_pow(places)?;
+    let padded = format!("{part:0<width$}", width = places as usize);
+    let fraction = if padded.is_empty() { 0 } else { padded.parse::<u64>().ok()? };
+    whole.parse::<u64>().ok()?.checked_mul(scale)?.checked_add(fraction)
+}
+
+/// Writes `value / 10^places` without trailing zeros.
+fn write_decimal(f: &mut fmt::Formatter<'_>, value: u64, places: u32) -> fmt::Result {
+    let scale = 10u64.pow(places);
+    let (whole, fraction) = (value / scale, value % scale);
+    if fraction == 0 {
+        return write!(f, "{whole}");
+    }
+    let digits = format!("{fraction:0width$}", width = places as usize);
+    write!(f, "{whole}.{}", digits.trim_end_matches('0'))
+}
+
+macro_rules! unit {
+    ($(#[$doc:meta])* $name:ident, $number:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay,
+            DeserializeFromStr,
+        )]
+        pub struct $name(pub $number);
+    };
+}
+
+unit!(
+    /// Requests per second, in thousandths; text `200/s` or `0.5/s`.
+    RequestRate,
+    u64
+);
+unit!(
+    /// Requests that may be admitted at once; text `400`.
+    BurstSize,
+    u64
+);
+unit!(
+    /// Part of a whole, in millionths; text `12.5%`.
+    TrafficShare,
+    u32
+);
+unit!(
+    /// Bytes per second; text `300Mbit/s`.
+    ByteRate,
+    u64
+);
+unit!(
+    /// Requests that a backend server runs at the same time.
+    SlotCount,
+    u32
+);
+unit!(
+    /// Admissions, in millionths of a request.
+    TokenCount,
+    u64
+);
+
+impl RequestRate {
+    /// A rate of `count` requests per second.
+    pub const fn per_second(count: u64) -> Self {
+        Self(count * 1_000)
+    }
+
+    /// The part `share` of this rate, rounded down.
+    pub fn scaled(self, share: TrafficShare) -> Self {
+        Self(scale_down(self.0, share))
+    }
+
+    /// Tokens that accrue from `start` to `end`, rounded down.
+    pub fn accrued(self, start: MonoTime, end: MonoTime) -> TokenCount {
+        let micros = u128::from(end.0.saturating_sub(start.0));
+        let tokens = u128::from(self.0) * micros / 1_000;
+        TokenCount(u64::try_from(tokens).unwrap_or(u64::MAX))
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_decimal(f, self.0, 3)?;
+        f.write_str("/s")
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        text.strip_suffix("/s")
+            .and_then(|it| parse_decimal(it, 3))
+            .map(Self)
+            .ok_or_else(|| UnitError::new(text, "a rate such as 200/s"))
+    }
+}
+
+impl BurstSize {
+    /// The part `share` of this burst, rounded down.
+    pub fn scaled(self, share: TrafficShare) -> TokenCount {
+        TokenCount(scale_down(self.0.saturating_mul(TokenCount::ONE.0), share))
+    }
+}
+
+impl fmt::Display for BurstSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for BurstSize {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        text.parse().map(Self).map_err(|_| UnitError::new(text, "a number of requests"))
+    }
+}
+
+impl TrafficShare {
+    /// Nothing.
+    pub const NONE: Self = Self(0);
+    /// The whole.
+    pub const WHOLE: Self = Self(1_000_000);
+
+    /// A share of `percent` hundredths.
+    pub const fn percent(percent: u32) -> Self {
+        Self(percent * 10_000)
+    }
+
+    /// Difference, or nothing.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
+    /// Sum, at most the whole.
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0).min(Self::WHOLE.0))
+    }
+
+    /// The share as a number from 0 to 1.
+    pub fn as_fraction(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::WHOLE.0)
+    }
+}
+
+impl fmt::Display for TrafficShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_decimal(f, u64::from(self.0), 4)?;
+        f.write_str("%")
+    }
+}
+
+impl FromStr for TrafficShare {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        text.strip_suffix('%')
+            .and_then(|it| parse_decimal(it, 4))
+            .filter(|&it| it <= u64::from(Self::WHOLE.0))
+            .and_then(|it| u32::try_from(it).ok())
+            .map(Self)
+            .ok_or_else(|| UnitError::new(text, "a share from 0% to 100%"))
+    }
+}
+
+/// Suffixes of [`ByteRate`] with bits per second of one unit, largest first.
+const BIT_UNITS: [(&str, u64); 3] =
+    [("Gbit/s", 1_000_000_000), ("Mbit/s", 1_000_000), ("kbit/s", 1_000)];
+
+impl fmt::Display for ByteRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bits = self.0.saturating_mul(8);
+        let unit = BIT_UNITS.iter().find(|(_, size)| bits >= *size && bits.is_multiple_of(*size));
+        match unit {
+            Some((suffix, size)) => write!(f, "{}{suffix}", bits / size),
+            None => write!(f, "{bits}bit/s"),
+        }
+    }
+}
+
+impl FromStr for ByteRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let units = BIT_UNITS.iter().copied().chain([("bit/s", 1)]);
+        units
+            .filter_map(|(suffix, size)| Some((text.strip_suffix(suffix)?, size)))
+            .find_map(|(number, size)| number.parse::<u64>().ok()?.checked_mul(size))
+            .map(|bits| Self(bits / 8))
+            .ok_or_else(|| UnitError::new(text, "a link rate such as 300Mbit/s or 4Gbit/s"))
+    }
+}
+
+impl fmt::Display for SlotCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for SlotCount {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        text.parse().map(Self).map_err(|_| UnitError::new(text, "a number of slots"))
+    }
+}
+
+impl TokenCount {
+    /// No admission.
+    pub const NONE: Self = Self(0);
+    /// One request.
+    pub const ONE: Self = Self(1_000_000);
+
+    /// Difference, or nothing.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
+    /// Sum.
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl fmt::Display for TokenCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_decimal(f, self.0, 6)
+    }
+}
+
+impl FromStr for TokenCount {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        parse_decimal(text, 6)
+            .map(Self)
+            .ok_or_else(|| UnitError::new(text, "a number of requests such as 1.5"))
+    }
+}
+
+fn scale_down(value: u64, share: TrafficShare) -> u64 {
+    let scaled = u128::from(value) * u128::from(share.0) / u128::from(TrafficShare::WHOLE.0);
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
