--- /dev/null
+++ b/crates/sapphireknot-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line for operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/sapphireknot-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and backend servers.
--- /dev/null
+++ b/crates/sapphireknotd/src/constants.rs
@@ -0,0 +1,37 @@
+//! Defaults of settings and fixed limits.
+
+use sapphireknot::time::ClockSpan;
+
+/// Bytes of a request's line and headers.
+pub const MAX_HEADER_BYTES: usize = 16 << 10;
+/// Bytes of a request's body.
+pub const MAX_BODY_BYTES: usize = 1 << 20;
+/// Bytes of a response's body.
+pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Connections of callers at the same time.
+pub const MAX_CONNECTIONS: usize = 4_096;
+/// Time in which the headers of a request must arrive.
+pub const HEADER_TIMEOUT: ClockSpan = ClockSpan::from_secs(5);
+/// Time in which the body of a request must arrive.
+pub const BODY_TIMEOUT: ClockSpan = ClockSpan::from_secs(10);
+
+/// Longest time without proof that no key was withdrawn.
+pub const KEY_FRESHNESS: ClockSpan = ClockSpan::from_secs(5);
+/// Time for which callers may cache a look-up.
+pub const CACHE_LIFETIME: ClockSpan = ClockSpan::from_secs(5);
+/// Time in which a graceful shutdown ends.
+pub const DRAIN_LIMIT: ClockSpan = ClockSpan::from_secs(30);
+/// Interval of gossip exchanges.
+pub const GOSSIP_INTERVAL: ClockSpan = ClockSpan::from_secs(1);
+/// Time in which a peer must answer; more than ten one-way trips between regions of 12 ms.
+pub const PEER_TIMEOUT: ClockSpan = ClockSpan::from_millis(300);
+/// Time after which a suspected host counts as failed.
+pub const SUSPICION: ClockSpan = ClockSpan::from_secs(2);
+/// Time in which the store must answer.
+pub const STORE_TIMEOUT: ClockSpan = ClockSpan::from_millis(500);
+/// Longest wait of one watch of the store.
+pub const WATCH_WAIT: ClockSpan = ClockSpan::from_secs(10);
+/// Lease of surplus quota and of roles.
+pub const SHORT_LEASE: ClockSpan = ClockSpan::from_secs(5);
+/// Lease of the quota that a host keeps during a partition.
+pub const LONG_LEASE: ClockSpan = ClockSpan::from_secs(1_800);
--- /dev/null
+++ b/crates/sapphireknotd/src/lib.rs
@@ -0,0 +1,9 @@
+//! Daemon of an entry host.
+//!
+//! The decisions are in the library `sapphireknot`; this crate drives them. Actors own the control state, and requests
+//! read the snapshots in [`context`].
+
+pub mod clock;
+pub mod constants;
+pub mod context;
+pub mod settings;
--- /dev/null
+++ b/crates/sapphireknotd/src/main.rs
@@ -0,0 +1,3 @@
+//! Daemon of an entry host.
+
+fn main() {}
