sapphireknot: add messages of the operator interface

Cause: the command line and the daemon are written side by side. Change: typed JSON messages with their calls; addresses that a host advertises may differ from the bound ones.

--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod keys;
 pub mod lookup;
 pub mod membership;
+pub mod operator;
 pub mod refusal;
 pub mod routes;
 pub mod time;
--- a/crates/sapphireknot/src/membership/record.rs
+++ b/crates/sapphireknot/src/membership/record.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::{ConfigGeneration, DatacentreId, HostId, IncarnationId, RegionId};
 
 /// State of a host as seen by another one, in the order in which states override one another within an incarnation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum MemberState {
     /// Answers probes.
@@ -35,7 +35,7 @@
 }
 
 /// One host.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct MemberRecord {
     /// Identifier.
     pub id: HostId,
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -37,9 +37,9 @@
     pub datacentre: DatacentreId,
     /// Run of this process.
     pub incarnation: IncarnationId,
-    /// Bound address for callers.
+    /// Address that callers use.
     pub caller_address: SocketAddr,
-    /// Bound address for other hosts.
+    /// Address that other hosts use.
     pub peer_address: SocketAddr,
     /// Bound address for operators.
     pub operator_address: SocketAddr,
--- a/crates/sapphireknotd/src/settings.rs
+++ b/crates/sapphireknotd/src/settings.rs
@@ -26,6 +26,9 @@
     pub datacentre: DatacentreId,
     /// Addresses to listen at.
     pub listen: ListenSettings,
+    /// Addresses that others use, where they differ from the bound ones.
+    #[serde(default)]
+    pub advertise: AdvertiseSettings,
     /// Addresses of the platform.
     pub platform: PlatformSettings,
     /// Peers to join when the host list is not available.
@@ -59,6 +62,16 @@
     pub operator: SocketAddr,
 }
 
+/// Addresses that others use, where they differ from the bound ones.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdvertiseSettings {
+    /// For callers.
+    pub caller: Option<SocketAddr>,
+    /// For other hosts.
+    pub peer: Option<SocketAddr>,
+}
+
 /// Addresses of the platform.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
