--- /dev/null
+++ b/crates/sapphireknot/src/membership/table.rs
@@ -0,0 +1,380 @@
+//! Failure detector and known hosts.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{Rng, RngExt};
+
+use super::{
+    MemberRecord, MemberState,
+    merge::{merge_record, needs_refutation},
+    updates::{MAX_UPDATES, UpdateQueue},
+};
+use crate::{
+    ids::{ConfigGeneration, HostId, IncarnationId},
+    time::MonoTime,
+};
+
+/// Hosts that probe a silent one on behalf of this one.
+const DELEGATES: usize = 3;
+/// One probe in this many crosses regions.
+const CROSS_REGION_RATIO: u32 = 5;
+/// One probe in this many goes to a failed host, so that hosts find each other after a partition.
+const FAILED_PROBE_RATIO: u32 = 4;
+/// Hosts that a table holds; more than five times the target size.
+const MAX_MEMBERS: usize = 8_192;
+
+/// Time limits of a table.
+#[derive(Debug, Clone, Copy)]
+pub struct MemberSettings {
+    /// Time in which a suspected host must refute.
+    pub suspicion: Duration,
+    /// Time after which a failed host or one that left is forgotten.
+    pub retention: Duration,
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum MemberEvent {
+    /// The platform listed hosts; the list lags and counts only for unknown ones.
+    Seeded(Vec<MemberRecord>),
+    /// A message of another host arrived.
+    Heard {
+        /// The host as it sees itself.
+        sender: Box<MemberRecord>,
+        /// What it told of others.
+        members: Vec<MemberRecord>,
+    },
+    /// A message that carried news of these hosts was sent.
+    UpdatesSent(Vec<HostId>),
+    /// The next probe is due.
+    ProbeDue,
+    /// A host did not answer a direct probe.
+    DirectMissed {
+        /// The host.
+        target: HostId,
+        /// Run that was probed.
+        incarnation: IncarnationId,
+    },
+    /// A host answered none of the indirect probes either.
+    IndirectMissed {
+        /// The host.
+        target: HostId,
+        /// Run that was probed.
+        incarnation: IncarnationId,
+    },
+    /// Time has passed.
+    TimePassed,
+    /// A generation of the configuration is in force on this host.
+    Installed(ConfigGeneration),
+    /// The load of this host was measured.
+    LoadMeasured(u32),
+    /// A graceful shutdown of this host began.
+    LeaveBegan,
+    /// A graceful shutdown of this host ended.
+    LeaveEnded,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum MemberAction {
+    /// Probe a host.
+    Probe(MemberRecord),
+    /// Let others probe a host.
+    ProbeVia {
+        /// The host.
+        target: MemberRecord,
+        /// Others that probe it.
+        delegates: Vec<MemberRecord>,
+    },
+    /// Tell others soon.
+    Notify(Vec<MemberRecord>),
+}
+
+#[derive(Debug)]
+struct MemberEntry {
+    record: MemberRecord,
+    /// When a suspected host is declared failed, or a host that is gone is forgotten.
+    deadline: Option<MonoTime>,
+}
+
+/// Known hosts.
+#[derive(Debug)]
+pub struct MemberTable {
+    settings: MemberSettings,
+    own: MemberRecord,
+    others: BTreeMap<HostId, MemberEntry>,
+    updates: UpdateQueue,
+}
+
+impl MemberTable {
+    /// A table that knows only this host.
+    pub fn new(settings: MemberSettings, own: MemberRecord) -> Self {
+        Self { settings, own, others: BTreeMap::new(), updates: UpdateQueue::default() }
+    }
+
+    /// This host.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// All known hosts, this one included, ordered by id.
+    pub fn members(&self) -> Vec<MemberRecord> {
+        let mut members: Vec<_> = self.others.values().map(|it| it.record.clone()).collect();
+        let idx = members.partition_point(|it| it.id < self.own.id);
+        members.insert(idx, self.own.clone());
+        members
+    }
+
+    /// Another host.
+    pub fn member(&self, id: &HostId) -> Option<&MemberRecord> {
+        self.others.get(id).map(|it| &it.record)
+    }
+
+    /// What a message to `peer` tells of other hosts: what `peer` has to refute, news, and random records.
+    pub fn updates_for<R>(&self, peer: Option<&HostId>, rng: &mut R) -> Vec<MemberRecord>
+    where
+        R: Rng,
+    {
+        let mut records: Vec<MemberRecord> = Vec::with_capacity(MAX_UPDATES);
+        let accused = peer.and_then(|id| self.member(id));
+        records.extend(accused.filter(|it| it.state > MemberState::Leaving).cloned());
+        for id in self.updates.least_sent(MAX_UPDATES - 1) {
+            if records.len() < MAX_UPDATES - 1
+                && !records.iter().any(|it| it.id == id)
+                && let Some(record) = self.member(&id)
+            {
+                records.push(record.clone());
+            }
+        }
+        let known: Vec<_> = self.others.values().map(|it| &it.record).collect();
+        for _ in 0..MAX_UPDATES {
+            if records.len() == MAX_UPDATES || known.is_empty() {
+                break;
+            }
+            let record = known[rng.random_range(0..known.len())];
+            if !records.iter().any(|it| it.id == record.id) {
+                records.push(record.clone());
+            }
+        }
+        records
+    }
+
+    /// Up to `count` random live hosts, the own region preferred as for probes.
+    pub fn random_peers<R>(&self, count: usize, except: &HostId, rng: &mut R) -> Vec<MemberRecord>
+    where
+        R: Rng,
+    {
+        let mut peers: Vec<MemberRecord> = Vec::with_capacity(count);
+        for _ in 0..count {
+            let is_free = |it: &MemberRecord| {
+                it.state.is_live() && it.id != *except && !peers.iter().any(|peer| peer.id == it.id)
+            };
+            let Some(peer) = self.pick(is_free, rng) else { break };
+            peers.push(peer);
+        }
+        peers
+    }
+
+    /// Takes an event.
+    pub fn handle<R>(&mut self, now: MonoTime, event: MemberEvent, rng: &mut R) -> Vec<MemberAction>
+    where
+        R: Rng,
+    {
+        match event {
+            MemberEvent::Seeded(records) => {
+                for record in records {
+                    if record.id != self.own.id && !self.others.contains_key(&record.id) {
+                        self.take_record(now, &record);
+                    }
+                }
+            }
+            MemberEvent::Heard { sender, members } => {
+                // What others tell of this host comes first, so that the reply carries the refutation.
+                for record in members.iter().take(MAX_UPDATES) {
+                    self.take_record(now, record);
+                }
+                self.take_record(now, &sender);
+            }
+            MemberEvent::UpdatesSent(hosts) => {
+                let count = self.others.len() + 1;
+                for host in &hosts {
+                    self.updates.record_sent(host, count);
+                }
+            }
+            MemberEvent::ProbeDue => {
+                return self.next_probe(rng).map(MemberAction::Probe).into_iter().collect();
+            }
+            MemberEvent::DirectMissed { target, incarnation } => {
+                return self.probe_via(now, &target, incarnation, rng);
+            }
+            MemberEvent::IndirectMissed { target, incarnation } => {
+                return self.suspect(now, &target, incarnation);
+            }
+            MemberEvent::TimePassed => self.end_deadlines(now),
+            MemberEvent::Installed(generation) => {
+                if generation > self.own.generation {
+                    self.own.generation = generation;
+                    self.own.version += 1;
+                    return self.notify(rng);
+                }
+            }
+            MemberEvent::LoadMeasured(load_permille) => {
+                if load_permille != self.own.load_permille {
+                    self.own.load_permille = load_permille;
+                    self.own.version += 1;
+                }
+            }
+            MemberEvent::LeaveBegan => return self.set_own_state(MemberState::Leaving, rng),
+            MemberEvent::LeaveEnded => return self.set_own_state(MemberState::Left, rng),
+        }
+        Vec::new()
+    }
+
+    fn notify<R>(&self, rng: &mut R) -> Vec<MemberAction>
+    where
+        R: Rng,
+    {
+        vec![MemberAction::Notify(self.random_peers(DELEGATES, &self.own.id, rng))]
+    }
+
+    fn set_own_state<R>(&mut self, state: MemberState, rng: &mut R) -> Vec<MemberAction>
+    where
+        R: Rng,
+    {
+        if state <= self.own.state {
+            return Vec::new();
+        }
+        self.own.state = state;
+        self.own.version += 1;
+        self.notify(rng)
+    }
+
+    /// A random host that fits, four times in five from the own region.
+    fn pick<F, R>(&self, fits: F, rng: &mut R) -> Option<MemberRecord>
+    where
+        F: Fn(&MemberRecord) -> bool,
+        R: Rng,
+    {
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .others
+            .values()
+            .map(|it| &it.record)
+            .filter(|it| fits(it))
+            .partition(|it| it.region == self.own.region);
+        let is_far = near.is_empty() || rng.random_range(0..CROSS_REGION_RATIO) == 0;
+        let pool = if is_far && !far.is_empty() { far } else { near };
+        if pool.is_empty() {
+            return None;
+        }
+        Some(pool[rng.random_range(0..pool.len())].clone())
+    }
+
+    fn next_probe<R>(&self, rng: &mut R) -> Option<MemberRecord>
+    where
+        R: Rng,
+    {
+        let is_failed = |it: &MemberRecord| it.state == MemberState::Failed;
+        if rng.random_range(0..FAILED_PROBE_RATIO) == 0
+            && let Some(record) = self.pick(is_failed, rng)
+        {
+            return Some(record);
+        }
+        let is_live = |it: &MemberRecord| it.state.is_live();
+        self.pick(is_live, rng).or_else(|| self.pick(is_failed, rng))
+    }
+
+    fn probe_via<R>(
+        &mut self,
+        now: MonoTime,
+        target: &HostId,
+        incarnation: IncarnationId,
+        rng: &mut R,
+    ) -> Vec<MemberAction>
+    where
+        R: Rng,
+    {
+        let Some(record) = self.member(target).cloned() else { return Vec::new() };
+        if record.incarnation != incarnation || record.state >= MemberState::Suspect {
+            return Vec::new();
+        }
+        let delegates = self.random_peers(DELEGATES, target, rng);
+        if delegates.is_empty() {
+            return self.suspect(now, target, incarnation);
+        }
+        vec![MemberAction::ProbeVia { target: record, delegates }]
+    }
+
+    /// Suspects a host and tells it, so that it can refute at once if it is reachable.
+    fn suspect(
+        &mut self,
+        now: MonoTime,
+        target: &HostId,
+        incarnation: IncarnationId,
+    ) -> Vec<MemberAction> {
+        let Some(record) = self.member(target) else { return Vec::new() };
+        if record.incarnation != incarnation || record.state >= MemberState::Suspect {
+            return Vec::new();
+        }
+        let record = MemberRecord { state: MemberState::Suspect, ..record.clone() };
+        self.take_record(now, &record);
+        vec![MemberAction::Notify(vec![record])]
+    }
+
+    fn take_record(&mut self, now: MonoTime, told: &MemberRecord) {
+        if told.id == self.own.id {
+            if needs_refutation(&self.own, told) {
+                let highest = told.incarnation.max(self.own.incarnation);
+                self.own.incarnation = IncarnationId(highest.0.saturating_add(1));
+            }
+            return;
+        }
+        // A host that is gone would otherwise return to those that have forgotten it, again and again.
+        let is_rejected = self.others.len() >= MAX_MEMBERS || !told.state.is_live();
+        let entry = match self.others.entry(told.id.clone()) {
+            std::collections::btree_map::Entry::Occupied(slot) => {
+                let entry = slot.into_mut();
+                let before = (entry.record.incarnation, entry.record.state);
+                if !merge_record(&mut entry.record, told) {
+                    return;
+                }
+                if (entry.record.incarnation, entry.record.state) == before {
+                    self.updates.push(&told.id);
+                    return;
+                }
+                entry
+            }
+            std::collections::btree_map::Entry::Vacant(_) if is_rejected => return,
+            std::collections::btree_map::Entry::Vacant(slot) => {
+                slot.insert(MemberEntry { record: told.clone(), deadline: None })
+            }
+        };
+        entry.deadline = match entry.record.state {
+            MemberState::Alive | MemberState::Leaving => None,
+            MemberState::Suspect => Some(now.after(self.settings.suspicion)),
+            MemberState::Failed | MemberState::Left => Some(now.after(self.settings.retention)),
+        };
+        self.updates.push(&told.id);
+    }
+
+    /// Declares suspected hosts failed and forgets hosts that are gone.
+    fn end_deadlines(&mut self, now: MonoTime) {
+        let retention = self.settings.retention;
+        let mut forgotten = Vec::new();
+        for (id, entry) in &mut self.others {
+            if entry.deadline.is_none_or(|it| it > now) {
+                continue;
+            }
+            if entry.record.state == MemberState::Suspect {
+                entry.record.state = MemberState::Failed;
+                entry.deadline = Some(now.after(retention));
+                self.updates.push(id);
+            } else {
+                forgotten.push(id.clone());
+            }
+        }
+        for id in forgotten {
+            self.others.remove(&id);
+            self.updates.remove(&id);
+        }
+    }
+}
