--- /dev/null
+++ b/crates/sapphireknotd/src/control.rs
@@ -0,0 +1,182 @@
+//! Control state of the host.
+//!
+//! Actors own the session with the store, the configuration and the members. They exchange messages and publish what
+//! requests read in [`crate::context`]. The peer server and the operator interface run beside them.
+
+mod config_actor;
+mod head_reader;
+mod member_actor;
+mod notes;
+mod session_actor;
+mod shared;
+mod store;
+
+use std::{sync::Arc, time::Duration};
+
+use ractor::{Actor, ActorRef, SpawnErr};
+use sapphireknot_platform::{GrpcHosts, GrpcStore};
+use thiserror::Error;
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+
+pub(crate) use self::shared::send;
+use self::{
+    config_actor::{ConfigActor, ConfigArguments},
+    member_actor::{MemberActor, MemberArguments},
+    session_actor::SessionActor,
+};
+pub use self::{
+    config_actor::{ConfigMessage, LoadedConfig, PeerEvidence},
+    member_actor::MemberMessage,
+    notes::{NoteRecord, NoteWriter, SubmitOutcome},
+    session_actor::{HolderRecord, SessionMessage},
+    shared::{ControlShared, EncodedConfig, HEAD_KEY, PlatformClients, ReadError, read_record},
+    store::{ObservedStore, StoreObservation},
+};
+use crate::{
+    context::{DrainStage, HostContext, SharedDeadline},
+    operator::{OperatorServer, serve_operators},
+    peer::{PeerClients, PeerServer, serve_peers},
+};
+
+/// Time in which the last gossip of a host that leaves is sent.
+const FAREWELL: Duration = Duration::from_millis(200);
+/// Time in which the session with the store ends.
+const END_LIMIT: Duration = Duration::from_secs(2);
+/// Time in which calls that are being served end.
+const SERVE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Bound listeners.
+#[derive(Debug)]
+pub struct ControlListeners {
+    /// For other hosts.
+    pub peer: TcpListener,
+    /// For operators.
+    pub operator: TcpListener,
+}
+
+/// Control modules that did not start.
+#[derive(Debug, Error)]
+pub enum ControlError {
+    /// Actor that did not start.
+    #[error("start the {actor} actor: {source}")]
+    Spawn {
+        /// Actor.
+        actor: &'static str,
+        /// What went wrong.
+        source: SpawnErr,
+    },
+}
+
+/// Running control modules.
+pub struct ControlHandle {
+    members: ActorRef<MemberMessage>,
+    session: ActorRef<SessionMessage>,
+    config: ActorRef<ConfigMessage>,
+    stopped: watch::Sender<bool>,
+    servers: Vec<JoinHandle<()>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts the control modules with the platform that the settings name.
+pub async fn start(
+    context: Arc<HostContext>,
+    listeners: ControlListeners,
+) -> Result<ControlHandle, ControlError> {
+    let platform = &context.settings.platform;
+    let limit = context.settings.timing.store_timeout.0;
+    let clients = PlatformClients {
+        store: Arc::new(GrpcStore::new(platform.store, limit)),
+        hosts: Arc::new(GrpcHosts::new(platform.host_list, limit)),
+    };
+    start_with_platform(context, listeners, clients).await
+}
+
+/// Starts the control modules with given clients of the platform.
+pub async fn start_with_platform(
+    context: Arc<HostContext>,
+    listeners: ControlListeners,
+    clients: PlatformClients,
+) -> Result<ControlHandle, ControlError> {
+    let timing = &context.settings.timing;
+    let peers = Arc::new(PeerClients::new(context.identity.peer_address, timing.peer_timeout.0));
+    let shared = Arc::new(ControlShared {
+        store: Arc::new(ObservedStore::new(clients.store, context.clock)),
+        hosts: clients.hosts,
+        context,
+        encoded: Default::default(),
+        proof: SharedDeadline::default(),
+        watch_until: SharedDeadline::default(),
+    });
+    let arguments = MemberArguments { shared: shared.clone(), peers: peers.clone() };
+    let (members, _) = Actor::spawn(None, MemberActor, arguments)
+        .await
+        .map_err(|source| ControlError::Spawn { actor: "member", source })?;
+    let arguments =
+        ConfigArguments { shared: shared.clone(), peers: peers.clone(), members: members.clone() };
+    let (config, _) = Actor::spawn(None, ConfigActor, arguments)
+        .await
+        .map_err(|source| ControlError::Spawn { actor: "configuration", source })?;
+    send(&members, MemberMessage::Connected(config.clone()));
+    let (session, _) = Actor::spawn(None, SessionActor, shared.clone())
+        .await
+        .map_err(|source| ControlError::Spawn { actor: "session", source })?;
+
+    let (stopped, _) = watch::channel(false);
+    let server = PeerServer::new(shared.clone(), peers, members.clone());
+    let peer_stop = wait_stop(stopped.subscribe());
+    let peer_task = tokio::spawn(async move {
+        if let Err(err) = serve_peers(server, listeners.peer, peer_stop).await {
+            log::error!("serve peers: {err}");
+        }
+    });
+    let writer = NoteWriter::new(shared.clone());
+    let server = Arc::new(OperatorServer::new(shared.clone(), writer, config.clone()));
+    let operator_stop = wait_stop(stopped.subscribe());
+    let operator_task = tokio::spawn(serve_operators(server, listeners.operator, operator_stop));
+    let tasks = vec![
+        tokio::spawn(head_reader::read_heads(shared.clone(), config.clone())),
+        tokio::spawn(head_reader::watch_head(shared.clone(), config.clone())),
+        tokio::spawn(member_actor::list_hosts(shared.clone(), members.clone())),
+        tokio::spawn(member_actor::follow_drain(shared, members.clone())),
+    ];
+    let servers = vec![peer_task, operator_task];
+    Ok(ControlHandle { members, session, config, stopped, servers, tasks })
+}
+
+async fn wait_stop(mut stopped: watch::Receiver<bool>) {
+    // A dropped handle stops the servers too.
+    let _ = stopped.wait_for(|it| *it).await;
+}
+
+impl ControlHandle {
+    /// Gives back roles and leases, tells peers that the host has left, and ends.
+    pub async fn stop(self) {
+        if let Err(err) = self.session.call(SessionMessage::End, Some(END_LIMIT)).await {
+            log::warn!("end the session with the store: {err}");
+        }
+        send(&self.members, MemberMessage::Drain(DrainStage::Ended));
+        tokio::time::sleep(FAREWELL).await;
+        self.stopped.send_replace(true);
+        for mut server in self.servers {
+            if tokio::time::timeout(SERVE_LIMIT, &mut server).await.is_err() {
+                server.abort();
+            }
+        }
+        for task in self.tasks {
+            task.abort();
+        }
+        self.session.stop(None);
+        self.config.stop(None);
+        self.members.stop(None);
+    }
+
+    /// Ends at once, as a killed process does; nothing is given back and nobody is told.
+    pub fn abort(self) {
+        for task in self.tasks.into_iter().chain(self.servers) {
+            task.abort();
+        }
+        for actor in [self.session.get_cell(), self.config.get_cell(), self.members.get_cell()] {
+            actor.kill();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -0,0 +1,272 @@
+//! Configuration of this host.
+//!
+//! The actor is the only one that installs a generation: only a higher one, whole, and with its digest checked. It also
+//! owns the freshness deadline. A proof counts only once the generation that it showed is installed.
+
+use std::{sync::Arc, time::Duration};
+
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use sapphireknot::{
+    config::ConfigDocument,
+    freshness::FreshnessClock,
+    head::{ConfigHead, EncodedDocument},
+    ids::{ConfigGeneration, HostId},
+    installed::InstalledConfig,
+    membership::MemberRecord,
+    time::MonoTime,
+};
+use sapphireknot_platform::StoredEntry;
+
+use super::{
+    member_actor::MemberMessage,
+    shared::{ActorResult, ControlShared, EncodedConfig, ReadError, read_head, send},
+};
+use crate::peer::{PeerClients, PeerError};
+
+/// Interval at which the freshness deadline is recomputed from reports that end.
+const TICK: Duration = Duration::from_millis(200);
+
+/// What a peer's reply told.
+#[derive(Debug)]
+pub struct PeerEvidence {
+    /// Peer.
+    pub peer: MemberRecord,
+    /// From before the request was sent; none if the peer sent a request, of which no age counts.
+    pub sent: Option<MonoTime>,
+    /// Generation in force there.
+    pub generation: ConfigGeneration,
+    /// Age of its latest proof.
+    pub proof_age: Option<Duration>,
+    /// Whether the store is down, with the age of the observation.
+    pub report: Option<(bool, Duration)>,
+}
+
+/// Generation that was loaded.
+#[derive(Debug)]
+pub struct LoadedConfig {
+    /// Generation.
+    pub generation: ConfigGeneration,
+    /// Document.
+    pub document: ConfigDocument,
+    /// Beginning of the read of the head that named it, if it came from the store.
+    pub began: Option<MonoTime>,
+}
+
+/// Message to the configuration actor.
+#[derive(Debug)]
+pub enum ConfigMessage {
+    /// The head was read.
+    HeadRead {
+        /// When the read began.
+        began: MonoTime,
+        /// Entry of the head.
+        entry: Option<StoredEntry>,
+    },
+    /// A document was loaded from the store.
+    StoreLoaded(Result<LoadedConfig, ReadError>),
+    /// A document was fetched from a peer.
+    PeerLoaded(Result<Option<LoadedConfig>, PeerError>),
+    /// A change was accepted by this host.
+    Written(LoadedConfig),
+    /// A peer was heard.
+    PeerHeard(Box<PeerEvidence>),
+    /// Time has passed.
+    Tick,
+}
+
+/// Configuration actor.
+pub(super) struct ConfigActor;
+
+/// What the actor needs.
+pub(super) struct ConfigArguments {
+    /// Shared state.
+    pub shared: Arc<ControlShared>,
+    /// Clients of peers.
+    pub peers: Arc<PeerClients>,
+    /// Member actor.
+    pub members: ActorRef<MemberMessage>,
+}
+
+/// State of the actor.
+pub(super) struct ConfigState {
+    arguments: ConfigArguments,
+    freshness: FreshnessClock,
+    is_reading: bool,
+    is_fetching: bool,
+}
+
+#[ractor::async_trait]
+impl Actor for ConfigActor {
+    type Msg = ConfigMessage;
+    type State = ConfigState;
+    type Arguments = ConfigArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<ConfigMessage>,
+        arguments: ConfigArguments,
+    ) -> Result<ConfigState, ActorProcessingErr> {
+        let key_freshness = arguments.shared.context.settings.timing.key_freshness.0;
+        myself.send_interval(TICK, || ConfigMessage::Tick);
+        Ok(ConfigState {
+            arguments,
+            freshness: FreshnessClock::new(key_freshness),
+            is_reading: false,
+            is_fetching: false,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<ConfigMessage>,
+        message: ConfigMessage,
+        state: &mut ConfigState,
+    ) -> ActorResult {
+        match message {
+            ConfigMessage::HeadRead { began, entry } => state.take_head(&myself, began, entry),
+            ConfigMessage::StoreLoaded(result) => {
+                state.is_reading = false;
+                match result {
+                    Ok(loaded) => state.install(loaded),
+                    Err(err) => log::warn!("load the configuration from the store: {err}"),
+                }
+            }
+            ConfigMessage::PeerLoaded(result) => {
+                state.is_fetching = false;
+                match result {
+                    Ok(Some(loaded)) => state.install(loaded),
+                    Ok(None) => {}
+                    Err(err) => log::warn!("fetch the configuration: {err}"),
+                }
+            }
+            ConfigMessage::Written(loaded) => state.install(loaded),
+            ConfigMessage::PeerHeard(evidence) => state.take_evidence(&myself, *evidence),
+            ConfigMessage::Tick => state.record_own_report(),
+        }
+        state.publish();
+        Ok(())
+    }
+}
+
+impl ConfigState {
+    fn shared(&self) -> &Arc<ControlShared> {
+        &self.arguments.shared
+    }
+
+    fn take_head(
+        &mut self,
+        myself: &ActorRef<ConfigMessage>,
+        began: MonoTime,
+        entry: Option<StoredEntry>,
+    ) {
+        let head = match read_head(entry.as_ref()) {
+            Ok(head) => head,
+            Err(err) => return log::warn!("{err}"),
+        };
+        let installed = self.shared().generation();
+        if head.generation <= installed {
+            // A lower head is not the one that this host has seen and proves nothing.
+            if head.generation == installed {
+                self.freshness.record_read(began);
+            }
+            return;
+        }
+        if !self.is_reading {
+            self.is_reading = true;
+            let (shared, myself) = (self.shared().clone(), myself.clone());
+            tokio::spawn(async move {
+                let result = load_head(&shared, &head, began).await;
+                send(&myself, ConfigMessage::StoreLoaded(result));
+            });
+        }
+    }
+
+    fn take_evidence(&mut self, myself: &ActorRef<ConfigMessage>, evidence: PeerEvidence) {
+        let installed = self.shared().generation();
+        if evidence.generation > installed && !self.is_fetching {
+            self.is_fetching = true;
+            let (peers, myself) = (self.arguments.peers.clone(), myself.clone());
+            let address = evidence.peer.peer_address;
+            tokio::spawn(async move {
+                let result = peers.fetch_config(address, installed).await;
+                send(&myself, ConfigMessage::PeerLoaded(result));
+            });
+        }
+        let Some(sent) = evidence.sent else { return };
+        // The proof says that the peer's generation was the latest one; a host behind it must not count it.
+        if let Some(age) = evidence.proof_age
+            && evidence.generation <= installed
+        {
+            self.freshness.record_reply(sent, age);
+        }
+        if let Some((is_down, age)) = evidence.report
+            && evidence.peer.region == self.shared().context.settings.platform.store_region
+        {
+            self.freshness.record_report(evidence.peer.id, is_down, sent, age);
+        }
+    }
+
+    /// Installs a generation if it is higher than the one in force.
+    fn install(&mut self, loaded: LoadedConfig) {
+        let LoadedConfig { generation, document, began } = loaded;
+        if generation > self.shared().generation() {
+            let encoded = match EncodedDocument::new(&document) {
+                Ok(encoded) => encoded,
+                Err(err) => return log::error!("install generation {generation}: {err}"),
+            };
+            let shared = self.shared();
+            let config = InstalledConfig::new(generation, document);
+            shared.encoded.store(Some(Arc::new(EncodedConfig { generation, encoded })));
+            shared.context.config.store(Some(Arc::new(config)));
+            log::info!(generation:% = generation; "configuration installed");
+            send(&self.arguments.members, MemberMessage::Installed(generation));
+        }
+        if let Some(began) = began
+            && generation == self.shared().generation()
+        {
+            self.freshness.record_read(began);
+        }
+    }
+
+    /// Counts this host's own view of the store, if it is in the store's region.
+    fn record_own_report(&mut self) {
+        let shared = self.arguments.shared.clone();
+        let now = shared.context.clock.now();
+        self.freshness.forget_reports(now);
+        let identity = &shared.context.identity;
+        if let Some(seen) = shared.store.observation()
+            && identity.region == shared.context.settings.platform.store_region
+        {
+            let age = now.since(seen.observed);
+            self.freshness.record_report(identity.id.clone(), seen.is_down, now, age);
+        }
+    }
+
+    fn publish(&self) {
+        let shared = self.shared();
+        let context = &shared.context;
+        let now = context.clock.now();
+        let live = live_hosts(&context.members.load(), context);
+        context.fresh_until.set(self.freshness.fresh_until(now, &live));
+        shared.proof.set(self.freshness.proof().unwrap_or_default());
+    }
+}
+
+/// Live hosts in the store's region, this one included.
+fn live_hosts(members: &[MemberRecord], context: &crate::context::HostContext) -> Vec<HostId> {
+    let region = &context.settings.platform.store_region;
+    members
+        .iter()
+        .filter(|it| it.region == *region && it.state.is_live())
+        .map(|it| it.id.clone())
+        .collect()
+}
+
+async fn load_head(
+    shared: &ControlShared,
+    head: &ConfigHead,
+    began: MonoTime,
+) -> Result<LoadedConfig, ReadError> {
+    let document = shared.load_document(head).await?;
+    Ok(LoadedConfig { generation: head.generation, document, began: Some(began) })
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -0,0 +1,391 @@
+//! Members.
+//!
+//! The actor owns the member table, runs its actions as calls to peers, and publishes the members for requests. Calls
+//! run in tasks of their own, so that a silent peer does not hold up the mailbox.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use rand::{SeedableRng, rngs::StdRng};
+use sapphireknot::{
+    ids::{ConfigGeneration, HostId, IncarnationId},
+    membership::{
+        MemberAction, MemberEvent, MemberRecord, MemberSettings, MemberState, MemberTable,
+    },
+    time::MonoTime,
+};
+use sapphireknot_platform::ListedHost;
+use sapphireknot_wire::peer::{Gossip, StoreReport};
+
+use super::{
+    config_actor::{ConfigMessage, PeerEvidence},
+    shared::{ActorResult, ControlShared, send},
+};
+use crate::{
+    context::DrainStage,
+    peer::{
+        PeerClients,
+        convert::{GossipView, gossip_from_wire, member_to_wire},
+    },
+};
+
+/// Interval at which deadlines of the table are checked.
+const TICK: Duration = Duration::from_millis(100);
+/// Interval at which the platform's host list is read.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// Time after which a host that is gone is forgotten.
+const RETENTION: Duration = Duration::from_secs(600);
+/// Hosts of the store's region that are asked at each interval while proofs are overdue.
+const MAX_REPORTERS: usize = 16;
+
+/// Message to the member actor.
+#[derive(Debug)]
+pub enum MemberMessage {
+    /// A peer's gossip arrived; the reply carries ours.
+    Exchange(Box<GossipView>, RpcReplyPort<Gossip>),
+    /// Gossip for a message to some host is needed.
+    MakeGossip(RpcReplyPort<Gossip>),
+    /// A peer replied.
+    Replied(Box<GossipView>),
+    /// A host answered neither directly nor indirectly, or not directly.
+    Missed {
+        /// The host.
+        target: HostId,
+        /// Run that was probed.
+        incarnation: IncarnationId,
+        /// Whether delegates were asked.
+        is_indirect: bool,
+    },
+    /// The platform listed hosts.
+    Listed(Vec<ListedHost>),
+    /// A generation is in force on this host.
+    Installed(ConfigGeneration),
+    /// The configuration actor runs.
+    Connected(ActorRef<ConfigMessage>),
+    /// The next probe is due.
+    ProbeDue,
+    /// Time has passed.
+    Tick,
+    /// The graceful shutdown reached a stage.
+    Drain(DrainStage),
+}
+
+/// Member actor.
+pub(super) struct MemberActor;
+
+/// What the actor needs.
+pub(super) struct MemberArguments {
+    /// Shared state.
+    pub shared: Arc<ControlShared>,
+    /// Clients of peers.
+    pub peers: Arc<PeerClients>,
+}
+
+/// State of the actor.
+pub(super) struct MemberActorState {
+    shared: Arc<ControlShared>,
+    peers: Arc<PeerClients>,
+    config: Option<ActorRef<ConfigMessage>>,
+    table: MemberTable,
+    rng: StdRng,
+}
+
+#[ractor::async_trait]
+impl Actor for MemberActor {
+    type Msg = MemberMessage;
+    type State = MemberActorState;
+    type Arguments = MemberArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<MemberMessage>,
+        arguments: MemberArguments,
+    ) -> Result<MemberActorState, ActorProcessingErr> {
+        let MemberArguments { shared, peers } = arguments;
+        let timing = &shared.context.settings.timing;
+        myself.send_interval(timing.gossip_interval.0, || MemberMessage::ProbeDue);
+        myself.send_interval(TICK, || MemberMessage::Tick);
+        let settings = MemberSettings { suspicion: timing.suspicion.0, retention: RETENTION };
+        let table = MemberTable::new(settings, own_record(&shared));
+        let rng = StdRng::seed_from_u64(rand::random());
+        let state = MemberActorState { shared, peers, config: None, table, rng };
+        state.publish();
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<MemberMessage>,
+        message: MemberMessage,
+        state: &mut MemberActorState,
+    ) -> ActorResult {
+        match message {
+            MemberMessage::Exchange(view, port) => {
+                let peer = view.sender.id.clone();
+                if let Some(config) = &state.config {
+                    send(config, ConfigMessage::PeerHeard(Box::new(evidence(&view, None))));
+                }
+                state.apply_heard(&myself, *view);
+                let gossip = state.make_gossip(Some(&peer));
+                if port.send(gossip).is_err() {
+                    log::debug!("host {peer} no longer waits for gossip");
+                }
+            }
+            MemberMessage::MakeGossip(port) => {
+                let gossip = state.make_gossip(None);
+                if port.send(gossip).is_err() {
+                    log::debug!("the caller no longer waits for gossip");
+                }
+            }
+            MemberMessage::Replied(view) => state.apply_heard(&myself, *view),
+            MemberMessage::Missed { target, incarnation, is_indirect: false } => {
+                state.apply(&myself, MemberEvent::DirectMissed { target, incarnation });
+            }
+            MemberMessage::Missed { target, incarnation, is_indirect: true } => {
+                state.apply(&myself, MemberEvent::IndirectMissed { target, incarnation });
+            }
+            MemberMessage::Listed(hosts) => {
+                let records = hosts.into_iter().map(listed_record).collect();
+                state.apply(&myself, MemberEvent::Seeded(records));
+            }
+            MemberMessage::Installed(generation) => {
+                state.apply(&myself, MemberEvent::Installed(generation));
+            }
+            MemberMessage::Connected(config) => state.config = Some(config),
+            MemberMessage::ProbeDue => {
+                state.apply(&myself, MemberEvent::ProbeDue);
+                state.ask_seeds(&myself);
+                state.ask_reporters(&myself);
+            }
+            MemberMessage::Tick => state.apply(&myself, MemberEvent::TimePassed),
+            MemberMessage::Drain(DrainStage::Serving) => {}
+            MemberMessage::Drain(DrainStage::Leaving | DrainStage::Closing) => {
+                state.apply(&myself, MemberEvent::LeaveBegan);
+            }
+            MemberMessage::Drain(DrainStage::Ended) => {
+                state.apply(&myself, MemberEvent::LeaveEnded);
+            }
+        }
+        state.publish();
+        Ok(())
+    }
+}
+
+impl MemberActorState {
+    fn apply(&mut self, myself: &ActorRef<MemberMessage>, event: MemberEvent) {
+        let now = self.shared.context.clock.now();
+        for action in self.table.handle(now, event, &mut self.rng) {
+            match action {
+                MemberAction::Probe(target) => self.probe(myself, target),
+                MemberAction::ProbeVia { target, delegates } => {
+                    self.probe_via(myself, target, delegates);
+                }
+                MemberAction::Notify(peers) => {
+                    for peer in peers {
+                        self.exchange(myself, peer.peer_address, Some(&peer.id), None);
+                    }
+                }
+            }
+        }
+    }
+
+    fn apply_heard(&mut self, myself: &ActorRef<MemberMessage>, view: GossipView) {
+        let GossipView { sender, members, .. } = view;
+        self.apply(myself, MemberEvent::Heard { sender: Box::new(sender), members });
+    }
+
+    fn make_gossip(&mut self, peer: Option<&HostId>) -> Gossip {
+        let records = self.table.updates_for(peer, &mut self.rng);
+        let sent = records.iter().map(|it| it.id.clone()).collect();
+        let now = self.shared.context.clock.now();
+        self.table.handle(now, MemberEvent::UpdatesSent(sent), &mut self.rng);
+        let micros = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Gossip {
+            sender: Some(member_to_wire(self.table.own())),
+            members: records.iter().map(member_to_wire).collect(),
+            generation: self.shared.generation().0,
+            freshness_age_us: self.shared.proof().map(|it| micros(now.since(it))),
+            store: self
+                .shared
+                .store
+                .observation()
+                .map(|it| StoreReport { down: it.is_down, age_us: micros(now.since(it.observed)) }),
+            ..Gossip::default()
+        }
+    }
+
+    /// Exchanges gossip; reports `target` as missed if it does not answer.
+    fn exchange(
+        &mut self,
+        myself: &ActorRef<MemberMessage>,
+        address: SocketAddr,
+        peer: Option<&HostId>,
+        target: Option<(HostId, IncarnationId)>,
+    ) {
+        let gossip = self.make_gossip(peer);
+        let (shared, peers) = (self.shared.clone(), self.peers.clone());
+        let (myself, config) = (myself.clone(), self.config.clone());
+        tokio::spawn(async move {
+            let sent = shared.context.clock.now();
+            let reply = peers.exchange(address, gossip).await;
+            let view = reply.map_err(|err| err.to_string()).and_then(|reply| {
+                gossip_from_wire(reply.gossip.as_ref()).map_err(|err| err.to_string())
+            });
+            // A reply of another host at the same address does not show that the target is alive.
+            let view = view.and_then(|view| match &target {
+                Some((id, _)) if *id != view.sender.id => {
+                    Err(format!("host {} answers at the address of host {id}", view.sender.id))
+                }
+                _ => Ok(view),
+            });
+            match (view, target) {
+                (Ok(view), _) => {
+                    if let Some(config) = &config {
+                        let evidence = Box::new(evidence(&view, Some(sent)));
+                        send(config, ConfigMessage::PeerHeard(evidence));
+                    }
+                    send(&myself, MemberMessage::Replied(Box::new(view)));
+                }
+                (Err(err), Some((target, incarnation))) => {
+                    log::debug!("probe host {target}: {err}");
+                    let missed = MemberMessage::Missed { target, incarnation, is_indirect: false };
+                    send(&myself, missed);
+                }
+                (Err(err), None) => log::debug!("exchange with {address}: {err}"),
+            }
+        });
+    }
+
+    fn probe(&mut self, myself: &ActorRef<MemberMessage>, target: MemberRecord) {
+        let run = (target.id.clone(), target.incarnation);
+        self.exchange(myself, target.peer_address, Some(&target.id), Some(run));
+    }
+
+    fn probe_via(
+        &self,
+        myself: &ActorRef<MemberMessage>,
+        target: MemberRecord,
+        delegates: Vec<MemberRecord>,
+    ) {
+        let (peers, myself) = (self.peers.clone(), myself.clone());
+        tokio::spawn(async move {
+            let asks = delegates.iter().map(|it| peers.probe_via(it.peer_address, &target));
+            let answers = join_all(asks).await;
+            if !answers.iter().any(|it| matches!(it, Ok(true))) {
+                let MemberRecord { id, incarnation, .. } = target;
+                let missed = MemberMessage::Missed { target: id, incarnation, is_indirect: true };
+                send(&myself, missed);
+            }
+        });
+    }
+
+    /// Joins by the addresses in the settings while no other host is known.
+    fn ask_seeds(&mut self, myself: &ActorRef<MemberMessage>) {
+        if self.table.members().iter().filter(|it| it.state.is_live()).count() > 1 {
+            return;
+        }
+        let own = self.shared.context.identity.peer_address;
+        for address in self.shared.context.settings.seeds.clone() {
+            if address != own {
+                self.exchange(myself, address, None, None);
+            }
+        }
+    }
+
+    /// Asks hosts of the store's region for their reports and proofs while proofs are overdue.
+    fn ask_reporters(&mut self, myself: &ActorRef<MemberMessage>) {
+        let context = self.shared.context.clone();
+        let now = context.clock.now();
+        let limit = context.settings.timing.key_freshness.0 / 2;
+        if self.shared.proof().is_some_and(|it| now.since(it) < limit) {
+            return;
+        }
+        let own = &context.identity.id;
+        let region = &context.settings.platform.store_region;
+        let reporters: Vec<_> = self
+            .table
+            .members()
+            .into_iter()
+            .filter(|it| it.region == *region && it.state.is_live() && it.id != *own)
+            .take(MAX_REPORTERS)
+            .collect();
+        for reporter in reporters {
+            self.exchange(myself, reporter.peer_address, Some(&reporter.id), None);
+        }
+    }
+
+    fn publish(&self) {
+        let members = self.table.members();
+        if **self.shared.context.members.load() != members {
+            self.shared.context.members.store(Arc::new(members));
+        }
+    }
+}
+
+fn evidence(view: &GossipView, sent: Option<MonoTime>) -> PeerEvidence {
+    PeerEvidence {
+        peer: view.sender.clone(),
+        sent,
+        generation: view.generation,
+        proof_age: view.proof_age,
+        report: view.report,
+    }
+}
+
+fn own_record(shared: &ControlShared) -> MemberRecord {
+    let identity = &shared.context.identity;
+    MemberRecord {
+        id: identity.id.clone(),
+        region: identity.region.clone(),
+        datacentre: identity.datacentre.clone(),
+        peer_address: identity.peer_address,
+        caller_address: identity.caller_address,
+        incarnation: identity.incarnation,
+        state: MemberState::Alive,
+        generation: shared.generation(),
+        load_permille: 0,
+        version: 1,
+    }
+}
+
+/// A listed host before it was heard; anything that it tells of itself replaces this.
+fn listed_record(host: ListedHost) -> MemberRecord {
+    MemberRecord {
+        id: host.id,
+        region: host.region,
+        datacentre: host.datacentre,
+        peer_address: host.peer_address,
+        caller_address: host.caller_address,
+        incarnation: IncarnationId(0),
+        state: if host.leaving { MemberState::Leaving } else { MemberState::Alive },
+        generation: ConfigGeneration(0),
+        load_permille: 0,
+        version: 0,
+    }
+}
+
+/// Reads the platform's host list at the interval, for as long as the task runs.
+pub(super) async fn list_hosts(shared: Arc<ControlShared>, members: ActorRef<MemberMessage>) {
+    let mut interval = tokio::time::interval(LIST_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        match shared.hosts.list_hosts().await {
+            Ok(hosts) => send(&members, MemberMessage::Listed(hosts)),
+            Err(err) => log::debug!("read the host list: {err}"),
+        }
+    }
+}
+
+/// Follows the stages of the graceful shutdown, for as long as the task runs.
+pub(super) async fn follow_drain(shared: Arc<ControlShared>, members: ActorRef<MemberMessage>) {
+    let mut stages = shared.context.drain.subscribe();
+    loop {
+        let stage = *stages.borrow_and_update();
+        send(&members, MemberMessage::Drain(stage));
+        if stages.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/control/notes.rs
@@ -0,0 +1,390 @@
+//! Changes of the configuration in the store.
+//!
+//! Chunks are written before the head, and the head is replaced by compare-and-swap. When an answer is lost, the head
+//! is read again: it names the notes that were accepted, so that the reply to the operator is never a guess.
+
+use std::{sync::Arc, time::Duration};
+
+use sapphireknot::{
+    config::{ConfigDocument, ConfigProblem, EntityPath, ReleaseNote},
+    head::{
+        ConfigHead, EncodedDocument, NoteDecision, NoteWrite, ReadBack, decide_document,
+        decide_note,
+    },
+    ids::{ConfigGeneration, NoteId},
+    operator::{ChangeReceipt, DocumentSubmission, NoteSubmission},
+    time::MonoTime,
+};
+use sapphireknot_platform::{
+    KeyValueStore, StoreError, StoreRevision, StoredEntry, SwapOutcome, SwapWrite,
+};
+use serde::{Deserialize, Serialize};
+
+use super::shared::{ControlShared, HEAD_KEY, ReadError, chunk_key, read_head, read_record};
+
+/// Time after which an operator is told that a change is still resolving.
+const SUBMIT_LIMIT: Duration = Duration::from_secs(5);
+/// Pause after an unanswered call.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Release note in the store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NoteRecord {
+    /// The note.
+    pub note: ReleaseNote,
+    /// Generation that its author saw.
+    pub base: ConfigGeneration,
+    /// No generation below this one was attempted.
+    pub tried: ConfigGeneration,
+    /// Generation that it made; none before that is known.
+    pub accepted: Option<ConfigGeneration>,
+}
+
+/// Change that is written.
+enum ChangeRequest {
+    Note { note: ReleaseNote, base: Option<ConfigGeneration> },
+    Document { id: NoteId, submission: DocumentSubmission },
+}
+
+/// Accepted change, for installation without another read.
+#[derive(Debug)]
+pub struct AcceptedChange {
+    /// Generation.
+    pub generation: ConfigGeneration,
+    /// Document, unless the change was accepted earlier.
+    pub document: Option<ConfigDocument>,
+    /// When the write of the head began.
+    pub began: MonoTime,
+}
+
+/// Outcome of a submission.
+#[derive(Debug)]
+pub struct SubmitOutcome {
+    /// Reply to the operator.
+    pub receipt: ChangeReceipt,
+    /// The change, if it was accepted.
+    pub change: Option<AcceptedChange>,
+}
+
+/// One round against the current head.
+enum Round {
+    Ended(SubmitOutcome),
+    /// Another write came first.
+    Again(String),
+    /// The answer to the write of the head was lost.
+    Lost(String),
+    /// The store refused the write of the head.
+    NotWritten(String),
+}
+
+fn refused(problems: Vec<ConfigProblem>, conflicts: Vec<EntityPath>) -> SubmitOutcome {
+    SubmitOutcome { receipt: ChangeReceipt::Refused { problems, conflicts }, change: None }
+}
+
+fn resolving(reason: String) -> SubmitOutcome {
+    SubmitOutcome { receipt: ChangeReceipt::Resolving { reason }, change: None }
+}
+
+fn accepted(
+    generation: ConfigGeneration,
+    document: Option<ConfigDocument>,
+    began: MonoTime,
+) -> SubmitOutcome {
+    let receipt = ChangeReceipt::Accepted { generation };
+    let change = Some(AcceptedChange { generation, document, began });
+    SubmitOutcome { receipt, change }
+}
+
+fn note_key(id: &NoteId) -> String {
+    format!("note/{id}")
+}
+
+/// Id of a submission in the head; the same document on the same base is the same submission.
+fn document_id(submission: &DocumentSubmission) -> Result<NoteId, ReadError> {
+    let encoded = EncodedDocument::new(&submission.document)?;
+    let text = format!("document.{}.{}", submission.base, &encoded.digest[..32]);
+    text.parse::<NoteId>().map_err(|err| ReadError::Record { key: text, reason: err.to_string() })
+}
+
+/// Writer of changes; one submission at a time, so that those of one host do not race one another.
+pub struct NoteWriter {
+    shared: Arc<ControlShared>,
+    turn: tokio::sync::Mutex<()>,
+}
+
+impl NoteWriter {
+    /// A writer to the store of `shared`.
+    pub fn new(shared: Arc<ControlShared>) -> Self {
+        Self { shared, turn: tokio::sync::Mutex::new(()) }
+    }
+
+    /// Submits a release note.
+    pub async fn submit_note(&self, submission: NoteSubmission) -> SubmitOutcome {
+        let NoteSubmission { note, base } = submission;
+        if note.items.is_empty() {
+            let problems = vec![ConfigProblem::new("items", "[]", "at least one item")];
+            return refused(problems, Vec::new());
+        }
+        let deadline = self.shared.context.clock.now().after(SUBMIT_LIMIT);
+        let _turn = self.turn.lock().await;
+        let base = base.unwrap_or_else(|| self.shared.generation());
+        let record = match self.prepare_record(&note, base, deadline).await {
+            Ok(record) => record,
+            Err(outcome) => return *outcome,
+        };
+        let request = ChangeRequest::Note { note, base: Some(base) };
+        let outcome = self.run(&request, record.tried, deadline).await;
+        self.finish_record(record, &outcome.receipt).await;
+        outcome
+    }
+
+    /// Submits a whole document.
+    pub async fn submit_document(&self, submission: DocumentSubmission) -> SubmitOutcome {
+        let deadline = self.shared.context.clock.now().after(SUBMIT_LIMIT);
+        let _turn = self.turn.lock().await;
+        let id = match document_id(&submission) {
+            Ok(id) => id,
+            Err(err) => return resolving(format!("name the submission: {err}")),
+        };
+        let tried = submission.base.next();
+        self.run(&ChangeRequest::Document { id, submission }, tried, deadline).await
+    }
+
+    /// What [`Self::submit_note`] would answer, without a write.
+    pub async fn check_note(&self, note: ReleaseNote) -> ChangeReceipt {
+        let request = ChangeRequest::Note { note, base: None };
+        match self.decide(&request).await {
+            Ok((_, NoteDecision::Write(write))) => {
+                ChangeReceipt::Accepted { generation: write.head.generation }
+            }
+            Ok((_, NoteDecision::AlreadyAccepted(generation))) => {
+                ChangeReceipt::Accepted { generation }
+            }
+            Ok((_, NoteDecision::Refused { problems, conflicts })) => {
+                ChangeReceipt::Refused { problems, conflicts }
+            }
+            Err(err) => ChangeReceipt::Resolving { reason: err.to_string() },
+        }
+    }
+
+    /// The record of an accepted note; none if no such note was accepted.
+    pub async fn find_note(
+        &self,
+        id: &NoteId,
+    ) -> Result<Option<(NoteRecord, ConfigGeneration)>, ReadError> {
+        let Some(entry) = self.shared.store.get(&note_key(id)).await? else { return Ok(None) };
+        let record: NoteRecord = read_record(&entry)?;
+        if let Some(generation) = record.accepted {
+            return Ok(Some((record, generation)));
+        }
+        let head = read_head(self.shared.store.get(HEAD_KEY).await?.as_ref())?;
+        Ok(head.generation_of(id).map(|generation| (record, generation)))
+    }
+
+    /// Writes the record of a note before its first attempt, or reads the one that exists.
+    async fn prepare_record(
+        &self,
+        note: &ReleaseNote,
+        base: ConfigGeneration,
+        deadline: MonoTime,
+    ) -> Result<NoteRecord, Box<SubmitOutcome>> {
+        loop {
+            let reason = match self.try_prepare(note, base).await {
+                Ok(record) if record.note != *note => {
+                    let allowed = "an id that no other note has";
+                    let problems = vec![ConfigProblem::new("id", &note.id, allowed)];
+                    return Err(Box::new(refused(problems, Vec::new())));
+                }
+                Ok(record) => match record.accepted {
+                    Some(generation) => {
+                        let began = self.shared.context.clock.now();
+                        return Err(Box::new(accepted(generation, None, began)));
+                    }
+                    None => return Ok(record),
+                },
+                Err(ReadError::Store(StoreError::Refused { reason, .. })) => {
+                    let allowed = format!("a note that the store accepts: {reason}");
+                    let problems = vec![ConfigProblem::new("note", &note.id, allowed)];
+                    return Err(Box::new(refused(problems, Vec::new())));
+                }
+                Err(err) => err.to_string(),
+            };
+            if self.shared.context.clock.now() >= deadline {
+                return Err(Box::new(resolving(reason)));
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn try_prepare(
+        &self,
+        note: &ReleaseNote,
+        base: ConfigGeneration,
+    ) -> Result<NoteRecord, ReadError> {
+        let key = note_key(&note.id);
+        if let Some(entry) = self.shared.store.get(&key).await? {
+            return read_record(&entry);
+        }
+        let head = read_head(self.shared.store.get(HEAD_KEY).await?.as_ref())?;
+        let tried = head.generation.next();
+        let record = NoteRecord { note: note.clone(), base, tried, accepted: None };
+        match self.put_record(&record, StoreRevision::ABSENT).await? {
+            SwapOutcome::Conflict(Some(entry)) => read_record(&entry),
+            SwapOutcome::Conflict(None) | SwapOutcome::LeaseEnded => {
+                Err(ReadError::Record { key, reason: "the write was not accepted".to_owned() })
+            }
+            SwapOutcome::Swapped(_) => Ok(record),
+        }
+    }
+
+    async fn put_record(
+        &self,
+        record: &NoteRecord,
+        expected: StoreRevision,
+    ) -> Result<SwapOutcome, ReadError> {
+        let key = note_key(&record.note.id);
+        let value = serde_json::to_vec(record)
+            .map_err(|err| ReadError::Record { key: key.clone(), reason: err.to_string() })?;
+        let write = SwapWrite { key, expected, value: Some(value), lease: None };
+        Ok(self.shared.store.compare_and_swap(write).await?)
+    }
+
+    /// Completes the record of an accepted note and removes that of a refused one, so that its id can be used again.
+    ///
+    /// A failure is harmless: the head names the note, and a record without a generation stands for no acceptance.
+    async fn finish_record(&self, mut record: NoteRecord, receipt: &ChangeReceipt) {
+        let key = note_key(&record.note.id);
+        let Ok(entry) = self.shared.store.get(&key).await else { return };
+        let expected = entry.as_ref().map(|it| it.revision).unwrap_or(StoreRevision::ABSENT);
+        let result = match receipt {
+            ChangeReceipt::Accepted { generation } => {
+                record.accepted = Some(*generation);
+                self.put_record(&record, expected).await.map(drop)
+            }
+            ChangeReceipt::Refused { .. } if entry.is_some() => {
+                let write = SwapWrite { key, expected, value: None, lease: None };
+                self.shared.store.compare_and_swap(write).await.map(drop).map_err(ReadError::from)
+            }
+            ChangeReceipt::Refused { .. } | ChangeReceipt::Resolving { .. } => Ok(()),
+        };
+        if let Err(err) = result {
+            log::warn!("complete the record of note {}: {err}", record.note.id);
+        }
+    }
+
+    async fn run(
+        &self,
+        request: &ChangeRequest,
+        tried: ConfigGeneration,
+        deadline: MonoTime,
+    ) -> SubmitOutcome {
+        let mut is_lost = false;
+        loop {
+            let reason = match self.run_round(request, tried).await {
+                Ok(Round::Ended(outcome)) => return outcome,
+                Ok(Round::Again(reason)) => reason,
+                Ok(Round::Lost(reason)) => {
+                    is_lost = true;
+                    reason
+                }
+                // An earlier write without an answer may still take effect on the same head.
+                Ok(Round::NotWritten(reason)) if !is_lost => {
+                    let allowed = "a change that the store accepts";
+                    let problems = vec![ConfigProblem::new("head", reason, allowed)];
+                    return refused(problems, Vec::new());
+                }
+                Ok(Round::NotWritten(reason)) => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    reason
+                }
+                Err(err) => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    err.to_string()
+                }
+            };
+            if self.shared.context.clock.now() >= deadline {
+                return resolving(reason);
+            }
+        }
+    }
+
+    async fn run_round(
+        &self,
+        request: &ChangeRequest,
+        tried: ConfigGeneration,
+    ) -> Result<Round, ReadError> {
+        let began = self.shared.context.clock.now();
+        let (expected, decision) = self.decide(request).await?;
+        let id = match request {
+            ChangeRequest::Note { note, .. } => &note.id,
+            ChangeRequest::Document { id, .. } => id,
+        };
+        match decision {
+            NoteDecision::AlreadyAccepted(generation) => {
+                Ok(Round::Ended(accepted(generation, None, began)))
+            }
+            NoteDecision::Refused { problems, conflicts } => {
+                Ok(Round::Ended(refused(problems, conflicts)))
+            }
+            NoteDecision::Write(write) => {
+                let before = ConfigHead {
+                    generation: ConfigGeneration(write.head.generation.0 - 1),
+                    ..ConfigHead::default()
+                };
+                if before.read_back(id, tried) == ReadBack::Unknown {
+                    let reason = "the head has forgotten the notes of that time".to_owned();
+                    return Ok(Round::Ended(resolving(reason)));
+                }
+                self.write(*write, expected).await
+            }
+        }
+    }
+
+    /// The decision on a change, with the revision of the head on which it rests.
+    async fn decide(
+        &self,
+        request: &ChangeRequest,
+    ) -> Result<(StoreRevision, NoteDecision), ReadError> {
+        let entry = self.shared.store.get(HEAD_KEY).await?;
+        let head = read_head(entry.as_ref())?;
+        let decision = match request {
+            ChangeRequest::Note { note, base } => {
+                let document = self.shared.load_document(&head).await?;
+                decide_note(&head, &document, note, base.unwrap_or(head.generation))?
+            }
+            ChangeRequest::Document { id, submission } => {
+                decide_document(&head, submission.document.clone(), id, submission.base)?
+            }
+        };
+        let revision = entry.map(|it: StoredEntry| it.revision).unwrap_or(StoreRevision::ABSENT);
+        Ok((revision, decision))
+    }
+
+    async fn write(&self, write: NoteWrite, expected: StoreRevision) -> Result<Round, ReadError> {
+        for (digest, chunk) in write.encoded.chunks() {
+            // A conflict says that the chunk is there already.
+            let key = chunk_key(&digest);
+            let value = Some(chunk.to_vec());
+            let put = SwapWrite { key, expected: StoreRevision::ABSENT, value, lease: None };
+            self.shared.store.compare_and_swap(put).await?;
+        }
+        let key = HEAD_KEY.to_owned();
+        let value = serde_json::to_vec(&write.head)
+            .map_err(|err| ReadError::Record { key: key.clone(), reason: err.to_string() })?;
+        let began = self.shared.context.clock.now();
+        let put = SwapWrite { key, expected, value: Some(value), lease: None };
+        match self.shared.store.compare_and_swap(put).await {
+            Ok(SwapOutcome::Swapped(_)) => {
+                let generation = write.head.generation;
+                Ok(Round::Ended(accepted(generation, Some(write.document), began)))
+            }
+            Ok(SwapOutcome::Conflict(_)) => {
+                Ok(Round::Again("another change came first".to_owned()))
+            }
+            Ok(SwapOutcome::LeaseEnded) => Ok(Round::Again("the lease had ended".to_owned())),
+            Err(err @ StoreError::Refused { .. }) => Ok(Round::NotWritten(err.to_string())),
+            // The next round reads the head, which names this change if the write took effect.
+            Err(err @ StoreError::Unanswered { .. }) => Ok(Round::Lost(err.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/control/session_actor.rs
@@ -0,0 +1,244 @@
+//! Session of this host with the store.
+//!
+//! The actor holds a short and a long lease, renews both with one call, and takes a watch role while fewer than two
+//! hosts of the data centre hold one. It stops using a lease a drift margin before its end, counted from before the
+//! renewal was sent. Its calls are sequential, since each rests on the result of the one before.
+
+use std::{sync::Arc, time::Duration};
+
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use sapphireknot::{
+    ids::{FencingToken, HostId, IncarnationId},
+    roles::{HeldLease, HeldRoles},
+    time::MonoTime,
+};
+use sapphireknot_platform::{
+    KeyValueStore, LeaseId, StoreError, StoreRevision, SwapOutcome, SwapWrite,
+};
+use serde::{Deserialize, Serialize};
+
+use super::shared::{ActorResult, ControlShared, ReadError, read_record};
+
+/// Watch roles of a data centre.
+const WATCH_ROLES: u32 = 2;
+/// Renewals of all hosts together stay under this many a second.
+const MAX_RENEWAL_RATE: u32 = 100;
+/// Shortest interval of renewals.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
+/// A short lease covers this many intervals, so that four renewals may be lost.
+const LEASE_INTERVALS: u32 = 5;
+
+/// Holder of a role or owner of a host record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderRecord {
+    /// Host.
+    pub host: HostId,
+    /// Run of its process.
+    pub incarnation: IncarnationId,
+}
+
+/// Message to the session actor.
+#[derive(Debug)]
+pub enum SessionMessage {
+    /// A renewal is due.
+    RenewalDue,
+    /// Give up all roles and leases.
+    End(RpcReplyPort<()>),
+}
+
+/// Session actor.
+pub(super) struct SessionActor;
+
+/// Leases as the store knows them.
+#[derive(Debug, Clone, Copy)]
+struct LeasePair {
+    short: LeaseId,
+    long: LeaseId,
+}
+
+/// State of the actor.
+pub(super) struct SessionState {
+    shared: Arc<ControlShared>,
+    leases: Option<LeasePair>,
+    short: HeldLease,
+    roles: HeldRoles,
+    is_ended: bool,
+}
+
+#[ractor::async_trait]
+impl Actor for SessionActor {
+    type Msg = SessionMessage;
+    type State = SessionState;
+    type Arguments = Arc<ControlShared>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<SessionMessage>,
+        shared: Arc<ControlShared>,
+    ) -> Result<SessionState, ActorProcessingErr> {
+        myself.cast(SessionMessage::RenewalDue)?;
+        Ok(SessionState {
+            shared,
+            leases: None,
+            short: HeldLease::default(),
+            roles: HeldRoles::default(),
+            is_ended: false,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<SessionMessage>,
+        message: SessionMessage,
+        state: &mut SessionState,
+    ) -> ActorResult {
+        match message {
+            SessionMessage::RenewalDue if state.is_ended => {}
+            SessionMessage::RenewalDue => {
+                if let Err(err) = state.renew().await {
+                    log::warn!("renew the session with the store: {err}");
+                }
+                state.publish();
+                myself.send_after(state.interval(), || SessionMessage::RenewalDue);
+            }
+            SessionMessage::End(port) => {
+                state.end().await;
+                if port.send(()).is_err() {
+                    log::debug!("the caller no longer waits for the end of the session");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl SessionState {
+    fn interval(&self) -> Duration {
+        let members = self.shared.context.members.load();
+        let hosts = members.iter().filter(|it| it.state.is_live()).count();
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        MIN_INTERVAL.max(Duration::from_secs(1) * hosts / MAX_RENEWAL_RATE)
+    }
+
+    fn short_ttl(&self) -> Duration {
+        let configured = self.shared.context.settings.timing.short_lease.0;
+        configured.max(self.interval() * LEASE_INTERVALS)
+    }
+
+    fn now(&self) -> MonoTime {
+        self.shared.context.clock.now()
+    }
+
+    fn holder(&self) -> HolderRecord {
+        let identity = &self.shared.context.identity;
+        HolderRecord { host: identity.id.clone(), incarnation: identity.incarnation }
+    }
+
+    async fn renew(&mut self) -> Result<(), ReadError> {
+        let Some(leases) = self.leases else { return self.begin().await };
+        let sent = self.now();
+        let alive = self.shared.store.renew_leases(&[leases.short, leases.long]).await?;
+        if !alive.contains(&leases.short) || !alive.contains(&leases.long) {
+            // The store deleted what was attached to the lease that ended.
+            self.forget();
+            return self.begin().await;
+        }
+        self.short.record_renewal(sent, self.short_ttl());
+        self.take_watch().await
+    }
+
+    /// Grants new leases and writes the records of this host.
+    async fn begin(&mut self) -> Result<(), ReadError> {
+        let sent = self.now();
+        let store = self.shared.store.clone();
+        let short = store.grant_lease(self.short_ttl()).await?;
+        let long = store.grant_lease(self.shared.context.settings.timing.long_lease.0).await?;
+        let id = &self.shared.context.identity.id;
+        self.put(&format!("host/{id}/short"), short).await?;
+        self.put(&format!("host/{id}/long"), long).await?;
+        self.leases = Some(LeasePair { short, long });
+        self.short.record_renewal(sent, self.short_ttl());
+        self.take_watch().await
+    }
+
+    /// Writes this host's record over an earlier one of the same host.
+    async fn put(&self, key: &str, lease: LeaseId) -> Result<(), ReadError> {
+        let entry = self.shared.store.get(key).await?;
+        let expected = entry.map(|it| it.revision).unwrap_or(StoreRevision::ABSENT);
+        match self.swap(key, expected, lease).await? {
+            SwapOutcome::Swapped(_) => Ok(()),
+            SwapOutcome::Conflict(_) | SwapOutcome::LeaseEnded => {
+                let reason = "it changed while it was written".to_owned();
+                Err(ReadError::Record { key: key.to_owned(), reason })
+            }
+        }
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: StoreRevision,
+        lease: LeaseId,
+    ) -> Result<SwapOutcome, ReadError> {
+        let value = serde_json::to_vec(&self.holder())
+            .map_err(|err| ReadError::Record { key: key.to_owned(), reason: err.to_string() })?;
+        let lease = Some(lease);
+        let write = SwapWrite { key: key.to_owned(), expected, value: Some(value), lease };
+        Ok(self.shared.store.compare_and_swap(write).await?)
+    }
+
+    /// Takes a free watch role of the data centre, unless this host holds one.
+    async fn take_watch(&mut self) -> Result<(), ReadError> {
+        let Some(leases) = self.leases else { return Ok(()) };
+        if !self.roles.names().is_empty() {
+            return Ok(());
+        }
+        let datacentre = self.shared.context.identity.datacentre.clone();
+        for idx in 0..WATCH_ROLES {
+            let key = format!("role/watch/{datacentre}/{idx}");
+            if let Some(entry) = self.shared.store.get(&key).await? {
+                // The answer to an earlier write may have been lost.
+                let holder: HolderRecord = read_record(&entry)?;
+                if holder == self.holder() && entry.lease == Some(leases.short) {
+                    self.roles.take(key, FencingToken(entry.revision.0));
+                    return Ok(());
+                }
+                continue;
+            }
+            if let SwapOutcome::Swapped(revision) =
+                self.swap(&key, StoreRevision::ABSENT, leases.short).await?
+            {
+                log::info!(role:% = key; "role taken");
+                self.roles.take(key, FencingToken(revision.0));
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    fn forget(&mut self) {
+        self.leases = None;
+        self.short.end();
+        self.roles.clear();
+    }
+
+    fn publish(&self) {
+        let is_holder = !self.roles.names().is_empty();
+        let until = if is_holder { self.short.usable_until() } else { MonoTime::default() };
+        self.shared.watch_until.set(until);
+    }
+
+    async fn end(&mut self) {
+        self.is_ended = true;
+        let leases = self.leases;
+        self.forget();
+        self.publish();
+        let Some(leases) = leases else { return };
+        for lease in [leases.short, leases.long] {
+            let result: Result<(), StoreError> = self.shared.store.revoke_lease(lease).await;
+            if let Err(err) = result {
+                log::warn!("end the session with the store: {err}");
+            }
+        }
+    }
+}
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -6,4 +6,7 @@
 pub mod clock;
 pub mod constants;
 pub mod context;
+pub mod control;
+pub mod operator;
+pub mod peer;
 pub mod settings;
--- /dev/null
+++ b/crates/sapphireknotd/src/operator/server.rs
@@ -0,0 +1,138 @@
+//! Connections of operators.
+
+use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ractor::ActorRef;
+use sapphireknot::keys::KeyDigest;
+use subtle::ConstantTimeEq;
+use tokio::{net::TcpListener, sync::Semaphore};
+
+use super::calls::{self, CallReply};
+use crate::control::{ConfigMessage, ControlShared, NoteWriter};
+
+/// Bytes of a body; the largest document, of several chunks of the store.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Connections at the same time; operators' tools open few.
+const MAX_CONNECTIONS: usize = 64;
+/// Time in which a call with its body must arrive.
+const READ_LIMIT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept, for example when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Server of operators' calls.
+pub struct OperatorServer {
+    pub(super) shared: Arc<ControlShared>,
+    pub(super) writer: NoteWriter,
+    pub(super) config: ActorRef<ConfigMessage>,
+}
+
+impl OperatorServer {
+    /// A server that writes changes with `writer`.
+    pub fn new(
+        shared: Arc<ControlShared>,
+        writer: NoteWriter,
+        config: ActorRef<ConfigMessage>,
+    ) -> Self {
+        Self { shared, writer, config }
+    }
+
+    /// Whether the request carries the operators' token; digests are compared in constant time.
+    fn is_authorized<B>(&self, request: &Request<B>) -> bool {
+        let expected = KeyDigest::from_hex(&self.shared.context.settings.operator_token_sha256);
+        let token = request
+            .headers()
+            .get(header::AUTHORIZATION)
+            .and_then(|it| it.as_bytes().strip_prefix(b"Bearer "));
+        let (Some(expected), Some(token)) = (expected, token) else { return false };
+        let (expected, found) = (expected.to_hex(), KeyDigest::of(token).to_hex());
+        bool::from(expected.as_bytes().ct_eq(found.as_bytes()))
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> CallReply {
+        if !self.is_authorized(&request) {
+            return calls::failure(StatusCode::UNAUTHORIZED, "the operators' token is needed");
+        }
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path().trim_start_matches('/').to_owned();
+        let body = match tokio::time::timeout(READ_LIMIT, read_body(body)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(reply)) => return reply,
+            Err(_) => return calls::failure(StatusCode::REQUEST_TIMEOUT, "the body is late"),
+        };
+        let segments: Vec<_> = path.split('/').collect();
+        match (&parts.method, segments.as_slice()) {
+            (&Method::PUT, ["v1", "config"]) => calls::put_config(self, &body).await,
+            (&Method::GET, ["v1", "config"]) => calls::get_config(self),
+            (&Method::POST, ["v1", "check"]) => calls::check_note(self, &body).await,
+            (&Method::POST, ["v1", "notes"]) => calls::post_note(self, &body).await,
+            (&Method::GET, ["v1", "notes", id]) => calls::get_note(self, id).await,
+            (&Method::GET, ["v1", "status"]) => calls::get_status(self),
+            (_, ["v1", "config" | "check" | "notes" | "status"] | ["v1", "notes", _]) => {
+                calls::failure(StatusCode::METHOD_NOT_ALLOWED, "another method is needed")
+            }
+            _ => calls::failure(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+}
+
+async fn read_body(body: Incoming) -> Result<Bytes, CallReply> {
+    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) => Err(calls::failure(StatusCode::PAYLOAD_TOO_LARGE, &err.to_string())),
+    }
+}
+
+fn to_response(reply: CallReply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+    *response.status_mut() = reply.status;
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Serves operators until `stopped` completes; calls that have begun are finished.
+pub async fn serve_operators<F>(server: Arc<OperatorServer>, listener: TcpListener, stopped: F)
+where
+    F: Future<Output = ()>,
+{
+    let mut stopped = pin!(stopped);
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let graceful = hyper_util::server::graceful::GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            () = &mut stopped => break,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!("accept a connection of an operator: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
+        let server = server.clone();
+        let service = service_fn(move |request| {
+            let server = server.clone();
+            async move { Ok::<_, Infallible>(to_response(server.answer(request).await)) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(READ_LIMIT)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("connection of an operator: {err}");
+            }
+            drop(permit);
+        });
+    }
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/operator/status.rs
@@ -0,0 +1,135 @@
+//! State of notes and of the host.
+
+use std::collections::BTreeMap;
+
+use sapphireknot::{
+    config::{EntityPath, EntityValue, NoteItem},
+    ids::{ConfigGeneration, HostId, NoteId, PlanId, ServiceId},
+    operator::{HostStatus, ItemState, ItemStatus, MemberStatus, NoteStatus},
+};
+use sapphireknot_platform::KeyValueStore;
+use serde::Deserialize;
+
+use super::server::OperatorServer;
+use crate::control::{ReadError, read_record};
+
+/// What a note needs of the record `rollout/<service>`.
+#[derive(Debug, Clone, Deserialize)]
+struct RolloutRecord {
+    plan: PlanId,
+    verdict: RolloutVerdict,
+    #[serde(default)]
+    reason: Option<String>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RolloutVerdict {
+    Running,
+    Done,
+    Reverted,
+}
+
+/// The state of a note; none if no such note was accepted.
+pub(super) async fn note_status(
+    server: &OperatorServer,
+    id: &NoteId,
+) -> Result<Option<NoteStatus>, ReadError> {
+    let Some((record, generation)) = server.writer.find_note(id).await? else { return Ok(None) };
+    let waiting_for = hosts_behind(server, generation);
+    let mut rollouts = BTreeMap::new();
+    for item in &record.note.items {
+        if let EntityPath::Traffic(service) = item.path()
+            && !rollouts.contains_key(&service)
+        {
+            let rollout = read_rollout(server, &service).await?;
+            rollouts.insert(service, rollout);
+        }
+    }
+    let items =
+        record.note.items.iter().map(|item| item_status(item, &waiting_for, &rollouts)).collect();
+    Ok(Some(NoteStatus { note: id.clone(), generation, waiting_for, items }))
+}
+
+async fn read_rollout(
+    server: &OperatorServer,
+    service: &ServiceId,
+) -> Result<Option<RolloutRecord>, ReadError> {
+    match server.shared.store.get(&format!("rollout/{service}")).await? {
+        Some(entry) => Ok(Some(read_record(&entry)?)),
+        None => Ok(None),
+    }
+}
+
+/// Live hosts that have not reported `generation`.
+fn hosts_behind(server: &OperatorServer, generation: ConfigGeneration) -> Vec<HostId> {
+    let members = server.shared.context.members.load();
+    let is_behind = |generation_there| generation_there < generation;
+    members
+        .iter()
+        .filter(|it| it.state.is_live() && is_behind(it.generation))
+        .map(|it| it.id.clone())
+        .collect()
+}
+
+fn item_status(
+    item: &NoteItem,
+    waiting_for: &[HostId],
+    rollouts: &BTreeMap<ServiceId, Option<RolloutRecord>>,
+) -> ItemStatus {
+    let (action, plan) = match item {
+        NoteItem::Add(value) => ("add", plan_of(value)),
+        NoteItem::Change(value) => ("change", plan_of(value)),
+        NoteItem::Withdraw(_) => ("withdraw", None),
+    };
+    let path = item.path();
+    let rollout = match &path {
+        EntityPath::Traffic(service) => rollouts.get(service).and_then(Option::as_ref),
+        _ => None,
+    };
+    // A record of another plan says nothing about this item.
+    let rollout = rollout.filter(|it| Some(&it.plan) == plan);
+    let (state, reason) = match rollout {
+        Some(it) if it.verdict == RolloutVerdict::Done => (ItemState::Done, it.reason.clone()),
+        Some(it) if it.verdict == RolloutVerdict::Reverted => {
+            (ItemState::Reverted, it.reason.clone())
+        }
+        _ if waiting_for.is_empty() => (ItemState::InForce, None),
+        _ => (ItemState::Pending, Some(format!("{} live hosts are behind", waiting_for.len()))),
+    };
+    ItemStatus { action: action.to_owned(), path, state, reason }
+}
+
+fn plan_of(value: &EntityValue) -> Option<&PlanId> {
+    match value {
+        EntityValue::Traffic { plan, .. } => Some(&plan.id),
+        _ => None,
+    }
+}
+
+/// The state of this host.
+pub(super) fn host_status(server: &OperatorServer) -> HostStatus {
+    let shared = &server.shared;
+    let context = &shared.context;
+    let members = context.members.load();
+    let members = members
+        .iter()
+        .map(|it| MemberStatus {
+            host: it.id.clone(),
+            region: it.region.clone(),
+            datacentre: it.datacentre.clone(),
+            state: it.state,
+            generation: it.generation,
+        })
+        .collect();
+    HostStatus {
+        host: context.identity.id.clone(),
+        incarnation: context.identity.incarnation,
+        generation: context.config.load().as_ref().map(|it| it.generation),
+        fresh: context.clock.now() < context.fresh_until.get(),
+        store_up: shared.store.observation().is_some_and(|it| !it.is_down),
+        members,
+        quotas: Vec::new(),
+        rollouts: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/peer.rs
@@ -0,0 +1,10 @@
+//! Calls between hosts.
+
+mod client;
+pub mod convert;
+mod server;
+
+pub use self::{
+    client::{PeerClients, PeerError},
+    server::{PeerServer, serve_peers},
+};
--- /dev/null
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -0,0 +1,178 @@
+//! Client side of the calls between hosts.
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use sapphireknot::{
+    config::ConfigDocument,
+    head::{DocumentError, EncodedDocument},
+    ids::ConfigGeneration,
+    membership::MemberRecord,
+};
+use sapphireknot_wire::peer::{
+    ExchangeReply, ExchangeRequest, FetchConfigRequest, Gossip, ProbeViaRequest,
+    peer_client::PeerClient,
+};
+use thiserror::Error;
+use tonic::{
+    Response, Status,
+    transport::{Channel, Endpoint},
+};
+
+use crate::control::LoadedConfig;
+
+/// Connections that are kept; a host talks to a few random peers a second, so that the rest would only be idle.
+const MAX_CONNECTIONS: usize = 64;
+/// Largest message; a document of several chunks.
+pub(super) const MAX_MESSAGE_BYTES: usize = 64 << 20;
+/// A document may take this many times as long as another call.
+const FETCH_FACTOR: u32 = 10;
+
+/// Failed call of a peer.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// No answer, or an error for an answer.
+    #[error("{step} at host {peer}: {reason}")]
+    Call {
+        /// Call that failed.
+        step: &'static str,
+        /// Address of the peer.
+        peer: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+    /// Document that is not what the peer named.
+    #[error("fetch the configuration at host {peer}: {source}")]
+    Document {
+        /// Address of the peer.
+        peer: SocketAddr,
+        /// What is wrong with it.
+        source: DocumentError,
+    },
+}
+
+#[derive(Debug)]
+struct CachedChannel {
+    channel: Channel,
+    last_use: u64,
+}
+
+#[derive(Debug, Default)]
+struct ChannelCache {
+    channels: HashMap<SocketAddr, CachedChannel>,
+    uses: u64,
+}
+
+/// Clients of peers.
+#[derive(Debug)]
+pub struct PeerClients {
+    local: Option<IpAddr>,
+    call_timeout: Duration,
+    cache: Mutex<ChannelCache>,
+}
+
+impl PeerClients {
+    /// Clients that connect from the IP of `own` and whose calls end after `call_timeout`.
+    pub fn new(own: SocketAddr, call_timeout: Duration) -> Self {
+        let local = Some(own.ip()).filter(|it| !it.is_unspecified());
+        Self { local, call_timeout, cache: Mutex::default() }
+    }
+
+    /// The cached channel to `peer`; the one that was used least recently makes room.
+    fn channel(&self, peer: SocketAddr) -> Channel {
+        let mut cache = self.cache.lock();
+        cache.uses += 1;
+        let uses = cache.uses;
+        if let Some(cached) = cache.channels.get_mut(&peer) {
+            cached.last_use = uses;
+            return cached.channel.clone();
+        }
+        if cache.channels.len() >= MAX_CONNECTIONS
+            && let Some(oldest) =
+                cache.channels.iter().min_by_key(|(_, it)| it.last_use).map(|(peer, _)| *peer)
+        {
+            cache.channels.remove(&oldest);
+        }
+        let uri = format!("http://{peer}").parse::<http::Uri>().unwrap_or_default();
+        let channel = Endpoint::from(uri)
+            .connect_timeout(self.call_timeout)
+            .local_address(self.local)
+            .tcp_nodelay(true)
+            .connect_lazy();
+        cache.channels.insert(peer, CachedChannel { channel: channel.clone(), last_use: uses });
+        channel
+    }
+
+    fn client(&self, peer: SocketAddr) -> PeerClient<Channel> {
+        PeerClient::new(self.channel(peer)).max_decoding_message_size(MAX_MESSAGE_BYTES)
+    }
+
+    async fn call<F, T>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        limit: Duration,
+        call: F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<Response<T>, Status>>,
+    {
+        let reason = match tokio::time::timeout(limit, call).await {
+            Ok(Ok(response)) => return Ok(response.into_inner()),
+            Ok(Err(status)) => format!("{}: {}", status.code(), status.message()),
+            Err(_) => "time limit exceeded".to_owned(),
+        };
+        Err(PeerError::Call { step, peer, reason })
+    }
+
+    /// Probes `peer` and exchanges gossip.
+    pub async fn exchange(
+        &self,
+        peer: SocketAddr,
+        gossip: Gossip,
+    ) -> Result<ExchangeReply, PeerError> {
+        let mut client = self.client(peer);
+        let call = client.exchange(ExchangeRequest { gossip: Some(gossip) });
+        self.call("exchange", peer, self.call_timeout, call).await
+    }
+
+    /// Asks `delegate` to probe `target`; the delegate's own call takes as long as a direct one.
+    pub async fn probe_via(
+        &self,
+        delegate: SocketAddr,
+        target: &MemberRecord,
+    ) -> Result<bool, PeerError> {
+        let mut client = self.client(delegate);
+        let call = client.probe_via(ProbeViaRequest {
+            target: target.id.to_string(),
+            target_address: target.peer_address.to_string(),
+        });
+        let limit = self.call_timeout * 2;
+        Ok(self.call("probe via", delegate, limit, call).await?.answered)
+    }
+
+    /// Fetches the configuration of `peer` if it is newer than `known`.
+    pub async fn fetch_config(
+        &self,
+        peer: SocketAddr,
+        known: ConfigGeneration,
+    ) -> Result<Option<LoadedConfig>, PeerError> {
+        let mut client = self.client(peer);
+        let call = client.fetch_config(FetchConfigRequest { known_generation: known.0 });
+        let limit = self.call_timeout * FETCH_FACTOR;
+        let reply = self.call("fetch the configuration", peer, limit, call).await?;
+        if reply.document.is_empty() || reply.generation <= known.0 {
+            return Ok(None);
+        }
+        let digest = hex::encode(&reply.digest);
+        let document: ConfigDocument = EncodedDocument::decode(&reply.document, &digest)
+            .map_err(|source| PeerError::Document { peer, source })?;
+        let generation = ConfigGeneration(reply.generation);
+        Ok(Some(LoadedConfig { generation, document, began: None }))
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/peer/convert.rs
@@ -0,0 +1,111 @@
+//! Messages of peers and the types of the decisions.
+
+use std::{net::SocketAddr, str::FromStr, time::Duration};
+
+use sapphireknot::{
+    ids::{ConfigGeneration, IncarnationId},
+    membership::{MemberRecord, MemberState},
+};
+use sapphireknot_wire::peer::{Gossip, Member, MemberState as WireState};
+use thiserror::Error;
+
+/// Message of a peer that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("field {field} of a peer's message: {reason}")]
+pub struct ConvertError {
+    /// Field.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+fn parse<T>(field: &'static str, text: &str) -> Result<T, ConvertError>
+where
+    T: FromStr,
+    T::Err: ToString,
+{
+    text.parse().map_err(|err: T::Err| ConvertError { field, reason: err.to_string() })
+}
+
+/// The message for a record.
+pub fn member_to_wire(record: &MemberRecord) -> Member {
+    let state = match record.state {
+        MemberState::Alive => WireState::Alive,
+        MemberState::Leaving => WireState::Leaving,
+        MemberState::Suspect => WireState::Suspect,
+        MemberState::Failed => WireState::Failed,
+        MemberState::Left => WireState::Left,
+    };
+    Member {
+        id: record.id.to_string(),
+        region: record.region.to_string(),
+        datacentre: record.datacentre.to_string(),
+        peer_address: record.peer_address.to_string(),
+        caller_address: record.caller_address.to_string(),
+        incarnation: record.incarnation.0,
+        state: state.into(),
+        generation: record.generation.0,
+        load_permille: record.load_permille,
+        version: record.version,
+    }
+}
+
+/// The record in a message.
+pub fn member_from_wire(member: &Member) -> Result<MemberRecord, ConvertError> {
+    let state = match WireState::try_from(member.state) {
+        Ok(WireState::Alive) => MemberState::Alive,
+        Ok(WireState::Leaving) => MemberState::Leaving,
+        Ok(WireState::Suspect) => MemberState::Suspect,
+        Ok(WireState::Failed) => MemberState::Failed,
+        Ok(WireState::Left) => MemberState::Left,
+        Err(err) => return Err(ConvertError { field: "state", reason: err.to_string() }),
+    };
+    Ok(MemberRecord {
+        id: parse("id", &member.id)?,
+        region: parse("region", &member.region)?,
+        datacentre: parse("datacentre", &member.datacentre)?,
+        peer_address: parse::<SocketAddr>("peer_address", &member.peer_address)?,
+        caller_address: parse::<SocketAddr>("caller_address", &member.caller_address)?,
+        incarnation: IncarnationId(member.incarnation),
+        state,
+        generation: ConfigGeneration(member.generation),
+        load_permille: member.load_permille,
+        version: member.version,
+    })
+}
+
+/// What a message of gossip tells.
+#[derive(Debug, Clone)]
+pub struct GossipView {
+    /// The sender as it sees itself.
+    pub sender: MemberRecord,
+    /// Other hosts; records that cannot be read are left out.
+    pub members: Vec<MemberRecord>,
+    /// Generation in force at the sender.
+    pub generation: ConfigGeneration,
+    /// Age of the sender's latest proof.
+    pub proof_age: Option<Duration>,
+    /// Whether the store is down, with the age of the observation.
+    pub report: Option<(bool, Duration)>,
+}
+
+/// Reads a message of gossip.
+pub fn gossip_from_wire(gossip: Option<&Gossip>) -> Result<GossipView, ConvertError> {
+    let missing = |field| ConvertError { field, reason: "absent".to_owned() };
+    let gossip = gossip.ok_or_else(|| missing("gossip"))?;
+    let sender = member_from_wire(gossip.sender.as_ref().ok_or_else(|| missing("sender"))?)?;
+    let read = |member| match member_from_wire(member) {
+        Ok(record) => Some(record),
+        Err(err) => {
+            log::debug!("gossip of host {}: {err}", sender.id);
+            None
+        }
+    };
+    Ok(GossipView {
+        members: gossip.members.iter().filter_map(read).collect(),
+        generation: ConfigGeneration(gossip.generation),
+        proof_age: gossip.freshness_age_us.map(Duration::from_micros),
+        report: gossip.store.as_ref().map(|it| (it.down, Duration::from_micros(it.age_us))),
+        sender,
+    })
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -0,0 +1,147 @@
+//! Server side of the calls between hosts.
+
+use std::{future::Future, net::SocketAddr, sync::Arc};
+
+use ractor::{ActorRef, rpc::CallResult};
+use sapphireknot_wire::peer::{
+    BorrowReply, BorrowRequest, ClaimRequestReply, ClaimRequestRequest, ExchangeReply,
+    ExchangeRequest, FetchConfigReply, FetchConfigRequest, FetchEvidenceReply,
+    FetchEvidenceRequest, GiveBackReply, GiveBackRequest, ProbeViaReply, ProbeViaRequest,
+    peer_server::{Peer, PeerServer as PeerService},
+};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+use super::{
+    client::{MAX_MESSAGE_BYTES, PeerClients},
+    convert::gossip_from_wire,
+};
+use crate::control::{ControlShared, MemberMessage};
+
+/// Server of the calls between hosts.
+pub struct PeerServer {
+    shared: Arc<ControlShared>,
+    peers: Arc<PeerClients>,
+    members: ActorRef<MemberMessage>,
+}
+
+impl PeerServer {
+    /// A server that hands gossip to the member actor.
+    pub fn new(
+        shared: Arc<ControlShared>,
+        peers: Arc<PeerClients>,
+        members: ActorRef<MemberMessage>,
+    ) -> Self {
+        Self { shared, peers, members }
+    }
+
+    /// Asks the member actor for gossip.
+    async fn call_members<F, T>(&self, message: F) -> Result<T, Status>
+    where
+        F: FnOnce(ractor::RpcReplyPort<T>) -> MemberMessage,
+        T: Send + 'static,
+    {
+        let limit = self.shared.context.settings.timing.peer_timeout.0;
+        match self.members.call(message, Some(limit)).await {
+            Ok(CallResult::Success(reply)) => Ok(reply),
+            Ok(CallResult::Timeout) => Err(Status::deadline_exceeded("the member actor is busy")),
+            Ok(CallResult::SenderError) | Err(_) => {
+                Err(Status::unavailable("the member actor has stopped"))
+            }
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerServer {
+    async fn exchange(
+        &self,
+        request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        let view = gossip_from_wire(request.get_ref().gossip.as_ref())
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let gossip =
+            self.call_members(|port| MemberMessage::Exchange(Box::new(view), port)).await?;
+        Ok(Response::new(ExchangeReply { gossip: Some(gossip) }))
+    }
+
+    async fn probe_via(
+        &self,
+        request: Request<ProbeViaRequest>,
+    ) -> Result<Response<ProbeViaReply>, Status> {
+        let request = request.into_inner();
+        let address: SocketAddr = request
+            .target_address
+            .parse()
+            .map_err(|err| Status::invalid_argument(format!("target_address: {err}")))?;
+        // Only known hosts are probed, so that nobody can make a host connect to any address.
+        let members = self.shared.context.members.load();
+        if !members.iter().any(|it| it.id.as_str() == request.target && it.peer_address == address)
+        {
+            return Ok(Response::new(ProbeViaReply { answered: false }));
+        }
+        let gossip = self.call_members(MemberMessage::MakeGossip).await?;
+        let answered = self.peers.exchange(address, gossip).await.is_ok();
+        Ok(Response::new(ProbeViaReply { answered }))
+    }
+
+    async fn fetch_config(
+        &self,
+        request: Request<FetchConfigRequest>,
+    ) -> Result<Response<FetchConfigReply>, Status> {
+        let known = request.get_ref().known_generation;
+        let reply = match &*self.shared.encoded.load() {
+            Some(config) if config.generation.0 > known => FetchConfigReply {
+                generation: config.generation.0,
+                document: config.encoded.bytes.clone(),
+                digest: hex::decode(&config.encoded.digest).unwrap_or_default(),
+            },
+            _ => FetchConfigReply::default(),
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn borrow(&self, _: Request<BorrowRequest>) -> Result<Response<BorrowReply>, Status> {
+        Err(Status::unimplemented("this host lends no quota"))
+    }
+
+    async fn give_back(
+        &self,
+        _: Request<GiveBackRequest>,
+    ) -> Result<Response<GiveBackReply>, Status> {
+        Err(Status::unimplemented("this host lends no quota"))
+    }
+
+    async fn fetch_evidence(
+        &self,
+        _: Request<FetchEvidenceRequest>,
+    ) -> Result<Response<FetchEvidenceReply>, Status> {
+        Err(Status::unimplemented("this host keeps no evidence"))
+    }
+
+    async fn claim_request(
+        &self,
+        _: Request<ClaimRequestRequest>,
+    ) -> Result<Response<ClaimRequestReply>, Status> {
+        Err(Status::unimplemented("this host keeps no claims"))
+    }
+}
+
+/// Serves peers until `stopped` completes.
+pub async fn serve_peers<F>(
+    server: PeerServer,
+    listener: TcpListener,
+    stopped: F,
+) -> Result<(), tonic::transport::Error>
+where
+    F: Future<Output = ()>,
+{
+    let limit = server.shared.context.settings.timing.peer_timeout.0 * 10;
+    let service = PeerService::new(server).max_encoding_message_size(MAX_MESSAGE_BYTES);
+    tonic::transport::Server::builder()
+        .timeout(limit)
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stopped)
+        .await
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/control/main.rs
@@ -0,0 +1,5 @@
+//! Control modules of several hosts in one process, on loopback, with an in-memory platform.
+
+mod note_submission;
+#[cfg(test)]
+mod support;
--- /dev/null
+++ b/crates/sapphireknotd/tests/control/note_submission.rs
@@ -0,0 +1,113 @@
+//! Changes of the configuration by the operator interface.
+
+use std::time::Duration;
+
+use crate::support::{FakePlatform, add_note, document, start_host, wait_for};
+use sapphireknot::{
+    config::EntityPath,
+    ids::ConfigGeneration,
+    operator::{ChangeReceipt, HostStatus, ItemState, NoteStatus},
+};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn accepted(generation: u64) -> ChangeReceipt {
+    ChangeReceipt::Accepted { generation: ConfigGeneration(generation) }
+}
+
+/// Guards against a host that cannot read the configuration or accept a note.
+#[tokio::test(flavor = "multi_thread")]
+async fn accept_note() {
+    let platform = FakePlatform::default();
+    let host = start_host(&platform, 0).await;
+    assert_eq!(host.put_document(document()).await, accepted(1));
+    // The same submission again is the same change.
+    assert_eq!(host.put_document(document()).await, accepted(1));
+    assert_eq!(host.post_note(add_note("n1", "beta"), None).await, accepted(2));
+    assert_eq!(host.post_note(add_note("n1", "beta"), None).await, accepted(2));
+    wait_for("install", LIMIT, || host.generation() == 2 && host.is_fresh()).await;
+    let (status, note) = host.call::<_, NoteStatus>("GET", "/v1/notes/n1", &()).await;
+    assert_eq!(status, 200);
+    let note = note.unwrap();
+    assert_eq!((note.generation, note.waiting_for.len()), (ConfigGeneration(2), 0));
+    assert!(note.items.iter().all(|it| it.state == ItemState::InForce));
+    let (_, status) = host.call::<_, HostStatus>("GET", "/v1/status", &()).await;
+    let status = status.unwrap();
+    assert!(status.fresh && status.store_up);
+    host.handle.stop().await;
+    assert!(platform.store.keys("role/").is_empty());
+    assert!(platform.store.keys("host/").is_empty());
+}
+
+/// Guards against a call that is served without the operators' token, and against a note that does not exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn reject_call() {
+    let platform = FakePlatform::default();
+    let host = start_host(&platform, 0).await;
+    let address = host.context.identity.operator_address;
+    let call = crate::support::call::<_, HostStatus>(address, "wrong", "GET", "/v1/status", &());
+    assert_eq!(call.await.0, 401);
+    assert_eq!(host.call::<_, NoteStatus>("GET", "/v1/notes/none", &()).await.0, 404);
+    assert_eq!(host.call::<_, ChangeReceipt>("POST", "/v1/notes", &"text").await.0, 400);
+    host.handle.stop().await;
+}
+
+/// Guards against a note that is applied twice or reported wrongly after its answer was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer() {
+    let platform = FakePlatform::default();
+    let host = start_host(&platform, 0).await;
+    platform.store.lose_answers("config/", 2);
+    assert_eq!(host.put_document(document()).await, accepted(1));
+    platform.store.lose_answers("note/", 1);
+    assert_eq!(host.post_note(add_note("n1", "beta"), Some(1)).await, accepted(2));
+    platform.store.lose_answers("config/head", 1);
+    assert_eq!(host.post_note(add_note("n2", "gamma"), Some(2)).await, accepted(3));
+    host.handle.stop().await;
+}
+
+/// Guards against a guess while the store is down, and against a note that is lost once it is up.
+#[tokio::test(flavor = "multi_thread")]
+async fn resolving_note() {
+    let platform = FakePlatform::default();
+    let host = start_host(&platform, 0).await;
+    assert_eq!(host.put_document(document()).await, accepted(1));
+    platform.store.set_down(true);
+    let receipt = host.post_note(add_note("n1", "beta"), Some(1)).await;
+    assert!(matches!(receipt, ChangeReceipt::Resolving { .. }), "{receipt:?}");
+    assert_eq!(host.call::<_, NoteStatus>("GET", "/v1/notes/n1", &()).await.0, 503);
+    platform.store.set_down(false);
+    assert_eq!(host.post_note(add_note("n1", "beta"), Some(1)).await, accepted(2));
+    host.handle.stop().await;
+}
+
+/// Guards against two operators of whom both believe that they changed the same entity, and against a refusal of
+/// changes that do not touch one another.
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators() {
+    let platform = FakePlatform::default();
+    let (left, right) = (start_host(&platform, 0).await, start_host(&platform, 1).await);
+    assert_eq!(left.put_document(document()).await, accepted(1));
+    for round in 0..5 {
+        let (base, name) = (Some(1 + 2 * round), format!("same{round}"));
+        let (one, two) = (format!("left{round}"), format!("right{round}"));
+        let receipts = tokio::join!(
+            left.post_note(add_note(&one, &name), base),
+            right.post_note(add_note(&two, &name), base),
+        );
+        let (winner, loser) = match receipts {
+            (winner @ ChangeReceipt::Accepted { .. }, loser) => (winner, loser),
+            (loser, winner) => (winner, loser),
+        };
+        assert_eq!(winner, accepted(2 + 2 * round));
+        let path = EntityPath::Organisation(name.parse().unwrap());
+        let conflicts = vec![path];
+        assert_eq!(loser, ChangeReceipt::Refused { problems: Vec::new(), conflicts });
+        let other = format!("other{round}");
+        // A note on an outdated base that touches nothing else is rebased.
+        let receipt = right.post_note(add_note(&format!("rebased{round}"), &other), Some(1)).await;
+        assert_eq!(receipt, accepted(3 + 2 * round));
+    }
+    left.handle.stop().await;
+    right.handle.stop().await;
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -0,0 +1,225 @@
+//! Hosts of which only the control modules run.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_trait::async_trait;
+use http_body_util::{BodyExt, Full};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use sapphireknot::{
+    config::{ConfigDocument, ReleaseNote, load_document, load_note},
+    ids::{ConfigGeneration, IncarnationId, OrganisationId, ServiceId, VersionId},
+    keys::KeyDigest,
+    operator::{ChangeReceipt, DocumentSubmission, NoteSubmission},
+};
+use sapphireknot_platform::ListedHost;
+use sapphireknotd::{
+    clock::HostClock,
+    context::{
+        DrainStage, HostContext, HostIdentity, PickQuery, PickRefusal, QuotaGate, QuotaVerdict,
+        ServerPool, ServerTicket, VersionRouter, VersionSample,
+    },
+    control::{self, ControlHandle, ControlListeners, PlatformClients},
+    settings::HostSettings,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::TcpListener;
+
+use super::{FakeHosts, FakeStore};
+
+/// The operators' token.
+pub(crate) const TOKEN: &str = "operators-token";
+
+struct Nothing;
+
+#[async_trait]
+impl QuotaGate for Nothing {
+    async fn admit(
+        &self,
+        _: &OrganisationId,
+        deadline: sapphireknot::time::MonoTime,
+    ) -> QuotaVerdict {
+        QuotaVerdict::OverRate { retry_at: deadline }
+    }
+}
+
+#[async_trait]
+impl ServerPool for Nothing {
+    async fn pick(&self, _: PickQuery<'_>) -> Result<Box<dyn ServerTicket>, PickRefusal> {
+        Err(PickRefusal::NoServer)
+    }
+}
+
+impl VersionRouter for Nothing {
+    fn choose(&self, _: &ServiceId, _: u32) -> Option<VersionId> {
+        None
+    }
+
+    fn record(&self, _: VersionSample) {}
+}
+
+/// Platform that the hosts of a test share.
+#[derive(Clone, Default)]
+pub(crate) struct FakePlatform {
+    /// Store.
+    pub(crate) store: FakeStore,
+    /// Host list.
+    pub(crate) hosts: FakeHosts,
+}
+
+/// Host of a test.
+pub(crate) struct TestHost {
+    /// State that requests read.
+    pub(crate) context: Arc<HostContext>,
+    /// Control modules.
+    pub(crate) handle: ControlHandle,
+}
+
+/// Starts host `idx`; three regions with two data centres each, the store in the first region.
+pub(crate) async fn start_host(platform: &FakePlatform, idx: usize) -> TestHost {
+    let (region, datacentre) = (idx % 3, idx % 6);
+    let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let operator = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = HostSettings::load(&format!(
+        "{{host: h{idx}, region: r{region}, datacentre: d{datacentre}, \
+         listen: {{caller: '127.0.0.1:0', peer: '127.0.0.1:0', operator: '127.0.0.1:0'}}, \
+         platform: {{store: '127.0.0.1:1', store_region: r0, host_list: '127.0.0.1:1'}}, \
+         operator_token_sha256: {}, timing: {{store_timeout: 100ms, watch_wait: 1s}}}}",
+        KeyDigest::of(TOKEN.as_bytes()).to_hex()
+    ))
+    .unwrap();
+    let clock = HostClock::start();
+    let address = peer.local_addr().unwrap();
+    let identity = HostIdentity {
+        id: settings.host.clone(),
+        region: settings.region.clone(),
+        datacentre: settings.datacentre.clone(),
+        incarnation: IncarnationId(clock.wall().0),
+        caller_address: address,
+        peer_address: address,
+        operator_address: operator.local_addr().unwrap(),
+    };
+    let listed = ListedHost {
+        id: identity.id.clone(),
+        region: identity.region.clone(),
+        datacentre: identity.datacentre.clone(),
+        peer_address: address,
+        caller_address: address,
+        leaving: false,
+    };
+    {
+        let mut hosts = platform.hosts.0.lock();
+        hosts.retain(|it| it.id != listed.id);
+        hosts.push(listed);
+    }
+    let nothing = Arc::new(Nothing);
+    let context = Arc::new(HostContext {
+        settings,
+        clock,
+        identity,
+        config: Default::default(),
+        fresh_until: Default::default(),
+        members: Default::default(),
+        drain: tokio::sync::watch::Sender::new(DrainStage::Serving),
+        quota: nothing.clone(),
+        versions: nothing.clone(),
+        servers: nothing,
+    });
+    let clients = PlatformClients {
+        store: Arc::new(platform.store.clone()),
+        hosts: Arc::new(platform.hosts.clone()),
+    };
+    let listeners = ControlListeners { peer, operator };
+    let handle = control::start_with_platform(context.clone(), listeners, clients).await.unwrap();
+    TestHost { context, handle }
+}
+
+impl TestHost {
+    /// Generation in force; zero before the first.
+    pub(crate) fn generation(&self) -> u64 {
+        self.context.config.load().as_ref().map(|it| it.generation.0).unwrap_or_default()
+    }
+
+    /// Whether keyed requests are served.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.context.clock.now() < self.context.fresh_until.get()
+    }
+
+    /// Calls the operator interface.
+    pub(crate) async fn call<B, R>(&self, method: &str, path: &str, body: &B) -> (u16, Option<R>)
+    where
+        B: Serialize,
+        R: DeserializeOwned,
+    {
+        call(self.context.identity.operator_address, TOKEN, method, path, body).await
+    }
+
+    /// Submits the first document.
+    pub(crate) async fn put_document(&self, document: ConfigDocument) -> ChangeReceipt {
+        let submission = DocumentSubmission { document, base: ConfigGeneration(0) };
+        self.call("PUT", "/v1/config", &submission).await.1.unwrap()
+    }
+
+    /// Submits a note.
+    pub(crate) async fn post_note(&self, note: ReleaseNote, base: Option<u64>) -> ChangeReceipt {
+        let submission = NoteSubmission { note, base: base.map(ConfigGeneration) };
+        self.call("POST", "/v1/notes", &submission).await.1.unwrap()
+    }
+}
+
+/// Calls an operator interface; the body is none if it has another form.
+pub(crate) async fn call<B, R>(
+    address: SocketAddr,
+    token: &str,
+    method: &str,
+    path: &str,
+    body: &B,
+) -> (u16, Option<R>)
+where
+    B: Serialize,
+    R: DeserializeOwned,
+{
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let request = http::Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("authorization", format!("Bearer {token}"))
+        .body(Full::new(bytes::Bytes::from(serde_json::to_vec(body).unwrap())))
+        .unwrap();
+    let response = client.request(request).await.unwrap();
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    (status, serde_json::from_slice(&body).ok())
+}
+
+/// Document with one organisation.
+pub(crate) fn document() -> ConfigDocument {
+    load_document(
+        "{regions: [{id: r0, datacentres: [d0, d3]}, {id: r1, datacentres: [d1, d4]}, \
+         {id: r2, datacentres: [d2, d5]}], \
+         organisations: [{id: acme, rate: 200/s, burst: '400'}]}",
+    )
+    .unwrap()
+}
+
+/// Note that adds an organisation.
+pub(crate) fn add_note(id: &str, organisation: &str) -> ReleaseNote {
+    let item = format!("{{organisation: {{id: {organisation}, rate: 10/s, burst: '20'}}}}");
+    load_note(&format!("{{id: {id}, items: [{{add: {item}}}]}}")).unwrap()
+}
+
+/// Waits until `holds`, and panics with `what` after `limit`; returns the time that it took.
+pub(crate) async fn wait_for<F>(what: &str, limit: Duration, holds: F) -> Duration
+where
+    F: Fn() -> bool,
+{
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < limit, "{what}: not within {limit:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    start.elapsed()
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/control/support/store.rs
@@ -0,0 +1,191 @@
+//! In-memory store and host list with outages and lost answers.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_trait::async_trait;
+use parking_lot::Mutex;
+use sapphireknot_platform::{
+    HostList, KeyValueStore, LeaseId, ListedHost, StoreError, StoreRevision, StoredEntry,
+    SwapOutcome, SwapWrite,
+};
+
+/// Time after which an unanswered call of the fake ends.
+const LOST_LIMIT: Duration = Duration::from_millis(100);
+
+#[derive(Default)]
+struct FakeState {
+    entries: BTreeMap<String, StoredEntry>,
+    leases: HashMap<u64, (Instant, Duration)>,
+    counter: u64,
+    is_down: bool,
+    /// Writes of keys with this prefix whose answers are still to be lost.
+    lost: Option<(String, u32)>,
+}
+
+impl FakeState {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        self.leases.retain(|_, (end, _)| *end > now);
+        let leases = &self.leases;
+        self.entries.retain(|_, it| it.lease.is_none_or(|lease| leases.contains_key(&lease.0)));
+    }
+
+    fn swap(&mut self, write: SwapWrite) -> SwapOutcome {
+        self.expire();
+        let found = self.entries.get(&write.key);
+        if found.map(|it| it.revision).unwrap_or_default() != write.expected {
+            return SwapOutcome::Conflict(found.cloned());
+        }
+        if write.lease.is_some_and(|lease| !self.leases.contains_key(&lease.0)) {
+            return SwapOutcome::LeaseEnded;
+        }
+        self.counter += 1;
+        let revision = StoreRevision(self.counter);
+        let SwapWrite { key, value, lease, .. } = write;
+        match value {
+            Some(value) => {
+                self.entries.insert(key.clone(), StoredEntry { key, value, revision, lease });
+            }
+            None => {
+                self.entries.remove(&key);
+            }
+        }
+        SwapOutcome::Swapped(revision)
+    }
+}
+
+/// Store in memory.
+#[derive(Clone, Default)]
+pub(crate) struct FakeStore(Arc<Mutex<FakeState>>);
+
+impl FakeStore {
+    /// Begins or ends an outage in which no call is answered or takes effect.
+    pub(crate) fn set_down(&self, is_down: bool) {
+        self.0.lock().is_down = is_down;
+    }
+
+    /// Loses the answers of the next `count` writes of keys that start with `prefix`; the writes take effect.
+    pub(crate) fn lose_answers(&self, prefix: &str, count: u32) {
+        self.0.lock().lost = Some((prefix.to_owned(), count));
+    }
+
+    /// Keys that start with `prefix`.
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        let mut state = self.0.lock();
+        state.expire();
+        state.entries.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
+    }
+
+    async fn reach(&self, step: &'static str) -> Result<(), StoreError> {
+        if self.0.lock().is_down {
+            return Err(lost(step).await);
+        }
+        tokio::task::yield_now().await;
+        Ok(())
+    }
+}
+
+async fn lost(step: &'static str) -> StoreError {
+    tokio::time::sleep(LOST_LIMIT).await;
+    StoreError::Unanswered { step, peer: "fake".to_owned(), reason: "no answer".to_owned() }
+}
+
+#[async_trait]
+impl KeyValueStore for FakeStore {
+    async fn get(&self, key: &str) -> Result<Option<StoredEntry>, StoreError> {
+        self.reach("get").await?;
+        let mut state = self.0.lock();
+        state.expire();
+        Ok(state.entries.get(key).cloned())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoredEntry>, StoreError> {
+        self.reach("list").await?;
+        let mut state = self.0.lock();
+        state.expire();
+        let is_listed = |it: &&StoredEntry| it.key.starts_with(prefix);
+        Ok(state.entries.values().filter(is_listed).cloned().collect())
+    }
+
+    async fn compare_and_swap(&self, write: SwapWrite) -> Result<SwapOutcome, StoreError> {
+        self.reach("compare and swap").await?;
+        let (outcome, is_lost) = {
+            let mut state = self.0.lock();
+            let key = write.key.clone();
+            let outcome = state.swap(write);
+            let is_lost = match &mut state.lost {
+                Some((prefix, count)) if *count > 0 && key.starts_with(prefix.as_str()) => {
+                    *count -= 1;
+                    true
+                }
+                _ => false,
+            };
+            (outcome, is_lost)
+        };
+        if is_lost { Err(lost("compare and swap").await) } else { Ok(outcome) }
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.reach("grant lease").await?;
+        let mut state = self.0.lock();
+        state.counter += 1;
+        let id = state.counter;
+        state.leases.insert(id, (Instant::now() + ttl, ttl));
+        Ok(LeaseId(id))
+    }
+
+    async fn renew_leases(&self, leases: &[LeaseId]) -> Result<Vec<LeaseId>, StoreError> {
+        self.reach("renew leases").await?;
+        let mut state = self.0.lock();
+        state.expire();
+        let mut alive = Vec::new();
+        for lease in leases {
+            if let Some((end, ttl)) = state.leases.get_mut(&lease.0) {
+                *end = Instant::now() + *ttl;
+                alive.push(*lease);
+            }
+        }
+        Ok(alive)
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.reach("revoke lease").await?;
+        let mut state = self.0.lock();
+        state.leases.remove(&lease.0);
+        state.expire();
+        Ok(())
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        known: StoreRevision,
+        wait: Duration,
+    ) -> Result<Option<Option<StoredEntry>>, StoreError> {
+        let end = Instant::now() + wait;
+        while Instant::now() < end {
+            self.reach("watch").await?;
+            let entry = self.0.lock().entries.get(key).cloned();
+            if entry.as_ref().map(|it| it.revision).unwrap_or_default() != known {
+                return Ok(Some(entry));
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(None)
+    }
+}
+
+/// Host list in memory.
+#[derive(Clone, Default)]
+pub(crate) struct FakeHosts(pub(crate) Arc<Mutex<Vec<ListedHost>>>);
+
+#[async_trait]
+impl HostList for FakeHosts {
+    async fn list_hosts(&self) -> Result<Vec<ListedHost>, StoreError> {
+        Ok(self.0.lock().clone())
+    }
+}
