membership, control: ask the store's region for overdue proofs and reports

A report of an outage counts for 2 s and is up to 1 s old when told; asked for once per gossip interval it may lapse between two answers. Passing reports on in gossip was left out, since the protocol tells them of the sender only.

Members are published only when the table's revision rose, not per message.

--- a/crates/sapphireknot/src/membership/table.rs
+++ b/crates/sapphireknot/src/membership/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, seq::IteratorRandom};
 
 use super::{
     MemberRecord, MemberState,
@@ -10,7 +10,7 @@
     updates::{MAX_UPDATES, UpdateQueue},
 };
 use crate::{
-    ids::{ConfigGeneration, HostId, IncarnationId},
+    ids::{ConfigGeneration, HostId, IncarnationId, RegionId},
     time::MonoTime,
 };
 
@@ -97,6 +97,12 @@
     deadline: Option<MonoTime>,
 }
 
+impl MemberEntry {
+    fn is_due(&self, now: MonoTime) -> bool {
+        self.deadline.is_some_and(|it| it <= now)
+    }
+}
+
 /// Known hosts.
 #[derive(Debug)]
 pub struct MemberTable {
@@ -104,12 +110,14 @@
     own: MemberRecord,
     others: BTreeMap<HostId, MemberEntry>,
     updates: UpdateQueue,
+    revision: u64,
 }
 
 impl MemberTable {
     /// A table that knows only this host.
     pub fn new(settings: MemberSettings, own: MemberRecord) -> Self {
-        Self { settings, own, others: BTreeMap::new(), updates: UpdateQueue::default() }
+        let (others, updates) = (BTreeMap::new(), UpdateQueue::default());
+        Self { settings, own, others, updates, revision: 0 }
     }
 
     /// This host.
@@ -117,6 +125,11 @@
         &self.own
     }
 
+    /// Rises whenever a record may have changed.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// All known hosts, this one included, ordered by id.
     pub fn members(&self) -> Vec<MemberRecord> {
         let mut members: Vec<_> = self.others.values().map(|it| it.record.clone()).collect();
@@ -175,11 +188,32 @@
         peers
     }
 
+    /// Up to `count` random live hosts of `region`.
+    pub fn random_peers_in<R>(
+        &self,
+        region: &RegionId,
+        count: usize,
+        rng: &mut R,
+    ) -> Vec<MemberRecord>
+    where
+        R: Rng,
+    {
+        let live = self.others.values().map(|it| &it.record);
+        let live = live.filter(|it| it.region == *region && it.state.is_live());
+        live.sample(rng, count).into_iter().cloned().collect()
+    }
+
     /// Takes an event.
     pub fn handle<R>(&mut self, now: MonoTime, event: MemberEvent, rng: &mut R) -> Vec<MemberAction>
     where
         R: Rng,
     {
+        let is_change = match &event {
+            MemberEvent::UpdatesSent(_) | MemberEvent::ProbeDue => false,
+            MemberEvent::TimePassed => self.others.values().any(|it| it.is_due(now)),
+            _ => true,
+        };
+        self.revision += u64::from(is_change);
         match event {
             MemberEvent::Seeded(records) => {
                 for record in records {
@@ -361,7 +395,7 @@
         let retention = self.settings.retention;
         let mut forgotten = Vec::new();
         for (id, entry) in &mut self.others {
-            if entry.deadline.is_none_or(|it| it > now) {
+            if !entry.is_due(now) {
                 continue;
             }
             if entry.record.state == MemberState::Suspect {
--- /dev/null
+++ b/crates/sapphireknot/tests/freshness_proof.rs
@@ -0,0 +1,74 @@
+//! Freshness, leases and fencing.
+
+use std::time::Duration;
+
+use sapphireknot::{
+    freshness::FreshnessClock,
+    ids::{FencingToken, HostId},
+    roles::{FencingGuard, HeldLease, HeldRoles},
+    time::MonoTime,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn at(seconds: u64) -> MonoTime {
+    MonoTime(seconds * 1_000_000)
+}
+
+/// Guards against a proof that looks younger than it is or replaces a younger one.
+#[test]
+fn proof_age() {
+    let mut clock = FreshnessClock::new(5 * SECOND);
+    assert_eq!(clock.fresh_until(at(10), &[]), MonoTime::default());
+    clock.record_reply(at(10), 2 * SECOND);
+    assert_eq!(clock.fresh_until(at(12), &[]), at(13));
+    clock.record_reply(at(11), 4 * SECOND);
+    assert_eq!(clock.fresh_until(at(12), &[]), at(13));
+    clock.record_read(at(9));
+    assert_eq!(clock.fresh_until(at(12), &[]), at(14));
+}
+
+/// Guards against keys that are served although half of the store's region reaches the store or is silent.
+#[test]
+fn store_down_majority() {
+    let hosts: Vec<HostId> = (0..4).map(|idx| format!("h{idx}").parse().unwrap()).collect();
+    let mut clock = FreshnessClock::new(5 * SECOND);
+    for host in &hosts[..2] {
+        clock.record_report(host.clone(), true, at(10), Duration::ZERO);
+    }
+    assert_eq!(clock.down_until(at(10), &hosts), None, "half is not more than half");
+    clock.record_report(hosts[2].clone(), true, at(11), SECOND / 2);
+    assert_eq!(clock.down_until(at(11), &hosts), Some(at(12)));
+    assert_eq!(clock.fresh_until(at(11), &hosts), at(12));
+    assert_eq!(clock.down_until(at(12), &hosts), None, "a report counts for two seconds");
+    clock.record_report(hosts[0].clone(), true, at(12), Duration::ZERO);
+    clock.record_report(hosts[1].clone(), true, at(12), Duration::ZERO);
+    clock.record_report(hosts[2].clone(), true, at(12), Duration::ZERO);
+    assert!(clock.down_until(at(12), &hosts).is_some());
+    clock.record_report(hosts[2].clone(), false, at(12), Duration::ZERO);
+    assert_eq!(clock.down_until(at(12), &hosts), None, "two of four are not more than half");
+    // A late reply must not bring the earlier report back.
+    clock.record_report(hosts[2].clone(), true, at(12), SECOND);
+    assert_eq!(clock.down_until(at(12), &hosts), None);
+    assert!(clock.down_until(at(12), &hosts[..3]).is_some(), "two of three are more than half");
+    assert_eq!(clock.down_until(at(12), &hosts[2..]), None);
+}
+
+/// Guards against a role that is used after its lease, and against a message of an earlier holder.
+#[test]
+fn lapsed_role() {
+    let (mut lease, mut roles) = (HeldLease::default(), HeldRoles::default());
+    lease.record_renewal(at(100), 10 * SECOND);
+    roles.take("role/watch/d0/0".to_owned(), FencingToken(7));
+    let token = |now| roles.token("role/watch/d0/0", &lease, now);
+    assert_eq!(token(at(108)), Some(FencingToken(7)));
+    assert_eq!(token(at(109)), None, "the drift margin is a tenth of the lease");
+    assert_eq!(roles.token("role/watch/d0/1", &lease, at(100)), None);
+    let mut guard = FencingGuard::default();
+    assert!(guard.admits("role/planner/s", FencingToken(7)));
+    guard.record("role/planner/s", FencingToken(9));
+    guard.record("role/planner/s", FencingToken(8));
+    assert!(!guard.admits("role/planner/s", FencingToken(8)));
+    assert!(guard.admits("role/planner/s", FencingToken(9)));
+    assert!(guard.admits("role/planner/t", FencingToken(1)));
+}
--- /dev/null
+++ b/crates/sapphireknot/tests/member_table.rs
@@ -0,0 +1,264 @@
+//! Failure detector: a cluster of tables that lose messages, are cut off, die and restart.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use arbtest::{arbitrary::Unstructured, arbtest};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sapphireknot::{
+    ids::{ConfigGeneration, HostId, IncarnationId},
+    membership::{
+        MAX_UPDATES, MemberAction, MemberEvent, MemberRecord, MemberSettings, MemberState,
+        MemberTable,
+    },
+    time::MonoTime,
+};
+
+const SETTINGS: MemberSettings =
+    MemberSettings { suspicion: Duration::from_secs(2), retention: Duration::from_secs(600) };
+const HOSTS: usize = 8;
+/// Seconds after which the table of every running host must be right once the faults have ended. With eight hosts
+/// one is probed every second on average, and failed hosts get one probe in four.
+const SETTLE_SECONDS: usize = 90;
+
+fn record(idx: usize, incarnation: u64) -> MemberRecord {
+    let address = format!("10.0.0.{}:7000", idx + 1).parse().unwrap();
+    MemberRecord {
+        id: format!("h{idx}").parse().unwrap(),
+        region: format!("r{}", idx % 3).parse().unwrap(),
+        datacentre: format!("d{}", idx % 3).parse().unwrap(),
+        peer_address: address,
+        caller_address: address,
+        incarnation: IncarnationId(incarnation),
+        state: MemberState::Alive,
+        generation: ConfigGeneration(0),
+        load_permille: 0,
+        version: 1,
+    }
+}
+
+struct Cluster {
+    now: MonoTime,
+    tables: BTreeMap<HostId, MemberTable>,
+    cut: BTreeSet<HostId>,
+    left: BTreeSet<HostId>,
+    rng: ChaCha8Rng,
+    loss: u32,
+    runs: u64,
+}
+
+impl Cluster {
+    fn new(seed: u64) -> Self {
+        let records: Vec<_> = (0..HOSTS).map(|idx| record(idx, 1)).collect();
+        let mut cluster = Self {
+            now: MonoTime(1_000_000),
+            tables: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            left: BTreeSet::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            loss: 0,
+            runs: 1,
+        };
+        for own in &records {
+            cluster.start(own.clone(), &records);
+        }
+        cluster
+    }
+
+    fn start(&mut self, own: MemberRecord, listed: &[MemberRecord]) {
+        let mut table = MemberTable::new(SETTINGS, own.clone());
+        let listed = listed.iter().map(|it| MemberRecord {
+            incarnation: IncarnationId(0),
+            version: 0,
+            ..it.clone()
+        });
+        table.handle(self.now, MemberEvent::Seeded(listed.collect()), &mut self.rng);
+        self.left.remove(&own.id);
+        self.tables.insert(own.id, table);
+    }
+
+    fn is_lost(&mut self) -> bool {
+        use rand::RngExt;
+        self.rng.random_range(0..100) < self.loss
+    }
+
+    fn reaches(&mut self, from: &HostId, to: &HostId) -> bool {
+        let is_cut = self.cut.contains(from) || self.cut.contains(to);
+        self.tables.contains_key(to) && !self.left.contains(to) && !is_cut && !self.is_lost()
+    }
+
+    fn tell(&mut self, from: &HostId, to: &HostId) {
+        let table = self.tables.get_mut(from).unwrap();
+        let members = table.updates_for(Some(to), &mut self.rng);
+        assert!(members.len() <= MAX_UPDATES, "an unbounded message");
+        let sent = members.iter().map(|it| it.id.clone()).collect();
+        table.handle(self.now, MemberEvent::UpdatesSent(sent), &mut self.rng);
+        let sender = Box::new(table.own().clone());
+        let heard = MemberEvent::Heard { sender, members };
+        self.act(to, heard);
+    }
+
+    /// A request and its reply; both may be lost.
+    fn exchange(&mut self, from: &HostId, to: &HostId) -> bool {
+        if !self.reaches(from, to) {
+            return false;
+        }
+        self.tell(from, to);
+        if self.is_lost() {
+            return false;
+        }
+        self.tell(to, from);
+        true
+    }
+
+    fn act(&mut self, host: &HostId, event: MemberEvent) {
+        let table = self.tables.get_mut(host).unwrap();
+        for action in table.handle(self.now, event, &mut self.rng) {
+            match action {
+                MemberAction::Probe(target) => {
+                    if !self.exchange(host, &target.id) {
+                        let MemberRecord { id: target, incarnation, .. } = target;
+                        self.act(host, MemberEvent::DirectMissed { target, incarnation });
+                    }
+                }
+                MemberAction::ProbeVia { target, delegates } => {
+                    let mut is_answered = false;
+                    for delegate in delegates {
+                        let is_asked = self.reaches(host, &delegate.id);
+                        is_answered |= is_asked && self.exchange(&delegate.id, &target.id);
+                    }
+                    if !is_answered {
+                        let MemberRecord { id: target, incarnation, .. } = target;
+                        self.act(host, MemberEvent::IndirectMissed { target, incarnation });
+                    }
+                }
+                MemberAction::Notify(peers) => {
+                    for peer in peers {
+                        self.exchange(host, &peer.id);
+                    }
+                }
+            }
+        }
+    }
+
+    fn run_second(&mut self) {
+        self.now = self.now.after(Duration::from_secs(1));
+        let hosts: Vec<_> = self.tables.keys().cloned().collect();
+        for host in hosts.iter().filter(|it| !self.left.contains(*it)).cloned().collect::<Vec<_>>()
+        {
+            self.act(&host, MemberEvent::TimePassed);
+            self.act(&host, MemberEvent::ProbeDue);
+        }
+    }
+
+    fn disturb(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+        let idx = u.int_in_range(0..=HOSTS - 1)?;
+        let host: HostId = format!("h{idx}").parse().unwrap();
+        match u.int_in_range(0..=6)? {
+            0 => drop(self.tables.remove(&host)),
+            1 => {
+                self.runs += 1;
+                let listed: Vec<_> = (0..HOSTS).map(|idx| record(idx, 1)).collect();
+                // Higher than any raised incarnation of an earlier run.
+                self.start(record(idx, self.runs * 1_000_000), &listed);
+            }
+            2 => drop(self.cut.insert(host)),
+            3 => drop(self.cut.remove(&host)),
+            4 => self.loss = u.int_in_range(0..=60)?,
+            5 if self.tables.contains_key(&host) && !self.left.contains(&host) => {
+                self.act(&host, MemberEvent::LeaveBegan);
+                self.act(&host, MemberEvent::LeaveEnded);
+                self.left.insert(host);
+            }
+            _ => {}
+        }
+        for _ in 0..u.int_in_range(0..=8)? {
+            self.run_second();
+        }
+        Ok(())
+    }
+
+    fn check_settled(&mut self) {
+        self.loss = 0;
+        self.cut.clear();
+        for _ in 0..SETTLE_SECONDS {
+            self.run_second();
+        }
+        let running = |id: &HostId| self.tables.contains_key(id) && !self.left.contains(id);
+        let is_alone = self.tables.keys().filter(|it| running(it)).count() < 2;
+        for (host, table) in self.tables.iter().filter(|(id, _)| running(id)) {
+            assert_eq!(table.own().state, MemberState::Alive);
+            for member in table.members() {
+                if running(&member.id) {
+                    let current = self.tables[&member.id].own().incarnation;
+                    assert_eq!(member.state, MemberState::Alive, "{host} on {}", member.id);
+                    assert_eq!(member.incarnation, current, "{host} on {}", member.id);
+                } else if !is_alone {
+                    assert!(!member.state.is_live(), "{host} takes {} for live", member.id);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a live reachable host that stays failed and a dead one that stays alive.
+#[test]
+fn settle_after_faults() {
+    for size in [64_u64, 256, 1_024] {
+        for seed in 0..20_u64 {
+            arbtest(|u| {
+                let mut cluster = Cluster::new(u.arbitrary()?);
+                while !u.is_empty() {
+                    cluster.disturb(u)?;
+                }
+                cluster.check_settled();
+                Ok(())
+            })
+            .seed((seed << 32) | size)
+            .run();
+        }
+    }
+}
+
+/// Guards against a host that is taken for failed because it was slow once, and against a table that ignores the
+/// refutation.
+#[test]
+fn refute_suspicion() {
+    let mut cluster = Cluster::new(1);
+    let (host, other): (HostId, HostId) = ("h0".parse().unwrap(), "h1".parse().unwrap());
+    let incarnation = IncarnationId(1);
+    for _ in 0..20 {
+        cluster.run_second();
+    }
+    cluster.cut.insert(other.clone());
+    let missed = MemberEvent::IndirectMissed { target: other.clone(), incarnation };
+    cluster.act(&host, missed);
+    assert_eq!(cluster.tables[&host].member(&other).unwrap().state, MemberState::Suspect);
+    cluster.cut.clear();
+    for _ in 0..10 {
+        cluster.run_second();
+    }
+    let member = cluster.tables[&host].member(&other).unwrap();
+    assert_eq!(member.state, MemberState::Alive);
+    assert!(member.incarnation > incarnation);
+}
+
+/// Guards against a share of probes across regions other than one in five.
+#[test]
+fn cross_region_share() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut table = MemberTable::new(SETTINGS, record(0, 1));
+    let listed = (1..12).map(|idx| record(idx, 0)).collect();
+    table.handle(MonoTime(1), MemberEvent::Seeded(listed), &mut rng);
+    let mut far = 0;
+    for _ in 0..1_000 {
+        for action in table.handle(MonoTime(1), MemberEvent::ProbeDue, &mut rng) {
+            let MemberAction::Probe(target) = action else { panic!("{action:?}") };
+            far += usize::from(target.region != table.own().region);
+        }
+    }
+    assert!((150..250).contains(&far), "{far} of 1000");
+}
--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -65,6 +65,8 @@
     Connected(ActorRef<ConfigMessage>),
     /// The next probe is due.
     ProbeDue,
+    /// Proofs may be overdue.
+    ReportsDue,
     /// Time has passed.
     Tick,
     /// The graceful shutdown reached a stage.
@@ -88,6 +90,7 @@
     peers: Arc<PeerClients>,
     config: Option<ActorRef<ConfigMessage>>,
     table: MemberTable,
+    published: Option<u64>,
     rng: StdRng,
 }
 
@@ -105,11 +108,13 @@
         let MemberArguments { shared, peers } = arguments;
         let timing = &shared.context.settings.timing;
         myself.send_interval(timing.gossip_interval.0, || MemberMessage::ProbeDue);
+        myself.send_interval(timing.gossip_interval.0 / 2, || MemberMessage::ReportsDue);
         myself.send_interval(TICK, || MemberMessage::Tick);
         let settings = MemberSettings { suspicion: timing.suspicion.0, retention: RETENTION };
         let table = MemberTable::new(settings, own_record(&shared));
         let rng = StdRng::seed_from_u64(rand::random());
-        let state = MemberActorState { shared, peers, config: None, table, rng };
+        let mut state =
+            MemberActorState { shared, peers, config: None, table, published: None, rng };
         state.publish();
         Ok(state)
     }
@@ -156,8 +161,8 @@
             MemberMessage::ProbeDue => {
                 state.apply(&myself, MemberEvent::ProbeDue);
                 state.ask_seeds(&myself);
-                state.ask_reporters(&myself);
             }
+            MemberMessage::ReportsDue => state.ask_reporters(&myself),
             MemberMessage::Tick => state.apply(&myself, MemberEvent::TimePassed),
             MemberMessage::Drain(DrainStage::Serving) => {}
             MemberMessage::Drain(DrainStage::Leaving | DrainStage::Closing) => {
@@ -293,32 +298,33 @@
         }
     }
 
-    /// Asks hosts of the store's region for their reports and proofs while proofs are overdue.
+    /// Asks the store's region while proofs are overdue: one host for its proof, and later all for their reports.
+    ///
+    /// A report counts for 2 s and is up to 1 s old when it is told, so that it has to be asked for every half second.
     fn ask_reporters(&mut self, myself: &ActorRef<MemberMessage>) {
         let context = self.shared.context.clone();
+        let freshness = context.settings.timing.key_freshness.0;
         let now = context.clock.now();
-        let limit = context.settings.timing.key_freshness.0 / 2;
-        if self.shared.proof().is_some_and(|it| now.since(it) < limit) {
+        let age = self.shared.proof().map_or(Duration::MAX, |it| now.since(it));
+        let count = if age < freshness * 2 / 5 {
             return;
-        }
-        let own = &context.identity.id;
+        } else if age < freshness * 3 / 5 {
+            1
+        } else {
+            MAX_REPORTERS
+        };
         let region = &context.settings.platform.store_region;
-        let reporters: Vec<_> = self
-            .table
-            .members()
-            .into_iter()
-            .filter(|it| it.region == *region && it.state.is_live() && it.id != *own)
-            .take(MAX_REPORTERS)
-            .collect();
+        let reporters = self.table.random_peers_in(region, count, &mut self.rng);
         for reporter in reporters {
             self.exchange(myself, reporter.peer_address, Some(&reporter.id), None);
         }
     }
 
-    fn publish(&self) {
-        let members = self.table.members();
-        if **self.shared.context.members.load() != members {
-            self.shared.context.members.store(Arc::new(members));
+    /// Publishes the members if they may have changed since the last time.
+    fn publish(&mut self) {
+        if self.published != Some(self.table.revision()) {
+            self.published = Some(self.table.revision());
+            self.shared.context.members.store(Arc::new(self.table.members()));
         }
     }
 }
--- /dev/null
+++ b/crates/sapphireknotd/tests/control/config_spread.rs
@@ -0,0 +1,184 @@
+//! Spread of generations and proofs over several hosts.
+
+use std::time::Duration;
+
+use sapphireknot::{
+    ids::{ConfigGeneration, HostId},
+    membership::MemberState,
+    operator::{ChangeReceipt, ItemState, NoteStatus},
+};
+
+use crate::support::{
+    FakePlatform, TestHost, add_note, document, start_host, start_host_in, wait_for,
+};
+
+const HOSTS: usize = 12;
+const LIMIT: Duration = Duration::from_secs(5);
+
+async fn start_hosts(platform: &FakePlatform, count: usize) -> Vec<TestHost> {
+    let mut hosts = Vec::new();
+    for idx in 0..count {
+        hosts.push(start_host(platform, idx).await);
+    }
+    hosts
+}
+
+async fn stop_hosts(hosts: Vec<TestHost>) {
+    futures_util::future::join_all(hosts.into_iter().map(|it| it.handle.stop())).await;
+}
+
+async fn begin(hosts: &[TestHost]) {
+    let receipt = hosts[0].put_document(document()).await;
+    assert_eq!(receipt, ChangeReceipt::Accepted { generation: ConfigGeneration(1) });
+    wait_for("first generation", LIMIT, || hosts.iter().all(|it| it.generation() == 1)).await;
+    wait_for("freshness", LIMIT, || hosts.iter().all(TestHost::is_fresh)).await;
+    let live = |host: &TestHost| host.context.members.load().len();
+    wait_for("members", LIMIT, || hosts.iter().all(|it| live(it) == hosts.len())).await;
+}
+
+/// Guards against a generation that reaches some host too late, a host that falls behind in freshness, and a note
+/// that is reported as in force too early or never.
+#[tokio::test(flavor = "multi_thread")]
+async fn spread_generations() {
+    let platform = FakePlatform::default();
+    let hosts = start_hosts(&platform, HOSTS).await;
+    begin(&hosts).await;
+    assert_eq!(platform.store.keys("role/watch/").len(), HOSTS);
+    for round in 0..3_u64 {
+        let id = format!("n{round}");
+        let host = &hosts[(5 * round as usize) % HOSTS];
+        let receipt = host.post_note(add_note(&id, &format!("org{round}")), None).await;
+        let generation = ConfigGeneration(2 + round);
+        assert_eq!(receipt, ChangeReceipt::Accepted { generation });
+        let behind = || hosts.iter().all(|it| it.generation() >= generation.0);
+        wait_for("generation", LIMIT, behind).await;
+    }
+    let start = tokio::time::Instant::now();
+    loop {
+        let (_, status) = hosts[3].call::<_, NoteStatus>("GET", "/v1/notes/n2", &()).await;
+        let status = status.unwrap();
+        let is_in_force = status.items.iter().all(|it| it.state == ItemState::InForce);
+        assert_eq!(is_in_force, status.waiting_for.is_empty());
+        if is_in_force {
+            assert!(hosts.iter().all(|it| it.generation() == 4));
+            break;
+        }
+        assert!(start.elapsed() < 2 * LIMIT, "waits for {:?}", status.waiting_for);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    // Freshness holds at every moment of an undisturbed run.
+    for _ in 0..60 {
+        assert!(hosts.iter().all(TestHost::is_fresh));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    stop_hosts(hosts).await;
+}
+
+/// Guards against hosts that stop serving keys while the store is down, that serve them when only they are cut off,
+/// and against a restarted host that finds no configuration or notes while the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage() {
+    let platform = FakePlatform::default();
+    let mut hosts = start_hosts(&platform, HOSTS).await;
+    begin(&hosts).await;
+    platform.store.set_down(true);
+    // The proof of before the outage has ended after 5 s; what holds then is the majority of the store's region.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    for _ in 0..40 {
+        let stale: Vec<_> = hosts.iter().filter(|it| !it.is_fresh()).collect();
+        let names: Vec<_> = stale.iter().map(|it| it.context.identity.id.as_str()).collect();
+        assert!(names.is_empty(), "not fresh: {names:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    hosts.remove(4).handle.abort();
+    hosts.push(start_host(&platform, 4).await);
+    let last = &hosts[HOSTS - 1];
+    wait_for("restart", LIMIT, || last.generation() == 1 && last.is_fresh()).await;
+    platform.store.set_down(false);
+    let receipt = last.post_note(add_note("n1", "beta"), Some(1)).await;
+    assert_eq!(receipt, ChangeReceipt::Accepted { generation: ConfigGeneration(2) });
+    wait_for("generation", LIMIT, || hosts.iter().all(|it| it.generation() == 2)).await;
+    stop_hosts(hosts).await;
+}
+
+/// Guards against a dead host that stays in the members, a stopped one that is taken for failed, and a role that
+/// stays with a dead host.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_hosts() {
+    let platform = FakePlatform::default();
+    let mut hosts = start_hosts(&platform, HOSTS).await;
+    begin(&hosts).await;
+    let dead = hosts.remove(7);
+    let (dead_id, left) = (dead.context.identity.id.clone(), hosts.remove(2));
+    let left_id = left.context.identity.id.clone();
+    dead.handle.abort();
+    left.handle.stop().await;
+    let state = |host: &TestHost, id: &HostId| {
+        host.context.members.load().iter().find(|it| it.id == *id).map(|it| it.state)
+    };
+    let limit = 3 * LIMIT;
+    wait_for("failed host", limit, || {
+        hosts.iter().all(|it| state(it, &dead_id) == Some(MemberState::Failed))
+    })
+    .await;
+    wait_for("left host", limit, || {
+        hosts.iter().all(|it| state(it, &left_id) == Some(MemberState::Left))
+    })
+    .await;
+    wait_for("roles", limit, || platform.store.keys("role/watch/").len() == HOSTS - 2).await;
+    let others = || hosts.iter().map(|it| it.context.identity.id.clone());
+    for host in &hosts {
+        assert!(others().all(|id| state(host, &id) == Some(MemberState::Alive)));
+    }
+    stop_hosts(hosts).await;
+}
+
+/// Guards against hosts without a watch role that learn generations or proofs too late, and against more than two
+/// watches in a data centre.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_without_role() {
+    let platform = FakePlatform::default();
+    let mut hosts = Vec::new();
+    for idx in 0..HOSTS {
+        hosts.push(start_host_in(&platform, idx, 0).await);
+    }
+    begin(&hosts).await;
+    assert_eq!(platform.store.keys("role/watch/"), ["role/watch/d0/0", "role/watch/d0/1"]);
+    assert_proofs(&hosts, Duration::from_secs(8)).await;
+    let receipt = hosts[11].post_note(add_note("n1", "beta"), None).await;
+    assert_eq!(receipt, ChangeReceipt::Accepted { generation: ConfigGeneration(2) });
+    wait_for("generation", LIMIT, || hosts.iter().all(|it| it.generation() == 2)).await;
+    stop_hosts(hosts).await;
+}
+
+/// Guards against regions that are cut off from the store and lose freshness although peers reach it, and against a
+/// host that is cut off from everything and still serves keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off_hosts() {
+    let platform = FakePlatform::default();
+    let mut hosts = start_hosts(&platform, HOSTS).await;
+    begin(&hosts).await;
+    for host in hosts.iter().filter(|it| it.context.identity.region.as_str() != "r0") {
+        host.store.cut_off();
+    }
+    assert_proofs(&hosts, Duration::from_secs(8)).await;
+    let lonely = hosts.remove(4);
+    stop_hosts(hosts).await;
+    // Without the list of hosts that left, the cut-off host would have to fail them first; both take a few seconds.
+    wait_for("end of freshness", 2 * LIMIT, || !lonely.is_fresh()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(!lonely.is_fresh());
+    lonely.handle.stop().await;
+}
+
+/// Watches that no proof becomes older than four of the five seconds for which it counts.
+async fn assert_proofs(hosts: &[TestHost], time: Duration) {
+    let start = tokio::time::Instant::now();
+    let mut oldest = Duration::ZERO;
+    while start.elapsed() < time {
+        oldest = hosts.iter().map(TestHost::proof_age).fold(oldest, Duration::max);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    println!("oldest proof: {oldest:?}");
+    assert!(oldest < Duration::from_secs(4), "oldest proof: {oldest:?}");
+}
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -74,13 +74,24 @@
 pub(crate) struct TestHost {
     /// State that requests read.
     pub(crate) context: Arc<HostContext>,
+    /// The store as this host sees it.
+    pub(crate) store: FakeStore,
     /// Control modules.
     pub(crate) handle: ControlHandle,
 }
 
 /// Starts host `idx`; three regions with two data centres each, the store in the first region.
 pub(crate) async fn start_host(platform: &FakePlatform, idx: usize) -> TestHost {
-    let (region, datacentre) = (idx % 3, idx % 6);
+    start_host_in(platform, idx, idx % 6).await
+}
+
+/// Starts host `idx` in a data centre, of which every third is in the same region.
+pub(crate) async fn start_host_in(
+    platform: &FakePlatform,
+    idx: usize,
+    datacentre: usize,
+) -> TestHost {
+    let region = datacentre % 3;
     let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let operator = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = HostSettings::load(&format!(
@@ -128,13 +139,12 @@
         versions: nothing.clone(),
         servers: nothing,
     });
-    let clients = PlatformClients {
-        store: Arc::new(platform.store.clone()),
-        hosts: Arc::new(platform.hosts.clone()),
-    };
+    let store = platform.store.view();
+    let clients =
+        PlatformClients { store: Arc::new(store.clone()), hosts: Arc::new(platform.hosts.clone()) };
     let listeners = ControlListeners { peer, operator };
     let handle = control::start_with_platform(context.clone(), listeners, clients).await.unwrap();
-    TestHost { context, handle }
+    TestHost { context, store, handle }
 }
 
 impl TestHost {
@@ -148,6 +158,12 @@
         self.context.clock.now() < self.context.fresh_until.get()
     }
 
+    /// Age of the latest proof, unless a majority counts instead.
+    pub(crate) fn proof_age(&self) -> Duration {
+        let freshness = self.context.settings.timing.key_freshness.0;
+        self.context.clock.now().since(self.context.fresh_until.get().before(freshness))
+    }
+
     /// Calls the operator interface.
     pub(crate) async fn call<B, R>(&self, method: &str, path: &str, body: &B) -> (u16, Option<R>)
     where
--- a/crates/sapphireknotd/tests/control/support/store.rs
+++ b/crates/sapphireknotd/tests/control/support/store.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -60,28 +63,41 @@
 
 /// Store in memory.
 #[derive(Clone, Default)]
-pub(crate) struct FakeStore(Arc<Mutex<FakeState>>);
+pub(crate) struct FakeStore {
+    state: Arc<Mutex<FakeState>>,
+    is_cut: Arc<AtomicBool>,
+}
 
 impl FakeStore {
     /// Begins or ends an outage in which no call is answered or takes effect.
     pub(crate) fn set_down(&self, is_down: bool) {
-        self.0.lock().is_down = is_down;
+        self.state.lock().is_down = is_down;
     }
 
     /// Loses the answers of the next `count` writes of keys that start with `prefix`; the writes take effect.
     pub(crate) fn lose_answers(&self, prefix: &str, count: u32) {
-        self.0.lock().lost = Some((prefix.to_owned(), count));
+        self.state.lock().lost = Some((prefix.to_owned(), count));
     }
 
     /// Keys that start with `prefix`.
     pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.expire();
         state.entries.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
     }
 
+    /// The same store as one host sees it, which can be cut off from it.
+    pub(crate) fn view(&self) -> Self {
+        Self { state: self.state.clone(), is_cut: Arc::default() }
+    }
+
+    /// Cuts the host with this view off from the store.
+    pub(crate) fn cut_off(&self) {
+        self.is_cut.store(true, Ordering::Release);
+    }
+
     async fn reach(&self, step: &'static str) -> Result<(), StoreError> {
-        if self.0.lock().is_down {
+        if self.state.lock().is_down || self.is_cut.load(Ordering::Acquire) {
             return Err(lost(step).await);
         }
         tokio::task::yield_now().await;
@@ -98,14 +114,14 @@
 impl KeyValueStore for FakeStore {
     async fn get(&self, key: &str) -> Result<Option<StoredEntry>, StoreError> {
         self.reach("get").await?;
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.expire();
         Ok(state.entries.get(key).cloned())
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<StoredEntry>, StoreError> {
         self.reach("list").await?;
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.expire();
         let is_listed = |it: &&StoredEntry| it.key.starts_with(prefix);
         Ok(state.entries.values().filter(is_listed).cloned().collect())
@@ -114,7 +130,7 @@
     async fn compare_and_swap(&self, write: SwapWrite) -> Result<SwapOutcome, StoreError> {
         self.reach("compare and swap").await?;
         let (outcome, is_lost) = {
-            let mut state = self.0.lock();
+            let mut state = self.state.lock();
             let key = write.key.clone();
             let outcome = state.swap(write);
             let is_lost = match &mut state.lost {
@@ -131,7 +147,7 @@
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         self.reach("grant lease").await?;
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.counter += 1;
         let id = state.counter;
         state.leases.insert(id, (Instant::now() + ttl, ttl));
@@ -140,7 +156,7 @@
 
     async fn renew_leases(&self, leases: &[LeaseId]) -> Result<Vec<LeaseId>, StoreError> {
         self.reach("renew leases").await?;
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.expire();
         let mut alive = Vec::new();
         for lease in leases {
@@ -154,7 +170,7 @@
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
         self.reach("revoke lease").await?;
-        let mut state = self.0.lock();
+        let mut state = self.state.lock();
         state.leases.remove(&lease.0);
         state.expire();
         Ok(())
@@ -169,7 +185,7 @@
         let end = Instant::now() + wait;
         while Instant::now() < end {
             self.reach("watch").await?;
-            let entry = self.0.lock().entries.get(key).cloned();
+            let entry = self.state.lock().entries.get(key).cloned();
             if entry.as_ref().map(|it| it.revision).unwrap_or_default() != known {
                 return Ok(Some(entry));
             }
