--- a/crates/sapphireknot/tests/config_head.rs
+++ b/crates/sapphireknot/tests/config_head.rs
@@ -1,5 +1,7 @@
 //! Head of the configuration: operators race, answers are lost, hosts die between two writes.
 
+#![cfg(test)]
+
 use std::collections::BTreeMap;
 
 use arbtest::{arbitrary::Unstructured, arbtest};
--- a/crates/sapphireknot/tests/member_table.rs
+++ b/crates/sapphireknot/tests/member_table.rs
@@ -1,5 +1,7 @@
 //! Failure detector: a cluster of tables that lose messages, are cut off, die and restart.
 
+#![cfg(test)]
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
--- a/crates/sapphireknotd/tests/control/config_spread.rs
+++ b/crates/sapphireknotd/tests/control/config_spread.rs
@@ -179,6 +179,5 @@
         oldest = hosts.iter().map(TestHost::proof_age).fold(oldest, Duration::max);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    println!("oldest proof: {oldest:?}");
     assert!(oldest < Duration::from_secs(4), "oldest proof: {oldest:?}");
 }
