control, peer: start a span per store call and peer call

The design asks for a span per hop; calls of the store and of peers had none. Spans go through the global tracer, so that the modules need no handle and nothing is exported unless the process installs one.

--- a/crates/sapphireknot/tests/config_head.rs
+++ b/crates/sapphireknot/tests/config_head.rs
@@ -79,6 +79,10 @@
             NoteDecision::Refused { .. } => Some(None),
             NoteDecision::Write(write) => {
                 assert_eq!(write.is_rebased, submission.base < store.head.generation);
+                for item in &submission.note.items {
+                    let last = store.head.last_changes.get(&item.path().to_string());
+                    assert!(last.is_none_or(|it| *it <= submission.base), "a conflict is missed");
+                }
                 submission.prepared = Some((store.revision, write));
                 None
             }
@@ -162,7 +166,7 @@
     assert_eq!(generations, (1..=head.generation.0).collect::<Vec<_>>());
 }
 
-/// Guards against a generation that falls, an accepted note that is lost and half a note.
+/// Guards against a generation that falls, an accepted note that is lost, a missed conflict and half a note.
 #[test]
 fn racing_notes() {
     for size in [64_u64, 512, 2_048] {
--- a/crates/sapphireknotd/src/control/store.rs
+++ b/crates/sapphireknotd/src/control/store.rs
@@ -1,15 +1,16 @@
 //! Store calls of this host, with a record of whether the store answers.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
+use opentelemetry::trace::{Span, Status};
 use parking_lot::Mutex;
 use sapphireknot::time::MonoTime;
 use sapphireknot_platform::{
     KeyValueStore, LeaseId, StoreError, StoreRevision, StoredEntry, SwapOutcome, SwapWrite,
 };
 
-use crate::clock::HostClock;
+use crate::{clock::HostClock, spans::start_span};
 
 /// Whether the store answered the latest calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,11 +49,27 @@
         }
     }
 
+    /// Runs one call in a span of its own and records whether it was answered.
+    async fn observe<F, T>(&self, step: &'static str, call: F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let mut span = start_span(step);
+        let began = self.clock.now();
+        let result = call.await;
+        self.record(began, &result);
+        if let Err(err) = &result {
+            span.set_status(Status::error(err.to_string()));
+        }
+        span.end();
+        result
+    }
+
     /// Records the end of a call that began at `began`.
-    fn record<T>(&self, began: MonoTime, result: Result<T, StoreError>) -> Result<T, StoreError> {
+    fn record<T>(&self, began: MonoTime, result: &Result<T, StoreError>) {
         let now = self.clock.now();
         let mut record = self.record.lock();
-        match &result {
+        match result {
             Ok(_) | Err(StoreError::Refused { .. }) => {
                 record.last_answer = Some(now);
                 record.last_failure = None;
@@ -63,40 +80,33 @@
             }
             Err(StoreError::Unanswered { .. }) => {}
         }
-        result
     }
 }
 
 #[async_trait]
 impl KeyValueStore for ObservedStore {
     async fn get(&self, key: &str) -> Result<Option<StoredEntry>, StoreError> {
-        let began = self.clock.now();
-        self.record(began, self.inner.get(key).await)
+        self.observe("store get", self.inner.get(key)).await
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<StoredEntry>, StoreError> {
-        let began = self.clock.now();
-        self.record(began, self.inner.list(prefix).await)
+        self.observe("store list", self.inner.list(prefix)).await
     }
 
     async fn compare_and_swap(&self, write: SwapWrite) -> Result<SwapOutcome, StoreError> {
-        let began = self.clock.now();
-        self.record(began, self.inner.compare_and_swap(write).await)
+        self.observe("store compare and swap", self.inner.compare_and_swap(write)).await
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
-        let began = self.clock.now();
-        self.record(began, self.inner.grant_lease(ttl).await)
+        self.observe("store grant lease", self.inner.grant_lease(ttl)).await
     }
 
     async fn renew_leases(&self, leases: &[LeaseId]) -> Result<Vec<LeaseId>, StoreError> {
-        let began = self.clock.now();
-        self.record(began, self.inner.renew_leases(leases).await)
+        self.observe("store renew leases", self.inner.renew_leases(leases)).await
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let began = self.clock.now();
-        self.record(began, self.inner.revoke_lease(lease).await)
+        self.observe("store revoke lease", self.inner.revoke_lease(lease)).await
     }
 
     async fn watch(
@@ -105,7 +115,6 @@
         known: StoreRevision,
         wait: Duration,
     ) -> Result<Option<Option<StoredEntry>>, StoreError> {
-        let began = self.clock.now();
-        self.record(began, self.inner.watch(key, known, wait).await)
+        self.observe("store watch", self.inner.watch(key, known, wait)).await
     }
 }
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod operator;
 pub mod peer;
 pub mod settings;
+mod spans;
--- a/crates/sapphireknotd/src/peer/client.rs
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -7,6 +7,10 @@
     time::Duration,
 };
 
+use opentelemetry::{
+    KeyValue,
+    trace::{Span, Status as SpanStatus},
+};
 use parking_lot::Mutex;
 use sapphireknot::{
     config::ConfigDocument,
@@ -24,7 +28,7 @@
     transport::{Channel, Endpoint},
 };
 
-use crate::control::LoadedConfig;
+use crate::{control::LoadedConfig, spans::start_span};
 
 /// Connections that are kept; a host talks to a few random peers a second, so that the rest would only be idle.
 const MAX_CONNECTIONS: usize = 64;
@@ -122,11 +126,18 @@
     where
         F: Future<Output = Result<Response<T>, Status>>,
     {
+        let mut span = start_span(step);
+        span.set_attribute(KeyValue::new("peer", peer.to_string()));
         let reason = match tokio::time::timeout(limit, call).await {
-            Ok(Ok(response)) => return Ok(response.into_inner()),
+            Ok(Ok(response)) => {
+                span.end();
+                return Ok(response.into_inner());
+            }
             Ok(Err(status)) => format!("{}: {}", status.code(), status.message()),
             Err(_) => "time limit exceeded".to_owned(),
         };
+        span.set_status(SpanStatus::error(reason.clone()));
+        span.end();
         Err(PeerError::Call { step, peer, reason })
     }
 
@@ -138,7 +149,7 @@
     ) -> Result<ExchangeReply, PeerError> {
         let mut client = self.client(peer);
         let call = client.exchange(ExchangeRequest { gossip: Some(gossip) });
-        self.call("exchange", peer, self.call_timeout, call).await
+        self.call("peer exchange", peer, self.call_timeout, call).await
     }
 
     /// Asks `delegate` to probe `target`; the delegate's own call takes as long as a direct one.
@@ -153,7 +164,7 @@
             target_address: target.peer_address.to_string(),
         });
         let limit = self.call_timeout * 2;
-        Ok(self.call("probe via", delegate, limit, call).await?.answered)
+        Ok(self.call("peer probe via", delegate, limit, call).await?.answered)
     }
 
     /// Fetches the configuration of `peer` if it is newer than `known`.
@@ -165,7 +176,7 @@
         let mut client = self.client(peer);
         let call = client.fetch_config(FetchConfigRequest { known_generation: known.0 });
         let limit = self.call_timeout * FETCH_FACTOR;
-        let reply = self.call("fetch the configuration", peer, limit, call).await?;
+        let reply = self.call("peer fetch config", peer, limit, call).await?;
         if reply.document.is_empty() || reply.generation <= known.0 {
             return Ok(None);
         }
