standin: add store, host list and backend server

The daemon and its tests need a platform and backend servers to talk to, and faults that can be switched while they run.

The store is a linearizable map with revisions, leases and watches. It works in memory as a KeyValueStore and over gRPC. A lost answer is withheld after the write took effect; an outage that begins during a watch also withholds the watch's answer. The host list keeps past lists and answers with the one that was set a lag ago. The backend server counts runs by request id and by idempotency key, so that a test sees a request that ran twice.

Each server has a runtime of its own. A server task that is aborted leaves the connections that it accepted open, so a stopped store would still answer.

A connection reset is a close without a response: hyper does not give access to the socket's linger option from the request handler.

--- /dev/null
+++ b/crates/sapphireknot-standin/src/backend/handler.rs
@@ -0,0 +1,139 @@
+//! Requests to a backend server.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::BoxBody};
+use hyper::body::{Frame, Incoming};
+use serde_json::json;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use super::state::{BackendState, GaugeGuard, header_text};
+
+/// Largest content of a request, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Wait of a request without a deadline of its own.
+const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+
+type BackendBody = BoxBody<Bytes, io::Error>;
+
+/// Answers one request; an error closes the connection without a response.
+pub(super) async fn answer(
+    state: Arc<BackendState>,
+    request: Request<Incoming>,
+) -> io::Result<Response<BackendBody>> {
+    if request.uri().path() == "/load" {
+        sleep(state.load_delay()).await;
+        return Ok(load_response(&state));
+    }
+    let deadline = Instant::now() + time_left(request.headers());
+    let (parts, body) = request.into_parts();
+    state.record_arrival(&parts);
+    if state.strike(|it| &mut it.reset_before) {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(io::Error::other)?;
+    let body = body.to_bytes();
+
+    let queue_end = deadline.min(Instant::now() + Duration::from_millis(state.plan.queue_ms));
+    let slot = match timeout_at(queue_end, state.slots.acquire()).await {
+        Ok(Ok(slot)) if !state.strike(|it| &mut it.shed) => slot,
+        _ => {
+            state.record_shed();
+            return Ok(shed_response(&parts.headers));
+        }
+    };
+    let guard = GaugeGuard::request(&state);
+    state.record_begin(&parts.headers);
+    let (time, fails) = state.outcome(parts.uri.path());
+    let end = Instant::now() + time;
+    sleep_until(end.min(deadline)).await;
+    drop((guard, slot));
+    if deadline < end {
+        return Ok(plain_response(StatusCode::GATEWAY_TIMEOUT, &parts.headers, Bytes::new()));
+    }
+    state.record_end();
+    finish(&state, &parts.headers, &body, fails).await
+}
+
+async fn finish(
+    state: &BackendState,
+    headers: &HeaderMap,
+    body: &Bytes,
+    fails: bool,
+) -> io::Result<Response<BackendBody>> {
+    if state.strike(|it| &mut it.reset_after) {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    if state.strike(|it| &mut it.late) {
+        sleep(state.late_by()).await;
+    }
+    let status = if fails { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
+    let content = json!({
+        "server": state.plan.name,
+        "request_id": header_text(headers, "x-request-id"),
+        "received_bytes": body.len(),
+        "padding": "x".repeat(state.plan.padding_bytes),
+    });
+    let content = Bytes::from(content.to_string());
+    let mut response = if state.strike(|it| &mut it.truncated) {
+        truncated_response(status, headers, content)
+    } else {
+        plain_response(status, headers, content)
+    };
+    if let Ok(name) = state.plan.name.parse() {
+        response.headers_mut().insert("x-server", name);
+    }
+    Ok(response)
+}
+
+fn time_left(headers: &HeaderMap) -> Duration {
+    let millis = header_text(headers, "x-deadline-ms").and_then(|it| it.parse().ok());
+    millis.map_or(MAX_DEADLINE, Duration::from_millis).min(MAX_DEADLINE)
+}
+
+fn load_response(state: &BackendState) -> Response<BackendBody> {
+    let headers = HeaderMap::new();
+    match state.reported_load() {
+        Some(report) => {
+            let content = serde_json::to_vec(&report).unwrap_or_default();
+            plain_response(StatusCode::OK, &headers, content.into())
+        }
+        None => plain_response(StatusCode::INTERNAL_SERVER_ERROR, &headers, Bytes::new()),
+    }
+}
+
+fn shed_response(headers: &HeaderMap) -> Response<BackendBody> {
+    let mut response = plain_response(StatusCode::SERVICE_UNAVAILABLE, headers, Bytes::new());
+    response.headers_mut().insert("x-request-ran", http::HeaderValue::from_static("no"));
+    response
+}
+
+fn plain_response(
+    status: StatusCode,
+    headers: &HeaderMap,
+    content: Bytes,
+) -> Response<BackendBody> {
+    let body = Full::new(content).map_err(|never| match never {}).boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    if let Some(id) = headers.get("x-request-id") {
+        response.headers_mut().insert("x-request-id", id.clone());
+    }
+    response
+}
+
+/// Announces the whole length and ends the connection after half of the content.
+fn truncated_response(
+    status: StatusCode,
+    headers: &HeaderMap,
+    content: Bytes,
+) -> Response<BackendBody> {
+    let half = content.slice(..content.len() / 2);
+    let frames = [Ok(Frame::data(half)), Err(io::ErrorKind::ConnectionAborted.into())];
+    let mut response = plain_response(status, headers, Bytes::new());
+    response.headers_mut().insert("content-length", content.len().into());
+    *response.body_mut() = BodyExt::boxed(StreamBody::new(tokio_stream::iter(frames)));
+    response
+}
--- /dev/null
+++ b/crates/sapphireknot-standin/src/backend/state.rs
@@ -0,0 +1,240 @@
+//! State of a backend server that requests and its control address share.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http::{HeaderMap, request::Parts};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+
+use super::plan::{BackendFaults, BackendPlan, DefectEffect, LoadFault, LoadReport};
+use crate::fault::{FaultRule, SeededDice};
+
+/// Requests whose headers are kept.
+const MAX_RECORDS: usize = 10_000;
+
+/// Request that arrived, whether it ran or not.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestRecord {
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub target: String,
+    /// Headers in the order of arrival.
+    pub headers: Vec<(String, String)>,
+}
+
+/// Requests that ran.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCounts {
+    /// Requests that began to run.
+    pub begun: u64,
+    /// Requests that ran to their end.
+    pub ended: u64,
+    /// Requests that were shed.
+    pub shed: u64,
+    /// Runs by request id.
+    pub by_request: BTreeMap<String, u32>,
+    /// Runs by idempotency key.
+    pub by_key: BTreeMap<String, u32>,
+}
+
+/// Reads a header as text.
+pub(super) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|it| it.to_str().ok())
+}
+
+#[derive(Debug)]
+struct FaultState {
+    faults: BackendFaults,
+    since: Instant,
+    frozen: LoadReport,
+}
+
+/// State of a backend server.
+#[derive(Debug)]
+pub struct BackendState {
+    pub(super) plan: BackendPlan,
+    pub(super) slots: Semaphore,
+    pub(super) dice: SeededDice,
+    started: Mutex<Instant>,
+    in_flight: AtomicU32,
+    connections: AtomicU32,
+    leaving: AtomicBool,
+    faults: Mutex<FaultState>,
+    counts: Mutex<RunCounts>,
+    records: Mutex<VecDeque<RequestRecord>>,
+}
+
+impl BackendState {
+    pub(super) fn new(plan: BackendPlan) -> Self {
+        let now = Instant::now();
+        let frozen = LoadReport::default();
+        Self {
+            slots: Semaphore::new(plan.slots as usize),
+            dice: SeededDice::new(plan.seed),
+            started: Mutex::new(now),
+            in_flight: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            faults: Mutex::new(FaultState { faults: BackendFaults::default(), since: now, frozen }),
+            counts: Mutex::default(),
+            records: Mutex::default(),
+            plan,
+        }
+    }
+
+    /// Replaces the faults; times of defects count from now.
+    pub fn set_faults(&self, faults: BackendFaults) {
+        let frozen = self.true_load();
+        *self.faults.lock() = FaultState { faults, since: Instant::now(), frozen };
+    }
+
+    /// The faults, less the certain strikes that were used up.
+    pub fn faults(&self) -> BackendFaults {
+        self.faults.lock().faults.clone()
+    }
+
+    /// Starts or ends a drain: a leaving server reports so and still serves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Release);
+    }
+
+    /// Makes the server as cold as after a start.
+    pub fn cool_down(&self) {
+        *self.started.lock() = Instant::now();
+    }
+
+    /// Requests that ran.
+    pub fn counts(&self) -> RunCounts {
+        self.counts.lock().clone()
+    }
+
+    /// The last requests that arrived.
+    pub fn records(&self) -> Vec<RequestRecord> {
+        self.records.lock().iter().cloned().collect()
+    }
+
+    /// The load as it is.
+    pub fn true_load(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.in_flight.load(Ordering::Acquire),
+            slots: self.plan.slots,
+            connections: self.connections.load(Ordering::Acquire),
+            leaving: self.leaving.load(Ordering::Acquire),
+        }
+    }
+
+    /// The load as it is reported; `None` if reports fail.
+    pub fn reported_load(&self) -> Option<LoadReport> {
+        let state = self.faults.lock();
+        match state.faults.load {
+            LoadFault::None => Some(self.true_load()),
+            LoadFault::Frozen => Some(state.frozen),
+            LoadFault::Fixed(report) => Some(report),
+            LoadFault::Failing => None,
+        }
+    }
+
+    pub(super) fn load_delay(&self) -> Duration {
+        Duration::from_millis(self.faults.lock().faults.load_delay_ms)
+    }
+
+    pub(super) fn late_by(&self) -> Duration {
+        Duration::from_millis(self.faults.lock().faults.late_ms)
+    }
+
+    pub(super) fn strike<F>(&self, rule: F) -> bool
+    where
+        F: FnOnce(&mut BackendFaults) -> &mut FaultRule,
+    {
+        rule(&mut self.faults.lock().faults).strike(&self.dice)
+    }
+
+    /// Time that a request takes, and whether it fails.
+    pub(super) fn outcome(&self, path: &str) -> (Duration, bool) {
+        let age = self.started.lock().elapsed();
+        let mut time = self.plan.service_time(self.dice.draw(), age);
+        let mut fails = false;
+        let in_flight = self.in_flight.load(Ordering::Acquire);
+        let state = self.faults.lock();
+        for defect in &state.faults.defects {
+            if defect.strikes(state.since.elapsed(), in_flight, path, self.dice.draw()) {
+                match defect.effect {
+                    DefectEffect::Fail => fails = true,
+                    DefectEffect::SlowMs(millis) => time += Duration::from_millis(millis),
+                }
+            }
+        }
+        (time, fails)
+    }
+
+    pub(super) fn record_arrival(&self, parts: &Parts) {
+        let text = |it: &http::HeaderValue| String::from_utf8_lossy(it.as_bytes()).into_owned();
+        let headers = parts.headers.iter().map(|(name, it)| (name.to_string(), text(it)));
+        let record = RequestRecord {
+            method: parts.method.to_string(),
+            target: parts.uri.to_string(),
+            headers: headers.collect(),
+        };
+        let mut records = self.records.lock();
+        if records.len() == MAX_RECORDS {
+            records.pop_front();
+        }
+        records.push_back(record);
+    }
+
+    pub(super) fn record_begin(&self, headers: &HeaderMap) {
+        let mut counts = self.counts.lock();
+        counts.begun += 1;
+        if let Some(id) = header_text(headers, "x-request-id") {
+            *counts.by_request.entry(id.to_owned()).or_default() += 1;
+        }
+        if let Some(key) = header_text(headers, "idempotency-key") {
+            *counts.by_key.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+
+    pub(super) fn record_end(&self) {
+        self.counts.lock().ended += 1;
+    }
+
+    pub(super) fn record_shed(&self) {
+        self.counts.lock().shed += 1;
+    }
+}
+
+/// Counts a request or a connection until it is dropped.
+#[derive(Debug)]
+pub(super) struct GaugeGuard {
+    state: Arc<BackendState>,
+    gauge: fn(&BackendState) -> &AtomicU32,
+}
+
+impl GaugeGuard {
+    pub(super) fn request(state: &Arc<BackendState>) -> Self {
+        Self::enter(state, |it| &it.in_flight)
+    }
+
+    pub(super) fn connection(state: &Arc<BackendState>) -> Self {
+        Self::enter(state, |it| &it.connections)
+    }
+
+    fn enter(state: &Arc<BackendState>, gauge: fn(&BackendState) -> &AtomicU32) -> Self {
+        gauge(state).fetch_add(1, Ordering::AcqRel);
+        Self { state: state.clone(), gauge }
+    }
+}
+
+impl Drop for GaugeGuard {
+    fn drop(&mut self) {
+        (self.gauge)(&self.state).fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot-standin/src/client.rs
@@ -0,0 +1,174 @@
+//! HTTP client of tests: callers' requests and control calls.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+/// Request that got no complete response.
+#[derive(Debug, Error)]
+#[error("{step} at {peer}: {reason}")]
+pub struct ClientError {
+    /// What failed.
+    pub step: &'static str,
+    /// Address of the server.
+    pub peer: SocketAddr,
+    /// Why.
+    pub reason: String,
+}
+
+/// Request of a caller.
+#[derive(Debug, Clone)]
+pub struct HttpCall {
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub target: String,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Content.
+    pub body: Bytes,
+}
+
+impl HttpCall {
+    /// A call without headers and content.
+    pub fn new<T>(method: Method, target: T) -> Self
+    where
+        T: Into<String>,
+    {
+        Self { method, target: target.into(), headers: Vec::new(), body: Bytes::new() }
+    }
+
+    /// A GET call.
+    pub fn get<T>(target: T) -> Self
+    where
+        T: Into<String>,
+    {
+        Self::new(Method::GET, target)
+    }
+
+    /// The call with one more header.
+    pub fn header<N, V>(mut self, name: N, value: V) -> Self
+    where
+        N: Into<String>,
+        V: Into<String>,
+    {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// The call with content.
+    pub fn body<B>(self, body: B) -> Self
+    where
+        B: Into<Bytes>,
+    {
+        Self { body: body.into(), ..self }
+    }
+}
+
+/// Complete response.
+#[derive(Debug, Clone)]
+pub struct HttpReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Content.
+    pub body: Bytes,
+}
+
+impl HttpReply {
+    /// A header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|it| it.to_str().ok())
+    }
+}
+
+/// Client with a pool of connections; never sends a request twice.
+#[derive(Debug, Clone)]
+pub struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    time_limit: Duration,
+}
+
+impl HttpCaller {
+    /// A client whose calls end after `time_limit`.
+    pub fn new(time_limit: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.retry_canceled_requests(false);
+        Self { client: builder.build(connector), time_limit }
+    }
+
+    /// Sends a call and reads the whole response.
+    pub async fn send(&self, peer: SocketAddr, call: HttpCall) -> Result<HttpReply, ClientError> {
+        let limited = tokio::time::timeout(self.time_limit, self.exchange(peer, call));
+        limited.await.unwrap_or_else(|_| Err(failure("send", peer, "time limit exceeded")))
+    }
+
+    async fn exchange(&self, peer: SocketAddr, call: HttpCall) -> Result<HttpReply, ClientError> {
+        let uri: Uri = format!("http://{peer}{}", call.target)
+            .parse()
+            .map_err(|err: http::uri::InvalidUri| failure("form target", peer, err))?;
+        let mut builder = Request::builder().method(call.method).uri(uri);
+        for (name, value) in call.headers {
+            builder = builder.header(name, value);
+        }
+        let request =
+            builder.body(Full::new(call.body)).map_err(|err| failure("form request", peer, err))?;
+        let response =
+            self.client.request(request).await.map_err(|err| failure("send request", peer, err))?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.map_err(|err| failure("read response", peer, err))?;
+        Ok(HttpReply { status: parts.status, headers: parts.headers, body: body.to_bytes() })
+    }
+
+    /// Reads JSON from a control address.
+    pub async fn read_control<T>(&self, peer: SocketAddr, path: &str) -> Result<T, ClientError>
+    where
+        T: DeserializeOwned,
+    {
+        let reply = self.send(peer, HttpCall::get(path)).await?;
+        check_status(peer, &reply)?;
+        serde_json::from_slice(&reply.body).map_err(|err| failure("parse reply", peer, err))
+    }
+
+    /// Sends JSON to a control address.
+    pub async fn write_control<T>(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        content: &T,
+    ) -> Result<(), ClientError>
+    where
+        T: Serialize,
+    {
+        let body = serde_json::to_vec(content).map_err(|err| failure("form content", peer, err))?;
+        let reply = self.send(peer, HttpCall::new(method, path).body(body)).await?;
+        check_status(peer, &reply)
+    }
+}
+
+fn check_status(peer: SocketAddr, reply: &HttpReply) -> Result<(), ClientError> {
+    if reply.status.is_success() {
+        return Ok(());
+    }
+    let content = String::from_utf8_lossy(&reply.body).into_owned();
+    Err(failure("control call", peer, format!("status {}: {content}", reply.status)))
+}
+
+fn failure<R>(step: &'static str, peer: SocketAddr, reason: R) -> ClientError
+where
+    R: std::fmt::Display,
+{
+    ClientError { step, peer, reason: reason.to_string() }
+}
--- /dev/null
+++ b/crates/sapphireknot-standin/src/control.rs
@@ -0,0 +1,136 @@
+//! Runtime and control address that the stand-ins share.
+//!
+//! Each stand-in has a runtime of its own, so that stopping it also ends its open connections and waiting calls.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::{SocketAddr, TcpListener as BlockingListener},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, runtime::Runtime};
+
+/// Runtime of one stand-in; dropping it ends all of its tasks.
+#[derive(Debug)]
+pub struct ServiceRuntime(Option<Runtime>);
+
+impl ServiceRuntime {
+    /// Starts a runtime with two threads.
+    pub fn start() -> io::Result<Self> {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        Ok(Self(Some(builder.worker_threads(2).enable_all().build()?)))
+    }
+
+    /// Binds `address` and serves it with the future that `serve` makes; returns the bound address.
+    pub fn listen<S, F>(&self, address: SocketAddr, serve: S) -> io::Result<SocketAddr>
+    where
+        S: FnOnce(TcpListener) -> F,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let Some(runtime) = &self.0 else { return Err(io::ErrorKind::NotConnected.into()) };
+        let listener = BlockingListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let bound = listener.local_addr()?;
+        let _guard = runtime.enter();
+        runtime.spawn(serve(TcpListener::from_std(listener)?));
+        Ok(bound)
+    }
+}
+
+impl Drop for ServiceRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            // A blocking shutdown panics when a test drops the stand-in inside its own runtime.
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Answer of a control address.
+#[derive(Debug)]
+pub struct ControlReply {
+    status: StatusCode,
+    body: Value,
+}
+
+impl ControlReply {
+    /// Success without content.
+    pub fn done() -> Self {
+        Self { status: StatusCode::OK, body: json!({}) }
+    }
+
+    /// Success with `content`.
+    pub fn content<T>(content: &T) -> Self
+    where
+        T: Serialize,
+    {
+        match serde_json::to_value(content) {
+            Ok(body) => Self { status: StatusCode::OK, body },
+            Err(err) => Self::malformed(&err.to_string()),
+        }
+    }
+
+    /// The call is not understood.
+    pub fn malformed(reason: &str) -> Self {
+        Self { status: StatusCode::BAD_REQUEST, body: json!({ "error": reason }) }
+    }
+
+    /// There is no such path.
+    pub fn unknown() -> Self {
+        Self { status: StatusCode::NOT_FOUND, body: json!({ "error": "no such path" }) }
+    }
+}
+
+/// Parses `body` and passes it to `act`.
+pub fn with_body<T, F>(body: &[u8], act: F) -> ControlReply
+where
+    T: DeserializeOwned,
+    F: FnOnce(T) -> ControlReply,
+{
+    match serde_json::from_slice(body) {
+        Ok(value) => act(value),
+        Err(err) => ControlReply::malformed(&err.to_string()),
+    }
+}
+
+/// Part of a stand-in that answers its control address.
+pub trait ControlPanel: Send + Sync + 'static {
+    /// Handles one call.
+    fn handle(&self, method: &Method, path: &str, body: &[u8]) -> ControlReply;
+}
+
+/// Serves control calls until the runtime ends.
+pub async fn serve_control(listener: TcpListener, panel: Arc<dyn ControlPanel>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let panel = panel.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| answer(panel.clone(), request));
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A caller that goes away early is no fault of the stand-in.
+            let _ = connection.await;
+        });
+    }
+}
+
+async fn answer(
+    panel: Arc<dyn ControlPanel>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (parts, body) = request.into_parts();
+    let reply = match body.collect().await {
+        Ok(body) => panel.handle(&parts.method, parts.uri.path(), &body.to_bytes()),
+        Err(err) => ControlReply::malformed(&err.to_string()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(reply.body.to_string())));
+    *response.status_mut() = reply.status;
+    Ok(response)
+}
--- /dev/null
+++ b/crates/sapphireknot-standin/src/store.rs
@@ -0,0 +1,13 @@
+//! Key-value store of the platform.
+//!
+//! [`MemoryStore`] holds the entries and the faults and implements [`sapphireknot_platform::KeyValueStore`] without
+//! sockets; [`StoreServer`] serves it by gRPC.
+
+mod map;
+mod memory;
+mod server;
+
+pub use self::{
+    memory::{CallCounts, CallFailure, MemoryStore, OutageKind, StoreFaults},
+    server::{StoreAddresses, StoreServer},
+};
--- /dev/null
+++ b/crates/sapphireknot-standin/src/store/server.rs
@@ -0,0 +1,218 @@
+//! Store as a server with a control address.
+//!
+//! | Control call | Body |
+//! |---|---|
+//! | `GET /faults`, `PUT /faults` | [`StoreFaults`] |
+//! | `GET /counts` | [`super::CallCounts`] |
+//! | `POST /end-lease` | `{"lease": 7}` or `{"key": "role/a"}` |
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use http::Method;
+use sapphireknot_platform::{LeaseId, StoreRevision, StoredEntry, SwapOutcome, SwapWrite};
+use sapphireknot_wire::store::{
+    Entry, GetReply, GetRequest, GrantLeaseReply, GrantLeaseRequest, ListReply, ListRequest,
+    RenewLeaseReply, RenewLeaseRequest, RevokeLeaseReply, RevokeLeaseRequest, SwapReply,
+    SwapRequest, WatchReply, WatchRequest,
+    store_server::{Store, StoreServer as StoreService},
+};
+use serde::{Deserialize, Serialize};
+use tonic::{
+    Request, Response, Status,
+    transport::{Server, server::TcpIncoming},
+};
+
+use super::memory::{CallFailure, MemoryStore, StoreFaults};
+use crate::control::{ControlPanel, ControlReply, ServiceRuntime, serve_control, with_body};
+
+/// Largest message, above the 1 MB that a value may hold.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Longest call without a time limit of the client's own.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Bound addresses of a store.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct StoreAddresses {
+    /// The service Store.
+    pub store: SocketAddr,
+    /// Control.
+    pub control: SocketAddr,
+}
+
+/// Running store; stopped when dropped.
+#[derive(Debug)]
+pub struct StoreServer {
+    store: Arc<MemoryStore>,
+    addresses: StoreAddresses,
+    _runtime: ServiceRuntime,
+}
+
+impl StoreServer {
+    /// Serves an empty store at `listen`, and its control at `control`.
+    pub fn start(listen: SocketAddr, control: SocketAddr) -> io::Result<Self> {
+        let store = Arc::new(MemoryStore::new(CALL_TIMEOUT));
+        let runtime = ServiceRuntime::start()?;
+        let handler = StoreHandler(store.clone());
+        let listen = runtime.listen(listen, |listener| async move {
+            let service = StoreService::new(handler)
+                .max_decoding_message_size(MAX_MESSAGE_BYTES)
+                .max_encoding_message_size(MAX_MESSAGE_BYTES);
+            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+            let server = Server::builder().add_service(service);
+            // Ends with the runtime; errors of single connections don't end it.
+            let _ = server.serve_with_incoming(incoming).await;
+        })?;
+        let panel = Arc::new(StorePanel(store.clone()));
+        let control = runtime.listen(control, |listener| serve_control(listener, panel))?;
+        let addresses = StoreAddresses { store: listen, control };
+        Ok(Self { store, addresses, _runtime: runtime })
+    }
+
+    /// Bound addresses.
+    pub fn addresses(&self) -> StoreAddresses {
+        self.addresses
+    }
+
+    /// The store behind the server.
+    pub fn store(&self) -> &MemoryStore {
+        &self.store
+    }
+
+    /// Ends the server, its connections and waiting calls.
+    pub fn stop(self) {}
+}
+
+struct StorePanel(Arc<MemoryStore>);
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum LeaseChoice {
+    Lease { lease: u64 },
+    Key { key: String },
+}
+
+impl ControlPanel for StorePanel {
+    fn handle(&self, method: &Method, path: &str, body: &[u8]) -> ControlReply {
+        match (method.as_str(), path) {
+            ("GET", "/faults") => ControlReply::content(&self.0.faults()),
+            ("PUT", "/faults") => with_body(body, |faults: StoreFaults| {
+                self.0.set_faults(faults);
+                ControlReply::done()
+            }),
+            ("GET", "/counts") => ControlReply::content(&self.0.counts()),
+            ("POST", "/end-lease") => with_body(body, |choice: LeaseChoice| {
+                let lease = match choice {
+                    LeaseChoice::Lease { lease } => Some(LeaseId(lease)),
+                    LeaseChoice::Key { key } => self.0.lease_of(&key),
+                };
+                let Some(lease) = lease else {
+                    return ControlReply::malformed("the entry has no lease");
+                };
+                self.0.end_lease(lease);
+                ControlReply::done()
+            }),
+            _ => ControlReply::unknown(),
+        }
+    }
+}
+
+struct StoreHandler(Arc<MemoryStore>);
+
+fn status_of(failure: CallFailure) -> Status {
+    match failure {
+        CallFailure::Outage => Status::unavailable("out of service"),
+        CallFailure::Refused(reason) => Status::invalid_argument(reason),
+    }
+}
+
+fn wire_entry(entry: StoredEntry) -> Entry {
+    Entry {
+        key: entry.key,
+        value: entry.value,
+        revision: entry.revision.0,
+        lease: entry.lease.map_or(0, |it| it.0),
+    }
+}
+
+fn swap_reply(outcome: SwapOutcome) -> SwapReply {
+    let blank = SwapReply { swapped: false, revision: 0, current: None, lease_alive: true };
+    match outcome {
+        SwapOutcome::Swapped(revision) => {
+            SwapReply { swapped: true, revision: revision.0, ..blank }
+        }
+        SwapOutcome::Conflict(current) => SwapReply { current: current.map(wire_entry), ..blank },
+        SwapOutcome::LeaseEnded => SwapReply { lease_alive: false, ..blank },
+    }
+}
+
+#[tonic::async_trait]
+impl Store for StoreHandler {
+    async fn get(&self, request: Request<GetRequest>) -> Result<Response<GetReply>, Status> {
+        let key = request.into_inner().key;
+        let entry = self.0.read(|map| map.get(&key)).await.map_err(status_of)?;
+        Ok(Response::new(GetReply { entry: entry.map(wire_entry) }))
+    }
+
+    async fn list(&self, request: Request<ListRequest>) -> Result<Response<ListReply>, Status> {
+        let prefix = request.into_inner().prefix;
+        let entries = self.0.read(|map| map.list(&prefix)).await.map_err(status_of)?;
+        let entries = entries.into_iter().map(wire_entry).collect();
+        Ok(Response::new(ListReply { entries }))
+    }
+
+    async fn compare_and_swap(
+        &self,
+        request: Request<SwapRequest>,
+    ) -> Result<Response<SwapReply>, Status> {
+        let request = request.into_inner();
+        let write = SwapWrite {
+            key: request.key,
+            expected: StoreRevision(request.expected_revision),
+            value: request.value,
+            lease: (request.lease != 0).then_some(LeaseId(request.lease)),
+        };
+        let outcome = self.0.write(|map, _| map.swap(write)).await.map_err(status_of)?;
+        Ok(Response::new(swap_reply(outcome)))
+    }
+
+    async fn grant_lease(
+        &self,
+        request: Request<GrantLeaseRequest>,
+    ) -> Result<Response<GrantLeaseReply>, Status> {
+        let ttl = Duration::from_millis(request.into_inner().ttl_ms);
+        let lease = self.0.write(|map, now| Ok(map.grant(ttl, now))).await.map_err(status_of)?;
+        Ok(Response::new(GrantLeaseReply { lease: lease.0 }))
+    }
+
+    async fn renew_lease(
+        &self,
+        request: Request<RenewLeaseRequest>,
+    ) -> Result<Response<RenewLeaseReply>, Status> {
+        let leases: Vec<_> = request.into_inner().leases.into_iter().map(LeaseId).collect();
+        let call = self.0.write(|map, now| Ok(map.renew(&leases, now)));
+        let alive = call.await.map_err(status_of)?;
+        Ok(Response::new(RenewLeaseReply { alive: alive.into_iter().map(|it| it.0).collect() }))
+    }
+
+    async fn revoke_lease(
+        &self,
+        request: Request<RevokeLeaseRequest>,
+    ) -> Result<Response<RevokeLeaseReply>, Status> {
+        let lease = LeaseId(request.into_inner().lease);
+        let call = self.0.write(|map, _| {
+            map.revoke(lease);
+            Ok(())
+        });
+        call.await.map_err(status_of)?;
+        Ok(Response::new(RevokeLeaseReply {}))
+    }
+
+    async fn watch(&self, request: Request<WatchRequest>) -> Result<Response<WatchReply>, Status> {
+        let request = request.into_inner();
+        let known = StoreRevision(request.known_revision);
+        let wait = Duration::from_millis(request.wait_ms);
+        let change = self.0.wait_change(&request.key, known, wait).await.map_err(status_of)?;
+        let changed = change.is_some();
+        Ok(Response::new(WatchReply { changed, entry: change.flatten().map(wire_entry) }))
+    }
+}
