standin: add process fixture and load generator

End-to-end tests need hosts as separate processes that can be killed, frozen and cut off, and a load whose latency includes waiting.

The fixture gives each host a loopback address and a relay in front of its peer address and of the store. A cut relay passes on neither bytes nor a close. Relaying again after the heal was ruled out for connections that lost bytes: a stream with a gap is corrupt data, which TCP excludes, so these are closed, and idle ones go on.

The daemon itself does not exist yet: a script takes its place, and run_command, status and wait_status are not run.

--- a/crates/sapphireknot-standin/examples/standin.rs
+++ b/crates/sapphireknot-standin/examples/standin.rs
@@ -1,15 +1,16 @@
 //! Stand-ins as processes of their own.
 //!
-//! Prints one line of JSON with the bound addresses and serves until it is killed.
+//! Prints one line of JSON with the bound addresses and serves until it is killed. With `--end-with-stdin` it also ends
+//! when its standard input closes, so that it does not outlive a parent that was killed.
 
 use std::{
     error::Error,
-    io::{Write, stdout},
+    io::{Write, copy, sink, stdin, stdout},
     net::SocketAddr,
     thread::park,
 };
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use sapphireknot_standin::{
     backend::{BackendFaults, BackendPlan, BackendServer},
     hosts::HostListServer,
@@ -45,6 +46,12 @@
         .about(about)
         .arg(address_arg("listen", "Address of the service"))
         .arg(address_arg("control", "Address for control calls"))
+        .arg(
+            Arg::new("end-with-stdin")
+                .long("end-with-stdin")
+                .help("End when standard input closes")
+                .action(ArgAction::SetTrue),
+        )
 }
 
 fn address_arg(name: &'static str, help: &'static str) -> Arg {
@@ -66,12 +73,12 @@
 
 fn run_store(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let server = StoreServer::start(address(matches, "listen")?, address(matches, "control")?)?;
-    announce_and_wait(&server.addresses())
+    announce_and_wait(matches, &server.addresses())
 }
 
 fn run_hosts(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let server = HostListServer::start(address(matches, "listen")?, address(matches, "control")?)?;
-    announce_and_wait(&server.addresses())
+    announce_and_wait(matches, &server.addresses())
 }
 
 fn run_backend(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
@@ -80,16 +87,20 @@
     let (listen, control) = (address(matches, "listen")?, address(matches, "control")?);
     let server = BackendServer::start(plan, listen, control)?;
     server.state().set_faults(faults);
-    announce_and_wait(&server.addresses())
+    announce_and_wait(matches, &server.addresses())
 }
 
-fn announce_and_wait<T>(addresses: &T) -> Result<(), Box<dyn Error>>
+fn announce_and_wait<T>(matches: &ArgMatches, addresses: &T) -> Result<(), Box<dyn Error>>
 where
     T: Serialize,
 {
     let mut out = stdout().lock();
     writeln!(out, "{}", serde_json::to_string(addresses)?)?;
     out.flush()?;
+    if matches.get_flag("end-with-stdin") {
+        copy(&mut stdin().lock(), &mut sink())?;
+        return Ok(());
+    }
     loop {
         park();
     }
--- a/crates/sapphireknot-standin/src/client.rs
+++ b/crates/sapphireknot-standin/src/client.rs
@@ -12,6 +12,9 @@
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
+/// Step of [`ClientError`] at which nothing was sent yet.
+const CONNECT_STEP: &str = "connect";
+
 /// Request that got no complete response.
 #[derive(Debug, Error)]
 #[error("{step} at {peer}: {reason}")]
@@ -24,6 +27,13 @@
     pub reason: String,
 }
 
+impl ClientError {
+    /// Whether the request can't have reached the server.
+    pub fn is_unsent(&self) -> bool {
+        self.step == CONNECT_STEP
+    }
+}
+
 /// Request of a caller.
 #[derive(Debug, Clone)]
 pub struct HttpCall {
@@ -124,8 +134,9 @@
         }
         let request =
             builder.body(Full::new(call.body)).map_err(|err| failure("form request", peer, err))?;
-        let response =
-            self.client.request(request).await.map_err(|err| failure("send request", peer, err))?;
+        let response = self.client.request(request).await.map_err(|err| {
+            failure(if err.is_connect() { CONNECT_STEP } else { "send request" }, peer, err)
+        })?;
         let (parts, body) = response.into_parts();
         let body = body.collect().await.map_err(|err| failure("read response", peer, err))?;
         Ok(HttpReply { status: parts.status, headers: parts.headers, body: body.to_bytes() })
--- a/crates/sapphireknot-standin/src/lib.rs
+++ b/crates/sapphireknot-standin/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! [`store`], [`hosts`] and [`backend`] run inside a test or, through the example program `standin`, as processes of
 //! their own. Every stand-in has a control address that speaks JSON over HTTP, and its faults can be switched while it
-//! runs.
+//! runs. [`fixture`] starts hosts and stand-ins as processes for end-to-end tests, and [`load`] sends them requests.
 
 pub mod backend;
 pub mod client;
 pub mod control;
 pub mod fault;
+pub mod fixture;
 pub mod hosts;
+pub mod load;
 pub mod store;
--- /dev/null
+++ b/crates/sapphireknot-standin/src/load/caller.rs
@@ -0,0 +1,125 @@
+//! Caller that follows look-ups.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use serde::Deserialize;
+
+use crate::client::{ClientError, HttpCall, HttpCaller, HttpReply};
+
+/// Caller of one organisation.
+#[derive(Debug, Clone)]
+pub struct CallerPlan {
+    /// Address that the look-up names.
+    pub client: IpAddr,
+    /// Organisation that the look-up names.
+    pub organisation: String,
+    /// Key, sent as a bearer token.
+    pub key: Option<String>,
+    /// Hosts that are asked for look-ups, in this order.
+    pub entries: Vec<SocketAddr>,
+    /// Whether requests go straight to the first entry, without a look-up.
+    pub direct: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct LookupReply {
+    hosts: Vec<LookupHost>,
+}
+
+#[derive(Debug, Deserialize)]
+struct LookupHost {
+    address: SocketAddr,
+}
+
+/// Look-up that is used until its deadline.
+#[derive(Debug, Clone)]
+struct CachedLookup {
+    hosts: Vec<SocketAddr>,
+    deadline: Instant,
+}
+
+/// Caller with a cached look-up and a pool of connections.
+#[derive(Debug)]
+pub struct LookupCaller {
+    plan: CallerPlan,
+    caller: HttpCaller,
+    cache: Mutex<Option<CachedLookup>>,
+}
+
+impl LookupCaller {
+    /// A caller without a look-up yet; each request ends after `time_limit`.
+    pub fn new(plan: CallerPlan, time_limit: Duration) -> Self {
+        Self { plan, caller: HttpCaller::new(time_limit), cache: Mutex::default() }
+    }
+
+    /// Sends a request to the first host of the look-up that accepts a connection.
+    pub async fn send(&self, call: HttpCall) -> Result<HttpReply, ClientError> {
+        let call = match &self.plan.key {
+            Some(key) => call.header("authorization", format!("Bearer {key}")),
+            None => call,
+        };
+        let mut last = None;
+        for host in self.hosts().await? {
+            match self.caller.send(host, call.clone()).await {
+                // Only an unsent request may go to another host: any other may have run.
+                Err(err) if err.is_unsent() => last = Some(err),
+                result => return result,
+            }
+        }
+        Err(last.unwrap_or_else(|| self.no_host()))
+    }
+
+    async fn hosts(&self) -> Result<Vec<SocketAddr>, ClientError> {
+        if self.plan.direct {
+            return Ok(self.plan.entries.clone());
+        }
+        let cached = self.cache.lock().clone();
+        if let Some(lookup) = cached.filter(|it| Instant::now() < it.deadline) {
+            return Ok(lookup.hosts);
+        }
+        let mut last = None;
+        for &entry in &self.plan.entries {
+            match self.look_up(entry).await {
+                Ok(lookup) => {
+                    let hosts = lookup.hosts.clone();
+                    *self.cache.lock() = Some(lookup);
+                    return Ok(hosts);
+                }
+                Err(err) => last = Some(err),
+            }
+        }
+        Err(last.unwrap_or_else(|| self.no_host()))
+    }
+
+    async fn look_up(&self, entry: SocketAddr) -> Result<CachedLookup, ClientError> {
+        let CallerPlan { client, organisation, .. } = &self.plan;
+        let target = format!("/v1/lookup?client={client}&organisation={organisation}");
+        // Counted from before the request, so that a slow answer is not used for longer.
+        let sent = Instant::now();
+        let reply = self.caller.send(entry, HttpCall::get(target)).await?;
+        let failure = |reason: String| ClientError { step: "look up", peer: entry, reason };
+        if !reply.status.is_success() {
+            return Err(failure(format!("status {}", reply.status)));
+        }
+        let content: LookupReply =
+            serde_json::from_slice(&reply.body).map_err(|err| failure(err.to_string()))?;
+        let lifetime = reply.header("cache-control").and_then(max_age).unwrap_or_default();
+        let hosts = content.hosts.iter().map(|it| it.address).collect();
+        Ok(CachedLookup { hosts, deadline: sent + lifetime })
+    }
+
+    fn no_host(&self) -> ClientError {
+        let peer = self.plan.entries.first().copied();
+        let peer = peer.unwrap_or_else(|| SocketAddr::new(self.plan.client, 0));
+        ClientError { step: "look up", peer, reason: "no host is listed".to_owned() }
+    }
+}
+
+fn max_age(header: &str) -> Option<Duration> {
+    let seconds = header.split(',').find_map(|it| it.trim().strip_prefix("max-age="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/sapphireknot-standin/tests/cut_relays.rs
@@ -0,0 +1,100 @@
+//! Relays that can be cut.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use sapphireknot_standin::fixture::{CutTable, TcpRelay};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::timeout,
+};
+
+const SENDER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1));
+const OTHER_SENDER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 2));
+const RECEIVER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 2, 1));
+const LIMIT: Duration = Duration::from_secs(10);
+const SILENCE: Duration = Duration::from_millis(150);
+
+/// Relay in front of a server that sends every byte back.
+async fn start() -> (TcpRelay, CutTable) {
+    let listener = TcpListener::bind(SocketAddr::new(RECEIVER, 0)).await.expect("address is free");
+    let target = listener.local_addr().expect("listener is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, peer)) = listener.accept().await {
+            assert!([SENDER, OTHER_SENDER].contains(&peer.ip()));
+            tokio::spawn(async move {
+                let (mut source, mut sink) = stream.split();
+                let _ = tokio::io::copy(&mut source, &mut sink).await;
+            });
+        }
+    });
+    let table = CutTable::default();
+    let relay = TcpRelay::start(SocketAddr::new(RECEIVER, 0), None, RECEIVER, &table);
+    let relay = relay.expect("address is free");
+    relay.set_target(Some(target));
+    (relay, table)
+}
+
+async fn connect(relay: &TcpRelay, sender: IpAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket.bind(SocketAddr::new(sender, 0)).expect("address is free");
+    socket.connect(relay.address()).await.expect("relay accepts")
+}
+
+/// Sends a byte and reads the next one; `None` if nothing comes, 0 if the connection is closed.
+async fn exchange(stream: &mut TcpStream, byte: u8) -> Option<u8> {
+    // A closed connection shows when it is read.
+    let _ = stream.write_all(&[byte]).await;
+    let mut buffer = [0];
+    match timeout(SILENCE, stream.read(&mut buffer)).await {
+        Err(_) => None,
+        Ok(Ok(1)) => Some(buffer[0]),
+        Ok(_) => Some(0),
+    }
+}
+
+async fn is_closed(stream: &mut TcpStream) -> bool {
+    let mut buffer = [0];
+    matches!(timeout(LIMIT, stream.read(&mut buffer)).await, Ok(Ok(0) | Err(_)))
+}
+
+/// Guards against a cut that lets bytes or a close pass, cuts another sender, or breaks idle connections.
+#[tokio::test]
+async fn cut_drops_bytes() {
+    let (relay, table) = start().await;
+    let (mut busy, mut idle) = (connect(&relay, SENDER).await, connect(&relay, SENDER).await);
+    let mut other = connect(&relay, OTHER_SENDER).await;
+    for stream in [&mut busy, &mut idle, &mut other] {
+        assert_eq!(exchange(stream, 7).await, Some(7));
+    }
+    table.cut(&[RECEIVER], &[SENDER]);
+    assert!(table.is_cut(SENDER, RECEIVER));
+    assert_eq!(exchange(&mut busy, 8).await, None);
+    assert_eq!(exchange(&mut other, 8).await, Some(8));
+    let mut late = connect(&relay, SENDER).await;
+    assert_eq!(exchange(&mut late, 9).await, None);
+
+    table.heal(&[SENDER], &[RECEIVER]);
+    assert!(is_closed(&mut busy).await && is_closed(&mut late).await);
+    assert_eq!(exchange(&mut idle, 10).await, Some(10));
+    let mut fresh = connect(&relay, SENDER).await;
+    assert_eq!(exchange(&mut fresh, 11).await, Some(11));
+}
+
+/// Guards against a close that passes a cut.
+#[tokio::test]
+async fn cut_hides_close() {
+    let (relay, table) = start().await;
+    let mut stream = connect(&relay, SENDER).await;
+    assert_eq!(exchange(&mut stream, 1).await, Some(1));
+    table.cut(&[SENDER], &[RECEIVER]);
+    stream.shutdown().await.unwrap();
+    let mut buffer = [0];
+    // The server closes its side when it sees the close, which would be read here.
+    assert!(timeout(SILENCE, stream.read(&mut buffer)).await.is_err());
+    table.heal_all();
+    assert!(is_closed(&mut stream).await);
+}
