sapphireknot-cli: add the command line for operators

Cause: operators need check, init, apply, status, config and digest. Change: options tree of arguments, environment, file and defaults; calls over hyper; text and JSON output; documented exit codes. Counts and generations are plain numbers in YAML and JSON, since quoting them is easily forgotten.

--- /dev/null
+++ b/crates/sapphireknot-cli/src/commands.rs
@@ -0,0 +1,96 @@
+//! Commands.
+
+mod change;
+mod check;
+mod query;
+
+use std::{fs, io, path::Path};
+
+use thiserror::Error;
+
+use crate::{
+    client::{ClientError, HostClient},
+    exit::ExitStatus,
+    options::{CliCommand, CliOptions},
+    report::ReportWriter,
+};
+
+/// Failed command.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// A file cannot be read.
+    #[error("read {path}: {source}")]
+    File {
+        /// Path.
+        path: String,
+        /// Why.
+        source: io::Error,
+    },
+    /// No file with the operators' token was named.
+    #[error("no token: name the file that holds it with --token-file or SAPPHIREKNOT_TOKEN_FILE")]
+    Token,
+    /// A call failed.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    /// The result cannot be written.
+    #[error("write the result: {0}")]
+    Output(#[from] io::Error),
+    /// The configuration cannot be written as YAML.
+    #[error("write the configuration: {0}")]
+    Yaml(#[from] serde_yaml_ng::Error),
+}
+
+impl CommandError {
+    /// How the process ends.
+    pub fn exit_status(&self) -> ExitStatus {
+        match self {
+            Self::File { .. } | Self::Token => ExitStatus::Usage,
+            Self::Client(_) | Self::Output(_) | Self::Yaml(_) => ExitStatus::Unreachable,
+        }
+    }
+}
+
+/// Carries out the command of `options`.
+pub fn execute(
+    options: &CliOptions,
+    writer: &mut ReportWriter<'_>,
+) -> Result<ExitStatus, CommandError> {
+    match &options.command {
+        CliCommand::Check { file, document } => check::check(file, document.as_deref(), writer),
+        CliCommand::Digest => check::digest(writer),
+        command => block_on(execute_remote(options, command, writer))?,
+    }
+}
+
+async fn execute_remote(
+    options: &CliOptions,
+    command: &CliCommand,
+    writer: &mut ReportWriter<'_>,
+) -> Result<ExitStatus, CommandError> {
+    let client = HostClient::new(options.host, read_token(options)?, options.timeout.0);
+    match command {
+        CliCommand::Init { file } => change::init(&client, file, writer).await,
+        CliCommand::Apply { file, wait } => change::apply(&client, file, *wait, writer).await,
+        CliCommand::Status { note: Some(note) } => query::note(&client, note, writer).await,
+        CliCommand::Status { note: None } => query::host(&client, writer).await,
+        _ => query::config(&client, writer).await,
+    }
+}
+
+fn block_on<F>(future: F) -> io::Result<F::Output>
+where
+    F: Future,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(runtime.block_on(future))
+}
+
+fn read_file(path: &Path) -> Result<String, CommandError> {
+    fs::read_to_string(path)
+        .map_err(|source| CommandError::File { path: path.display().to_string(), source })
+}
+
+fn read_token(options: &CliOptions) -> Result<String, CommandError> {
+    let path = options.token_file.as_deref().ok_or(CommandError::Token)?;
+    Ok(read_file(path)?.trim().to_owned())
+}
--- a/crates/sapphireknot-cli/src/main.rs
+++ b/crates/sapphireknot-cli/src/main.rs
@@ -1,3 +1,8 @@
 //! Command line for operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sapphireknot_cli::run(std::env::args_os(), &mut std::io::stdout(), &mut std::io::stderr())
+        .into()
+}
--- a/crates/sapphireknot/src/ids.rs
+++ b/crates/sapphireknot/src/ids.rs
@@ -5,6 +5,7 @@
 
 use std::{fmt, str::FromStr};
 
+use serde::{Deserialize, Serialize};
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use thiserror::Error;
 
@@ -122,12 +123,9 @@
 }
 
 macro_rules! number_id {
-    ($(#[$doc:meta])* $name:ident, $number:ty) => {
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay,
-            DeserializeFromStr,
-        )]
+    ($(#[$meta:meta])* $name:ident, $number:ty) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $number);
 
         impl fmt::Display for $name {
@@ -148,21 +146,28 @@
 
 number_id!(
     /// One run of a host's process; higher after a restart.
+    #[derive(Serialize, Deserialize)]
+    #[serde(transparent)]
     IncarnationId,
     u64
 );
 number_id!(
     /// Generation of the configuration; raised by one per accepted release note.
+    #[derive(Serialize, Deserialize)]
+    #[serde(transparent)]
     ConfigGeneration,
     u64
 );
 number_id!(
     /// Store revision at which a role was taken; a lower one is refused.
+    #[derive(Serialize, Deserialize)]
+    #[serde(transparent)]
     FencingToken,
     u64
 );
 number_id!(
     /// One transfer of quota between hosts.
+    #[derive(SerializeDisplay, DeserializeFromStr)]
     TransferId,
     u128
 );
--- a/crates/sapphireknot/src/units.rs
+++ b/crates/sapphireknot/src/units.rs
@@ -5,6 +5,7 @@
 
 use std::{fmt, str::FromStr};
 
+use serde::{Deserialize, Serialize};
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use thiserror::Error;
 
@@ -49,43 +50,48 @@
 }
 
 macro_rules! unit {
-    ($(#[$doc:meta])* $name:ident, $number:ty) => {
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay,
-            DeserializeFromStr,
-        )]
+    ($(#[$meta:meta])* $name:ident, $number:ty) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $number);
     };
 }
 
 unit!(
     /// Requests per second, in thousandths; text `200/s` or `0.5/s`.
+    #[derive(SerializeDisplay, DeserializeFromStr)]
     RequestRate,
     u64
 );
 unit!(
     /// Requests that may be admitted at once; text `400`.
+    #[derive(Serialize, Deserialize)]
+    #[serde(transparent)]
     BurstSize,
     u64
 );
 unit!(
     /// Part of a whole, in millionths; text `12.5%`.
+    #[derive(SerializeDisplay, DeserializeFromStr)]
     TrafficShare,
     u32
 );
 unit!(
     /// Bytes per second; text `300Mbit/s`.
+    #[derive(SerializeDisplay, DeserializeFromStr)]
     ByteRate,
     u64
 );
 unit!(
     /// Requests that a backend server runs at the same time.
+    #[derive(Serialize, Deserialize)]
+    #[serde(transparent)]
     SlotCount,
     u32
 );
 unit!(
     /// Admissions, in millionths of a request.
+    #[derive(SerializeDisplay, DeserializeFromStr)]
     TokenCount,
     u64
 );
