sapphireknot: add picking of backend servers and fair admission

Cause: with 3 to 5 slots a server and 12 hosts, a host's own counts see a twelfth of the load. Change: per-server state with estimates, slow start, ejection of at most a third, distrust of a server that sheds while it reports room; policies behind a trait; deterministic subsets; a bounded weighted fair queue with deadlines.

--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each module is a state machine or a pure function: it takes the time and typed events and returns typed actions. No
 //! module does I/O, reads a clock or starts a task, so that a program can embed any of them and a test needs no sleep.
 
+pub mod admission;
 pub mod config;
 pub mod ids;
 pub mod installed;
@@ -10,6 +11,7 @@
 pub mod lookup;
 pub mod membership;
 pub mod operator;
+pub mod picker;
 pub mod refusal;
 pub mod routes;
 pub mod time;
--- /dev/null
+++ b/crates/sapphireknot/tests/fair_admission.rs
@@ -0,0 +1,116 @@
+//! Weighted fair admission.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use arbtest::arbtest;
+use sapphireknot::{
+    admission::{FairQueue, QueueItem, QueueLimits, QueueRefusal},
+    ids::OrganisationId,
+    time::MonoTime,
+};
+
+const LIMITS: QueueLimits = QueueLimits { per_organisation: 100, total: 1_000 };
+const LATE: MonoTime = MonoTime(u64::MAX);
+
+fn organisation(name: &str) -> OrganisationId {
+    name.parse().expect("id")
+}
+
+fn drain(queue: &mut FairQueue<&'static str>, count: usize) -> BTreeMap<&'static str, usize> {
+    let mut served = BTreeMap::new();
+    for _ in 0..count {
+        if let Some(QueueItem::Ready(name)) = queue.pop(MonoTime(0)) {
+            *served.entry(name).or_insert(0) += 1;
+        }
+    }
+    served
+}
+
+/// Guards against an organisation with many waiting requests that delays the others.
+#[test]
+fn weighted_shares() {
+    let mut queue = FairQueue::new(LIMITS);
+    for _ in 0..90 {
+        queue.push(organisation("large"), 1, LATE, MonoTime(0), "large").expect("room");
+    }
+    for _ in 0..30 {
+        queue.push(organisation("small"), 1, LATE, MonoTime(0), "small").expect("room");
+        queue.push(organisation("heavy"), 2, LATE, MonoTime(0), "heavy").expect("room");
+    }
+    let served = drain(&mut queue, 40);
+    assert_eq!(served, BTreeMap::from([("heavy", 20), ("large", 10), ("small", 10)]));
+}
+
+/// Guards against an idle organisation that saves up room and then blocks the others.
+#[test]
+fn idle_organisation() {
+    let mut queue = FairQueue::new(LIMITS);
+    for _ in 0..50 {
+        queue.push(organisation("busy"), 1, LATE, MonoTime(0), "busy").expect("room");
+    }
+    drain(&mut queue, 30);
+    for _ in 0..20 {
+        queue.push(organisation("idle"), 1, LATE, MonoTime(0), "idle").expect("room");
+    }
+    assert_eq!(drain(&mut queue, 20), BTreeMap::from([("busy", 10), ("idle", 10)]));
+}
+
+/// Guards against a late start of a request that cannot finish, and against an unbounded queue.
+#[test]
+fn bounds_and_deadlines() {
+    let limits = QueueLimits { per_organisation: 2, total: 3 };
+    let mut queue = FairQueue::new(limits);
+    let (now, later) = (MonoTime(1_000), MonoTime(1_000).after(Duration::from_millis(1)));
+    assert_eq!(queue.push(organisation("a"), 1, now, now, 1), Err(QueueRefusal::Late));
+    assert_eq!(queue.push(organisation("a"), 1, later, now, 1), Ok(()));
+    assert_eq!(queue.push(organisation("a"), 1, LATE, now, 2), Ok(()));
+    assert_eq!(queue.push(organisation("a"), 1, LATE, now, 3), Err(QueueRefusal::Full));
+    assert_eq!(queue.push(organisation("b"), 1, LATE, now, 4), Ok(()));
+    assert_eq!(queue.push(organisation("c"), 1, LATE, now, 5), Err(QueueRefusal::Full));
+    assert_eq!(queue.pop(later), Some(QueueItem::Expired(1)));
+    let rest = [queue.pop(later), queue.pop(later)];
+    assert!(rest.iter().all(|it| matches!(it, Some(QueueItem::Ready(2 | 4)))));
+    assert_eq!(queue.pop(later), None);
+}
+
+/// Guards against entries that are lost, doubled, or out of order within an organisation.
+#[test]
+fn queue_fuzz() {
+    for case in 0..64u64 {
+        arbtest(|u| {
+            let mut queue = FairQueue::new(QueueLimits { per_organisation: 8, total: 20 });
+            let mut waiting: BTreeMap<u8, Vec<u32>> = BTreeMap::new();
+            let mut now = MonoTime(0);
+            for number in 0..u.arbitrary_len::<u16>()? as u32 {
+                now = MonoTime(now.0 + u64::from(u.int_in_range(0..=5u8)?));
+                if u.ratio(3, 5)? {
+                    let owner = u.int_in_range(0..=4u8)?;
+                    let start_by = MonoTime(now.0 + u64::from(u.int_in_range(0..=40u8)?));
+                    let weight = u.int_in_range(1..=4u32)?;
+                    let id = organisation(&format!("o{owner}"));
+                    let value = (owner, number, start_by);
+                    if queue.push(id, weight, start_by, now, value).is_ok() {
+                        waiting.entry(owner).or_default().push(number);
+                    }
+                } else if let Some(item) = queue.pop(now) {
+                    let (owner, number, start_by) = match item {
+                        QueueItem::Ready(it) => {
+                            assert!(now < it.2, "started late");
+                            it
+                        }
+                        QueueItem::Expired(it) => it,
+                    };
+                    assert!(start_by > MonoTime(0));
+                    let first = waiting.get_mut(&owner).map(|it| it.remove(0));
+                    assert_eq!(first, Some(number));
+                }
+                let total: usize = waiting.values().map(Vec::len).sum();
+                assert_eq!(queue.len(), total);
+                assert!(total <= 20 && waiting.values().all(|it| it.len() <= 8));
+            }
+            Ok(())
+        })
+        .seed((case << 32) | 2_048)
+        .run();
+    }
+}
