--- a/crates/sapphireknot-standin/examples/standin.rs
+++ b/crates/sapphireknot-standin/examples/standin.rs
@@ -1,16 +1,21 @@
 //! Stand-ins as processes of their own.
 //!
-//! Prints one line of JSON with the bound addresses and serves until it is killed. With `--end-with-stdin` it also ends
-//! when its standard input closes, so that it does not outlive a parent that was killed.
+//! A stand-in prints one line of JSON with the bound addresses and serves until it is killed. The subcommand `exec`
+//! becomes another program that the kernel kills when its parent ends, so that no process outlives a test that was
+//! killed.
 
 use std::{
     error::Error,
-    io::{Write, copy, sink, stdin, stdout},
+    ffi::OsString,
+    io::{Write, stdout},
     net::SocketAddr,
+    os::unix::process::CommandExt,
+    process,
     thread::park,
 };
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use rustix::process::{Pid, Signal, getppid, set_parent_process_death_signal};
 use sapphireknot_standin::{
     backend::{BackendFaults, BackendPlan, BackendServer},
     hosts::HostListServer,
@@ -24,6 +29,7 @@
         Some(("store", matches)) => run_store(matches),
         Some(("hosts", matches)) => run_hosts(matches),
         Some(("backend", matches)) => run_backend(matches),
+        Some(("exec", matches)) => become_program(matches),
         _ => Err("unknown subcommand".into()),
     }
 }
@@ -39,6 +45,26 @@
                 .arg(json_arg("plan", "Properties as JSON; missing ones take their defaults"))
                 .arg(json_arg("faults", "Faults at the start as JSON")),
         )
+        .subcommand(
+            Command::new("exec")
+                .about("Runs a program until it or the parent process ends")
+                .arg(
+                    Arg::new("parent")
+                        .long("parent")
+                        .help("Process id of the parent")
+                        .required(true)
+                        .value_parser(value_parser!(i32)),
+                )
+                .arg(
+                    Arg::new("command")
+                        .help("Program with its arguments")
+                        .required(true)
+                        .num_args(1..)
+                        .trailing_var_arg(true)
+                        .allow_hyphen_values(true)
+                        .value_parser(value_parser!(OsString)),
+                ),
+        )
 }
 
 fn subcommand(name: &'static str, about: &'static str) -> Command {
@@ -46,12 +72,6 @@
         .about(about)
         .arg(address_arg("listen", "Address of the service"))
         .arg(address_arg("control", "Address for control calls"))
-        .arg(
-            Arg::new("end-with-stdin")
-                .long("end-with-stdin")
-                .help("End when standard input closes")
-                .action(ArgAction::SetTrue),
-        )
 }
 
 fn address_arg(name: &'static str, help: &'static str) -> Arg {
@@ -73,12 +93,12 @@
 
 fn run_store(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let server = StoreServer::start(address(matches, "listen")?, address(matches, "control")?)?;
-    announce_and_wait(matches, &server.addresses())
+    announce_and_wait(&server.addresses())
 }
 
 fn run_hosts(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let server = HostListServer::start(address(matches, "listen")?, address(matches, "control")?)?;
-    announce_and_wait(matches, &server.addresses())
+    announce_and_wait(&server.addresses())
 }
 
 fn run_backend(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
@@ -87,20 +107,28 @@
     let (listen, control) = (address(matches, "listen")?, address(matches, "control")?);
     let server = BackendServer::start(plan, listen, control)?;
     server.state().set_faults(faults);
-    announce_and_wait(matches, &server.addresses())
+    announce_and_wait(&server.addresses())
 }
 
-fn announce_and_wait<T>(matches: &ArgMatches, addresses: &T) -> Result<(), Box<dyn Error>>
+fn become_program(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    set_parent_process_death_signal(Some(Signal::KILL))?;
+    // The signal is not sent for a parent that ended before the call above.
+    let parent = matches.get_one("parent").copied().and_then(Pid::from_raw);
+    if getppid() != parent {
+        return Err("the parent process has ended".into());
+    }
+    let mut words = matches.get_many::<OsString>("command").into_iter().flatten();
+    let program = words.next().ok_or("a program is missing")?;
+    Err(process::Command::new(program).args(words).exec().into())
+}
+
+fn announce_and_wait<T>(addresses: &T) -> Result<(), Box<dyn Error>>
 where
     T: Serialize,
 {
     let mut out = stdout().lock();
     writeln!(out, "{}", serde_json::to_string(addresses)?)?;
     out.flush()?;
-    if matches.get_flag("end-with-stdin") {
-        copy(&mut stdin().lock(), &mut sink())?;
-        return Ok(());
-    }
     loop {
         park();
     }
--- a/crates/sapphireknot-standin/src/fixture.rs
+++ b/crates/sapphireknot-standin/src/fixture.rs
@@ -6,6 +6,7 @@
 
 mod bed;
 mod binaries;
+mod platform;
 mod process;
 mod relay;
 
@@ -18,8 +19,9 @@
 use thiserror::Error;
 
 pub use self::{
-    bed::{BackendProcess, BedPlan, HostProcess, PlatformProcess, RegionPlan, TestBed},
+    bed::{BedPlan, HostProcess, RegionPlan, TestBed},
     binaries::{BinaryKind, BinarySet},
+    platform::{BackendProcess, PlatformProcess},
     process::{ChildProcess, CommandOutput, ProcessSignal},
     relay::{CutTable, TcpRelay},
 };
@@ -79,6 +81,8 @@
     },
 }
 
+/// Time in which a process must print its addresses.
+const START_LIMIT: Duration = Duration::from_secs(20);
 /// Interval of polling.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/sapphireknot-standin/tests/process_fixture.rs
+++ b/crates/sapphireknot-standin/tests/process_fixture.rs
@@ -2,8 +2,9 @@
 
 use std::{
     fs,
+    io::{BufRead, BufReader},
     os::unix::fs::{PermissionsExt, symlink},
-    path::Path,
+    process::{Command, Stdio},
     time::Duration,
 };
 
@@ -11,7 +12,10 @@
 use sapphireknot_standin::{
     backend::{BackendPlan, RunCounts},
     client::HttpCall,
-    fixture::{BedPlan, BinaryKind, BinarySet, FixtureError, ProcessSignal, RegionPlan, TestBed},
+    fixture::{
+        BedPlan, BinaryKind, BinarySet, FixtureError, ProcessSignal, RegionPlan, TestBed,
+        wait_until,
+    },
 };
 use sapphireknotd::settings::HostSettings;
 
@@ -26,15 +30,19 @@
 exec sleep 600
 "#;
 
+/// Whether a process exists and is not merely waiting to be reaped.
 fn is_running(id: u32) -> bool {
-    Path::new(&format!("/proc/{id}")).exists()
+    fs::read_to_string(format!("/proc/{id}/stat")).is_ok_and(|it| !it.contains(") Z "))
 }
 
-/// Guards against signals that reach no process or the wrong one, and processes that survive the bed.
+/// Guards against signals that reach no process or the wrong one, processes that survive the bed, and a lost exit code.
 #[tokio::test]
 async fn signals_reach_processes() {
     let mut bed = TestBed::start(BedPlan::default()).await.unwrap();
     let backend = bed.add_backend(&BackendPlan::default()).await.unwrap();
+    let help = bed.run_command(None, &["--help"], LIMIT).await.unwrap();
+    assert_eq!(help.code, Some(0));
+    assert!(help.stdout.contains("Usage"), "{}", help.stderr);
     let store = GrpcStore::new(bed.store().addresses.store, CALL_TIMEOUT);
     assert_eq!(store.get("k").await.unwrap(), None);
     bed.store().process.signal(ProcessSignal::Freeze).unwrap();
@@ -97,6 +105,33 @@
     assert!(!is_running(second));
 }
 
+/// Guards against processes that survive a test that was killed and could drop nothing.
+#[tokio::test]
+async fn children_end_with_parent() {
+    let standin = BinarySet::of_running_test().find(BinaryKind::Standin).unwrap();
+    let script = r#""$0" exec --parent $$ sleep 600 & echo $!; wait"#;
+    let mut shell = Command::new("sh")
+        .args(["-c", script])
+        .arg(standin)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(shell.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let id: u32 = line.trim().parse().unwrap();
+    let runs_sleep = async || {
+        let name = fs::read_to_string(format!("/proc/{id}/comm")).ok()?;
+        (name.trim() == "sleep").then_some(())
+    };
+    let began = wait_until("the program runs", LIMIT, runs_sleep).await;
+    shell.kill().unwrap();
+    shell.wait().unwrap();
+    began.unwrap();
+    wait_until("the program has ended", LIMIT, async || (!is_running(id)).then_some(()))
+        .await
+        .unwrap();
+}
+
 /// Guards against a missing program that is reported without the command that builds it.
 #[test]
 fn missing_program_is_named() {
