sapphireknot: add idempotency keys across hosts

Cause: a caller that repeats a non-idempotent request may reach another host, which does not know of the first one. Ruled out: two owners of which one suffices.

--- a/crates/sapphireknot/src/keys.rs
+++ b/crates/sapphireknot/src/keys.rs
@@ -17,7 +17,7 @@
 const BUCKET_BYTES: usize = 8;
 
 /// SHA-256 of a key.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
@@ -26,6 +26,16 @@
         Self(Sha256::digest(key).into())
     }
 
+    /// A digest given as 32 bytes.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
+    /// The digest as bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     /// A digest given as 64 hexadecimal digits.
     pub fn from_hex(text: &str) -> Option<Self> {
         let mut bytes = [0; 32];
--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod config;
+pub mod idempotency;
 pub mod ids;
 pub mod installed;
 pub mod keys;
--- a/crates/sapphireknot/src/refusal.rs
+++ b/crates/sapphireknot/src/refusal.rs
@@ -19,6 +19,8 @@
     NotRun,
     /// It may have run.
     Unknown,
+    /// An earlier request with the same idempotency key ran; this one was not sent.
+    Ran,
 }
 
 impl fmt::Display for RunState {
@@ -26,6 +28,7 @@
         f.write_str(match self {
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
+            Self::Ran => "ran",
         })
     }
 }
--- /dev/null
+++ b/crates/sapphireknot/tests/idempotency_keys.rs
@@ -0,0 +1,121 @@
+//! Idempotency keys across hosts.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use arbtest::arbtest;
+use sapphireknot::{
+    idempotency::{
+        ClaimEnd, ClaimHolder, ClaimKey, ClaimLimits, ClaimReply, ClaimTable, ClaimVerdict,
+        claim_owners, decide_claim,
+    },
+    ids::{HostId, IncarnationId},
+    keys::KeyDigest,
+    time::MonoTime,
+};
+
+const LIMITS: ClaimLimits = ClaimLimits { window: Duration::from_millis(100), max_keys: 1_000 };
+
+fn key(number: u8) -> ClaimKey {
+    ClaimKey { organisation: "acme".parse().expect("id"), digest: KeyDigest::of(&[number]) }
+}
+
+fn host(number: usize) -> HostId {
+    format!("h{number}").parse().expect("id")
+}
+
+fn holder(host_number: usize, request: u64) -> ClaimHolder {
+    ClaimHolder { host: host(host_number), incarnation: IncarnationId(1), request }
+}
+
+/// Guards against an answer that depends on whether a message was lost and sent again.
+#[test]
+fn retried_claim() {
+    let mut table = ClaimTable::new(LIMITS, true, MonoTime(0));
+    let granted = ClaimReply::Granted { is_complete: true };
+    assert_eq!(table.claim(key(1), holder(1, 1), MonoTime(1)), granted);
+    assert_eq!(table.claim(key(1), holder(1, 1), MonoTime(2)), granted);
+    assert_eq!(table.claim(key(1), holder(1, 2), MonoTime(2)), ClaimReply::InProgress);
+    table.finish(&key(1), &holder(1, 2), ClaimEnd::NotRun, MonoTime(3));
+    assert_eq!(table.claim(key(1), holder(2, 1), MonoTime(3)), ClaimReply::InProgress);
+    table.finish(&key(1), &holder(1, 1), ClaimEnd::Ran, MonoTime(4));
+    assert_eq!(table.claim(key(1), holder(2, 1), MonoTime(5)), ClaimReply::Ran);
+}
+
+/// Guards against a second run because an owner restarted and forgot the first.
+#[test]
+fn young_owners() {
+    let mut table = ClaimTable::new(LIMITS, false, MonoTime(0));
+    let young = table.claim(key(1), holder(1, 1), MonoTime(1));
+    assert_eq!(decide_claim(&[Some(young), None]), ClaimVerdict::Unknown);
+    assert_eq!(decide_claim(&[None, None, None]), ClaimVerdict::Unknown);
+    let old = ClaimReply::Granted { is_complete: true };
+    assert_eq!(decide_claim(&[Some(young), Some(old), None]), ClaimVerdict::Unknown);
+    assert_eq!(decide_claim(&[Some(young), Some(old), Some(old)]), ClaimVerdict::Run);
+    assert_eq!(decide_claim(&[Some(old), Some(old), Some(ClaimReply::Ran)]), ClaimVerdict::Ran);
+}
+
+/// One host of the fuzz test.
+#[derive(Debug)]
+struct ClaimHost {
+    table: ClaimTable,
+    is_up: bool,
+}
+
+/// Guards against two runs of one key within its window: owners die, restart empty, answers and ends get lost, and the host
+/// that claimed may send its request late.
+#[test]
+fn claim_fuzz() {
+    for case in 0..96u64 {
+        arbtest(|u| {
+            let ids: Vec<HostId> = (0..5).map(host).collect();
+            let mut now = MonoTime(1_000);
+            let mut hosts: Vec<ClaimHost> = ids
+                .iter()
+                .map(|_| ClaimHost { table: ClaimTable::new(LIMITS, true, now), is_up: true })
+                .collect();
+            let mut runs: BTreeMap<u8, MonoTime> = BTreeMap::new();
+            for request in 0..u.arbitrary_len::<u32>()? as u64 {
+                now = now.after(Duration::from_micros(u.int_in_range(0..=20_000)?));
+                let target = u.int_in_range(0..=4usize)?;
+                match u.int_in_range(0..=9u8)? {
+                    0 => hosts[target].is_up = false,
+                    1 | 2 if !hosts[target].is_up => {
+                        let table = ClaimTable::new(LIMITS, false, now);
+                        hosts[target] = ClaimHost { table, is_up: true };
+                    }
+                    _ => {
+                        let number = u.int_in_range(0..=2u8)?;
+                        let claimant = holder(target, request);
+                        let owners = claim_owners(&key(number), &ids);
+                        let mut replies = Vec::new();
+                        for owner in &owners {
+                            let index = ids.iter().position(|it| it == *owner).expect("known");
+                            // The first message may be lost on the way there or back.
+                            let reaches = hosts[index].is_up && u.ratio(7, 8)?;
+                            let reply = reaches.then(|| {
+                                hosts[index].table.claim(key(number), claimant.clone(), now)
+                            });
+                            replies.push(if u.ratio(1, 8)? { None } else { reply });
+                        }
+                        if decide_claim(&replies) != ClaimVerdict::Run {
+                            continue;
+                        }
+                        let last = runs.insert(number, now);
+                        let is_apart = last.is_none_or(|it| now >= it.after(LIMITS.window));
+                        assert!(is_apart, "key {number} ran at {last:?} and {now}");
+                        for owner in &owners {
+                            let index = ids.iter().position(|it| it == *owner).expect("known");
+                            if hosts[index].is_up && u.ratio(3, 4)? {
+                                let end = ClaimEnd::Ran;
+                                hosts[index].table.finish(&key(number), &claimant, end, now);
+                            }
+                        }
+                    }
+                }
+            }
+            Ok(())
+        })
+        .seed((case << 32) | 4_096)
+        .run();
+    }
+}
