standin: test early ends of requests and the store behind a cut relay

Hosts rely on a backend server that frees its slot when a caller leaves or a deadline passes, and on a store client that reconnects after a cut. Neither was covered. No change of the code was needed. The new tests pass.

--- a/crates/sapphireknot-standin/tests/backend_faults.rs
+++ b/crates/sapphireknot-standin/tests/backend_faults.rs
@@ -13,6 +13,7 @@
     },
     client::{HttpCall, HttpCaller, HttpReply},
     fault::FaultRule,
+    fixture::wait_until,
 };
 
 fn start(plan: BackendPlan) -> (BackendServer, HttpCaller) {
@@ -145,3 +146,24 @@
     let reply = send(&server, &caller, "x").await.unwrap();
     assert_eq!(reply.status, StatusCode::INTERNAL_SERVER_ERROR);
 }
+
+/// Guards against a request that goes on, or keeps its slot, after its caller left or its deadline passed.
+#[tokio::test]
+async fn requests_end_early() {
+    let plan = BackendPlan { slots: 1, base_us: 60_000_000, ..BackendPlan::default() };
+    let (server, caller) = start(plan);
+    let call = HttpCall::get("/reports/1").header("x-deadline-ms", "50");
+    let reply = caller.send(server.addresses().backend, call).await.unwrap();
+    assert_eq!(reply.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(server.state().true_load().in_flight, 0);
+
+    let hasty = HttpCaller::new(Duration::from_millis(100));
+    assert!(send(&server, &hasty, "left").await.is_none());
+    drop(hasty);
+    let ended = wait_until("the request has ended", Duration::from_secs(10), async || {
+        (server.state().true_load().in_flight == 0).then_some(())
+    });
+    ended.await.unwrap();
+    let counts = server.state().counts();
+    assert_eq!((counts.begun, counts.ended), (2, 0));
+}
--- a/crates/sapphireknot-standin/tests/cut_relays.rs
+++ b/crates/sapphireknot-standin/tests/cut_relays.rs
@@ -5,7 +5,11 @@
     time::Duration,
 };
 
-use sapphireknot_standin::fixture::{CutTable, TcpRelay};
+use sapphireknot_platform::{GrpcStore, KeyValueStore, StoreError};
+use sapphireknot_standin::{
+    fixture::{CutTable, TcpRelay, wait_until},
+    store::StoreServer,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -98,3 +102,22 @@
     table.heal_all();
     assert!(is_closed(&mut stream).await);
 }
+
+/// Guards against a client of the store that is not cut off, or stays cut off after the heal.
+#[tokio::test]
+async fn store_returns_after_heal() {
+    let any_port = SocketAddr::new(RECEIVER, 0);
+    let server = StoreServer::start(any_port, any_port).unwrap();
+    let table = CutTable::default();
+    let listen = SocketAddr::new(SENDER, 0);
+    let relay = TcpRelay::start(listen, Some(SENDER), RECEIVER, &table).unwrap();
+    relay.set_target(Some(server.addresses().store));
+    let store = GrpcStore::new(relay.address(), SILENCE);
+    assert_eq!(store.get("k").await, Ok(None));
+    table.cut(&[SENDER], &[RECEIVER]);
+    assert!(matches!(store.get("k").await, Err(StoreError::Unanswered { .. })));
+    assert_eq!(server.store().counts().reads, 1);
+    table.heal_all();
+    let probe = async || store.get("k").await.ok();
+    assert_eq!(wait_until("the store answers", LIMIT, probe).await.unwrap(), None);
+}
