--- a/crates/sapphireknot/tests/config_head.rs
+++ b/crates/sapphireknot/tests/config_head.rs
@@ -19,7 +19,7 @@
         .iter()
         .map(|(organisation, is_new)| {
             let action = if *is_new { "add" } else { "change" };
-            let entry = format!("{{id: o{organisation}, rate: {id}/s, burst: '1'}}");
+            let entry = format!("{{id: o{organisation}, rate: {id}/s, burst: 1}}");
             format!("{{{action}: {{organisation: {entry}}}}}")
         })
         .collect();
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -216,14 +216,14 @@
     load_document(
         "{regions: [{id: r0, datacentres: [d0, d3]}, {id: r1, datacentres: [d1, d4]}, \
          {id: r2, datacentres: [d2, d5]}], \
-         organisations: [{id: acme, rate: 200/s, burst: '400'}]}",
+         organisations: [{id: acme, rate: 200/s, burst: 400}]}",
     )
     .unwrap()
 }
 
 /// Note that adds an organisation.
 pub(crate) fn add_note(id: &str, organisation: &str) -> ReleaseNote {
-    let item = format!("{{organisation: {{id: {organisation}, rate: 10/s, burst: '20'}}}}");
+    let item = format!("{{organisation: {{id: {organisation}, rate: 10/s, burst: 20}}}}");
     load_note(&format!("{{id: {id}, items: [{{add: {item}}}]}}")).unwrap()
 }
 
