control: test the state of notes and the calls of the platform

Nothing covered the adapter of the platform, a live host that is behind, and the record of a rollout.

--- a/crates/sapphireknotd/tests/control/config_spread.rs
+++ b/crates/sapphireknotd/tests/control/config_spread.rs
@@ -112,6 +112,12 @@
     let (dead_id, left) = (dead.context.identity.id.clone(), hosts.remove(2));
     let left_id = left.context.identity.id.clone();
     dead.handle.abort();
+    let receipt = hosts[0].post_note(add_note("n1", "beta"), None).await;
+    assert_eq!(receipt, ChangeReceipt::Accepted { generation: ConfigGeneration(2) });
+    let (_, status) = hosts[0].call::<_, NoteStatus>("GET", "/v1/notes/n1", &()).await;
+    let status = status.unwrap();
+    assert!(status.waiting_for.contains(&dead_id), "a host that may be live is not named");
+    assert!(status.items.iter().all(|it| it.state == ItemState::Pending));
     left.handle.stop().await;
     let state = |host: &TestHost, id: &HostId| {
         host.context.members.load().iter().find(|it| it.id == *id).map(|it| it.state)
--- a/crates/sapphireknotd/tests/control/main.rs
+++ b/crates/sapphireknotd/tests/control/main.rs
@@ -2,5 +2,6 @@
 
 mod config_spread;
 mod note_submission;
+mod platform_calls;
 #[cfg(test)]
 mod support;
--- a/crates/sapphireknotd/tests/control/note_submission.rs
+++ b/crates/sapphireknotd/tests/control/note_submission.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use sapphireknot_platform::{KeyValueStore, StoreRevision, SwapOutcome, SwapWrite};
+
 use crate::support::{FakePlatform, add_note, document, start_host, wait_for};
 use sapphireknot::{
-    config::EntityPath,
+    config::{EntityPath, load_document, load_note},
     ids::ConfigGeneration,
     operator::{ChangeReceipt, HostStatus, ItemState, NoteStatus},
 };
@@ -111,3 +113,38 @@
     left.handle.stop().await;
     right.handle.stop().await;
 }
+
+/// Guards against a move of traffic that is reported as in force after it was reverted, and against the record of an
+/// earlier move that is taken for this one's.
+#[tokio::test(flavor = "multi_thread")]
+async fn traffic_item() {
+    let platform = FakePlatform::default();
+    let host = start_host(&platform, 0).await;
+    let document = load_document(
+        "{regions: [{id: r0, datacentres: [d0]}], services: [{id: s, versions: {v1: 100%, v2: 0%}, \
+         routes: [{id: all, prefix: /, timeout: 1s}]}]}",
+    );
+    assert_eq!(host.put_document(document.unwrap()).await, accepted(1));
+    let plan = "{id: p2, target: {v2: 100%}, deadline: 2100-01-01T00:00:00Z, cap: 10%}";
+    let note = format!("{{id: n1, items: [{{add: {{traffic: {{service: s, plan: {plan}}}}}}}]}}");
+    assert_eq!(host.post_note(load_note(&note).unwrap(), None).await, accepted(2));
+    wait_for("install", LIMIT, || host.generation() == 2).await;
+    let mut expected = StoreRevision::ABSENT;
+    for (plan, verdict, state) in [
+        ("p1", "reverted", ItemState::InForce),
+        ("p2", "running", ItemState::InForce),
+        ("p2", "done", ItemState::Done),
+        ("p2", "reverted", ItemState::Reverted),
+    ] {
+        let record = serde_json::json!({"plan": plan, "verdict": verdict, "reason": "failures"});
+        let (key, value) = ("rollout/s".to_owned(), Some(record.to_string().into_bytes()));
+        let write = SwapWrite { key, expected, value, lease: None };
+        match platform.store.compare_and_swap(write).await.unwrap() {
+            SwapOutcome::Swapped(revision) => expected = revision,
+            other => panic!("{other:?}"),
+        }
+        let (_, status) = host.call::<_, NoteStatus>("GET", "/v1/notes/n1", &()).await;
+        assert_eq!(status.unwrap().items[0].state, state, "{plan} {verdict}");
+    }
+    host.handle.stop().await;
+}
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -91,13 +91,43 @@
     idx: usize,
     datacentre: usize,
 ) -> TestHost {
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let (context, listeners) = bind_host(idx, datacentre, nowhere, nowhere).await;
+    let identity = &context.identity;
+    let listed = ListedHost {
+        id: identity.id.clone(),
+        region: identity.region.clone(),
+        datacentre: identity.datacentre.clone(),
+        peer_address: identity.peer_address,
+        caller_address: identity.caller_address,
+        leaving: false,
+    };
+    {
+        let mut hosts = platform.hosts.0.lock();
+        hosts.retain(|it| it.id != listed.id);
+        hosts.push(listed);
+    }
+    let store = platform.store.view();
+    let clients =
+        PlatformClients { store: Arc::new(store.clone()), hosts: Arc::new(platform.hosts.clone()) };
+    let handle = control::start_with_platform(context.clone(), listeners, clients).await.unwrap();
+    TestHost { context, store, handle }
+}
+
+/// Binds the listeners of a host whose platform is at the given addresses.
+pub(crate) async fn bind_host(
+    idx: usize,
+    datacentre: usize,
+    store: SocketAddr,
+    host_list: SocketAddr,
+) -> (Arc<HostContext>, ControlListeners) {
     let region = datacentre % 3;
     let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let operator = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let settings = HostSettings::load(&format!(
         "{{host: h{idx}, region: r{region}, datacentre: d{datacentre}, \
          listen: {{caller: '127.0.0.1:0', peer: '127.0.0.1:0', operator: '127.0.0.1:0'}}, \
-         platform: {{store: '127.0.0.1:1', store_region: r0, host_list: '127.0.0.1:1'}}, \
+         platform: {{store: '{store}', store_region: r0, host_list: '{host_list}'}}, \
          operator_token_sha256: {}, timing: {{store_timeout: 100ms, watch_wait: 1s}}}}",
         KeyDigest::of(TOKEN.as_bytes()).to_hex()
     ))
@@ -113,19 +143,6 @@
         peer_address: address,
         operator_address: operator.local_addr().unwrap(),
     };
-    let listed = ListedHost {
-        id: identity.id.clone(),
-        region: identity.region.clone(),
-        datacentre: identity.datacentre.clone(),
-        peer_address: address,
-        caller_address: address,
-        leaving: false,
-    };
-    {
-        let mut hosts = platform.hosts.0.lock();
-        hosts.retain(|it| it.id != listed.id);
-        hosts.push(listed);
-    }
     let nothing = Arc::new(Nothing);
     let context = Arc::new(HostContext {
         settings,
@@ -139,12 +156,7 @@
         versions: nothing.clone(),
         servers: nothing,
     });
-    let store = platform.store.view();
-    let clients =
-        PlatformClients { store: Arc::new(store.clone()), hosts: Arc::new(platform.hosts.clone()) };
-    let listeners = ControlListeners { peer, operator };
-    let handle = control::start_with_platform(context.clone(), listeners, clients).await.unwrap();
-    TestHost { context, store, handle }
+    (context, ControlListeners { peer, operator })
 }
 
 impl TestHost {
