control: count a renewal with the granted lease and read proofs first

Gossip read the generation before the proof; an installation between the two let a proof travel with an older generation than the one it showed, and a host behind would have counted it. Both were found by reading; no test reproduces them yet.

--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -205,12 +205,14 @@
         let sent = records.iter().map(|it| it.id.clone()).collect();
         let now = self.shared.context.clock.now();
         self.table.handle(now, MemberEvent::UpdatesSent(sent), &mut self.rng);
+        // Read before the generation, so that the generation is at least the one that the proof showed.
+        let proof = self.shared.proof();
         let micros = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         Gossip {
             sender: Some(member_to_wire(self.table.own())),
             members: records.iter().map(member_to_wire).collect(),
             generation: self.shared.generation().0,
-            freshness_age_us: self.shared.proof().map(|it| micros(now.since(it))),
+            freshness_age_us: proof.map(|it| micros(now.since(it))),
             store: self
                 .shared
                 .store
--- a/crates/sapphireknotd/src/control/session_actor.rs
+++ b/crates/sapphireknotd/src/control/session_actor.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Clone, Copy)]
 struct LeasePair {
     short: LeaseId,
+    /// Time for which the short lease was granted; renewals keep it.
+    short_ttl: Duration,
     long: LeaseId,
 }
 
@@ -136,6 +138,11 @@
 
     async fn renew(&mut self) -> Result<(), ReadError> {
         let Some(leases) = self.leases else { return self.begin().await };
+        if leases.short_ttl * 2 < self.short_ttl() {
+            // The fleet grew, and with it the interval; this lease covers too few renewals.
+            self.revoke().await;
+            return self.begin().await;
+        }
         let sent = self.now();
         let alive = self.shared.store.renew_leases(&[leases.short, leases.long]).await?;
         if !alive.contains(&leases.short) || !alive.contains(&leases.long) {
@@ -143,7 +150,7 @@
             self.forget();
             return self.begin().await;
         }
-        self.short.record_renewal(sent, self.short_ttl());
+        self.short.record_renewal(sent, leases.short_ttl);
         self.take_watch().await
     }
 
@@ -151,13 +158,14 @@
     async fn begin(&mut self) -> Result<(), ReadError> {
         let sent = self.now();
         let store = self.shared.store.clone();
-        let short = store.grant_lease(self.short_ttl()).await?;
+        let short_ttl = self.short_ttl();
+        let short = store.grant_lease(short_ttl).await?;
         let long = store.grant_lease(self.shared.context.settings.timing.long_lease.0).await?;
         let id = &self.shared.context.identity.id;
         self.put(&format!("host/{id}/short"), short).await?;
         self.put(&format!("host/{id}/long"), long).await?;
-        self.leases = Some(LeasePair { short, long });
-        self.short.record_renewal(sent, self.short_ttl());
+        self.leases = Some(LeasePair { short, short_ttl, long });
+        self.short.record_renewal(sent, short_ttl);
         self.take_watch().await
     }
 
@@ -230,6 +238,11 @@
 
     async fn end(&mut self) {
         self.is_ended = true;
+        self.revoke().await;
+    }
+
+    /// Stops using roles and leases and ends them in the store.
+    async fn revoke(&mut self) {
         let leases = self.leases;
         self.forget();
         self.publish();
