--- a/crates/sapphireknot/src/installed.rs
+++ b/crates/sapphireknot/src/installed.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 
 use crate::{
-    config::ConfigDocument, ids::ConfigGeneration, keys::KeyRing, lookup::BlockTable,
+    config::ConfigDocument,
+    ids::ConfigGeneration,
+    keys::KeyRing,
+    lookup::{BlockTable, RegionDistances},
     routes::RouteTable,
 };
 
@@ -22,6 +25,8 @@
     pub routes: RouteTable,
     /// Regions by client address.
     pub blocks: BlockTable,
+    /// Latency between regions.
+    pub distances: RegionDistances,
 }
 
 impl InstalledConfig {
@@ -32,6 +37,7 @@
             keys: KeyRing::new(&document),
             routes: RouteTable::new(&document),
             blocks: BlockTable::new(&document),
+            distances: RegionDistances::new(&document),
             document: Arc::new(document),
         }
     }
--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -4,6 +4,7 @@
 //! module does I/O, reads a clock or starts a task, so that a program can embed any of them and a test needs no sleep.
 
 pub mod config;
+pub mod drain;
 pub mod ids;
 pub mod installed;
 pub mod keys;
@@ -11,6 +12,7 @@
 pub mod membership;
 pub mod operator;
 pub mod refusal;
+pub mod retry;
 pub mod routes;
 pub mod time;
 pub mod units;
--- a/crates/sapphireknot/src/lookup.rs
+++ b/crates/sapphireknot/src/lookup.rs
@@ -1,13 +1,24 @@
 //! Look-up of hosts for a caller.
 //!
-//! [`BlockTable`] finds the region of a client address by the longest prefix.
+//! [`BlockTable`] finds the region of a client address by the longest prefix. [`order_hosts`] orders hosts by the
+//! distance of their region and then by weighted rendezvous hashing, so that an organisation meets few hosts and a
+//! change of the hosts moves few organisations.
 
-use std::{collections::HashMap, net::IpAddr};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap},
+    net::IpAddr,
+    time::Duration,
+};
 
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use prefix_trie::PrefixMap;
+use xxhash_rust::xxh3::Xxh3;
 
-use crate::{config::ConfigDocument, ids::RegionId};
+use crate::{
+    config::ConfigDocument,
+    ids::{HostId, OrganisationId, RegionId},
+};
 
 /// Regions of client blocks.
 #[derive(Debug, Default)]
@@ -38,10 +49,120 @@
 
     /// The region of the longest block that contains `client`.
     pub fn region(&self, client: IpAddr) -> Option<&RegionId> {
-        let position = match client.to_canonical() {
-            IpAddr::V4(address) => self.v4.get_lpm(&Ipv4Net::from(address)).map(|(_, it)| *it),
-            IpAddr::V6(address) => self.v6.get_lpm(&Ipv6Net::from(address)).map(|(_, it)| *it),
+        self.find(client).map(|(_, region)| region)
+    }
+
+    /// The longest block that contains `client`, and its region.
+    pub fn find(&self, client: IpAddr) -> Option<(IpNet, &RegionId)> {
+        let (block, position) = match client.to_canonical() {
+            IpAddr::V4(address) => {
+                let (block, position) = self.v4.get_lpm(&Ipv4Net::from(address))?;
+                (IpNet::V4(block), *position)
+            }
+            IpAddr::V6(address) => {
+                let (block, position) = self.v6.get_lpm(&Ipv6Net::from(address))?;
+                (IpNet::V6(block), *position)
+            }
         };
-        self.regions.get(position? as usize)
+        Some((block, self.regions.get(position as usize)?))
+    }
+}
+
+/// One-way latency between regions over the links of a document.
+#[derive(Debug, Default)]
+pub struct RegionDistances {
+    latencies: BTreeMap<(RegionId, RegionId), Duration>,
+}
+
+impl RegionDistances {
+    /// The shortest paths over the links of `document`.
+    pub fn new(document: &ConfigDocument) -> Self {
+        let mut latencies = BTreeMap::new();
+        for region in &document.regions {
+            latencies.insert((region.id.clone(), region.id.clone()), Duration::ZERO);
+        }
+        for link in &document.links {
+            let latency = latencies.entry((link.from.clone(), link.to.clone()));
+            let latency = latency.or_insert(link.latency.0);
+            *latency = link.latency.0.min(*latency);
+        }
+        for middle in &document.regions {
+            for from in &document.regions {
+                for to in &document.regions {
+                    let get = |a: &RegionId, b: &RegionId| latencies.get(&(a.clone(), b.clone()));
+                    let first = get(&from.id, &middle.id);
+                    let Some(first) = first.copied() else { continue };
+                    let Some(second) = get(&middle.id, &to.id).copied() else { continue };
+                    let path = first.saturating_add(second);
+                    let latency = latencies.entry((from.id.clone(), to.id.clone())).or_insert(path);
+                    *latency = path.min(*latency);
+                }
+            }
+        }
+        Self { latencies }
     }
+
+    /// The latency from `from` to `to`; the longest possible one if no path is known.
+    pub fn between(&self, from: &RegionId, to: &RegionId) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        self.latencies.get(&(from.clone(), to.clone())).copied().unwrap_or(Duration::MAX)
+    }
+}
+
+/// Host that a caller may be sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct HostCandidate<'a> {
+    /// Identifier.
+    pub id: &'a HostId,
+    /// Region.
+    pub region: &'a RegionId,
+    /// Part of the callers that it should get, relative to the others.
+    pub weight: u32,
+}
+
+/// Caller that asks for hosts.
+#[derive(Debug, Clone, Copy)]
+pub struct LookupQuery<'a> {
+    /// Organisation, if it was named.
+    pub organisation: Option<&'a OrganisationId>,
+    /// Block of the client address.
+    pub block: IpNet,
+    /// Region that is nearest to the client.
+    pub region: &'a RegionId,
+}
+
+/// Positions of `candidates` in the order in which the caller should try them; those of weight 0 are left out.
+pub fn order_hosts(
+    query: &LookupQuery<'_>,
+    candidates: &[HostCandidate<'_>],
+    distances: &RegionDistances,
+) -> Vec<usize> {
+    let mut order: Vec<_> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, it)| it.weight > 0)
+        .map(|(idx, it)| {
+            let distance = distances.between(query.region, it.region);
+            (distance, Reverse(rendezvous_score(query, it)), it.id, idx)
+        })
+        .collect();
+    order.sort();
+    order.into_iter().map(|(_, _, _, idx)| idx).collect()
+}
+
+/// Score whose maximum falls on each host in proportion to its weight.
+fn rendezvous_score(query: &LookupQuery<'_>, candidate: &HostCandidate<'_>) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(query.organisation.map_or("", OrganisationId::as_str).as_bytes());
+    hasher.update(b"\0");
+    hasher.update(query.block.to_string().as_bytes());
+    hasher.update(b"\0");
+    hasher.update(candidate.id.as_str().as_bytes());
+    // The upper 53 bits give a uniform number strictly between 0 and 1, so that its logarithm is finite and negative.
+    let uniform = ((hasher.digest() >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    let score = f64::from(candidate.weight) / -uniform.ln();
+    // The bits of non-negative floats are ordered like the floats.
+    score.to_bits()
 }
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -13,6 +13,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_trait::async_trait;
+pub use sapphireknot::drain::DrainStage;
 use sapphireknot::{
     config::RouteEntry,
     ids::{
@@ -61,19 +62,6 @@
     }
 }
 
-/// Stage of a graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DrainStage {
-    /// Serves.
-    Serving,
-    /// Left out of look-ups; still serves callers that cached one.
-    Leaving,
-    /// Takes no new request; finishes those in flight.
-    Closing,
-    /// Nothing is in flight and all roles and grants are given back.
-    Ended,
-}
-
 /// Answer of [`QuotaGate`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaVerdict {
--- /dev/null
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -0,0 +1,217 @@
+//! Life of the daemon: listeners, the request path, signals and the graceful shutdown.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Weak},
+    time::Duration,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use sapphireknot::{
+    drain::{DrainLimits, DrainTracker},
+    ids::IncarnationId,
+};
+use thiserror::Error;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
+    time::{sleep, sleep_until},
+};
+
+use crate::{
+    clock::HostClock,
+    context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
+    front::FrontServer,
+    settings::{HostSettings, ListenSettings},
+    telemetry::{self, TelemetryError},
+    upstream::{
+        baseline::{ConfiguredRouter, EqualSplitGate},
+        connections::ConnectionPool,
+        pool::RegionalPool,
+        probes,
+    },
+};
+
+/// Interval at which a closing host looks for requests in flight.
+const CLOSING_TICK: Duration = Duration::from_millis(10);
+
+/// Why the daemon ended early.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// An address cannot be listened at.
+    #[error("listen for {role} at {address}: {source}")]
+    Listen {
+        /// Who connects there.
+        role: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[error("receive signals: {0}")]
+    Signals(#[source] std::io::Error),
+    /// Telemetry cannot be exported.
+    #[error("start telemetry: {0}")]
+    Telemetry(#[from] TelemetryError),
+    /// A second signal arrived during the graceful shutdown.
+    #[error("ended by a second signal")]
+    SecondSignal,
+}
+
+/// Bound listeners.
+#[derive(Debug)]
+pub struct HostListeners {
+    /// For callers.
+    pub caller: TcpListener,
+    /// For other hosts.
+    pub peer: TcpListener,
+    /// For operators.
+    pub operator: TcpListener,
+}
+
+impl HostListeners {
+    /// Binds the addresses of `settings`.
+    pub async fn bind(settings: &ListenSettings) -> Result<Self, DaemonError> {
+        Ok(Self {
+            caller: bind("callers", settings.caller).await?,
+            peer: bind("peers", settings.peer).await?,
+            operator: bind("operators", settings.operator).await?,
+        })
+    }
+}
+
+async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let describe = |source| DaemonError::Listen { role, address, source };
+    TcpListener::bind(address).await.map_err(describe)
+}
+
+/// The identity of a host whose listeners have the given bound addresses.
+pub fn identity(
+    settings: &HostSettings,
+    clock: &HostClock,
+    bound: [SocketAddr; 3],
+) -> HostIdentity {
+    let [caller, peer, operator] = bound;
+    HostIdentity {
+        id: settings.host.clone(),
+        region: settings.region.clone(),
+        datacentre: settings.datacentre.clone(),
+        // Later starts have later wall times, except if the clock is set back by more than the process ran.
+        incarnation: IncarnationId(clock.wall().0),
+        caller_address: settings.advertise.caller.unwrap_or(caller),
+        peer_address: settings.advertise.peer.unwrap_or(peer),
+        operator_address: operator,
+    }
+}
+
+/// State of a host with the first request path, and its pool of backend servers.
+pub fn build_context(
+    settings: HostSettings,
+    clock: HostClock,
+    identity: HostIdentity,
+) -> (Arc<HostContext>, Arc<RegionalPool>) {
+    let mut pool = None;
+    let context = Arc::new_cyclic(|context: &Weak<HostContext>| {
+        let servers = Arc::new(RegionalPool::new(context.clone()));
+        pool = Some(servers.clone());
+        HostContext {
+            settings,
+            clock,
+            identity,
+            config: ArcSwapOption::empty(),
+            fresh_until: SharedDeadline::default(),
+            members: ArcSwap::default(),
+            drain: watch::Sender::new(DrainStage::Serving),
+            quota: Arc::new(EqualSplitGate::new(context.clone())),
+            versions: Arc::new(ConfiguredRouter::new(context.clone())),
+            servers,
+        }
+    });
+    let pool = pool.unwrap_or_else(|| Arc::new(RegionalPool::new(Arc::downgrade(&context))));
+    (context, pool)
+}
+
+/// Runs a host until a signal ends it.
+pub async fn run(settings: HostSettings) -> Result<(), DaemonError> {
+    let mut signals = HostSignals::new().map_err(DaemonError::Signals)?;
+    let listeners = HostListeners::bind(&settings.listen).await?;
+    let address = |role, listener: &TcpListener, address| {
+        listener.local_addr().map_err(|source| DaemonError::Listen { role, address, source })
+    };
+    let bound = [
+        address("callers", &listeners.caller, settings.listen.caller)?,
+        address("peers", &listeners.peer, settings.listen.peer)?,
+        address("operators", &listeners.operator, settings.listen.operator)?,
+    ];
+    let clock = HostClock::start();
+    let identity = identity(&settings, &clock, bound);
+    let guard = telemetry::install(&settings.telemetry, &identity)?;
+    let (context, pool) = build_context(settings, clock, identity);
+    let connections = Arc::new(ConnectionPool::default());
+    tokio::spawn(probes::run(context.clone(), pool, connections.clone()));
+    let front = Arc::new(FrontServer::new(context.clone(), connections));
+    tokio::spawn(front.clone().serve(listeners.caller));
+    let [caller, peer, operator] = bound;
+    log::info!(caller:%, peer:%, operator:%; "listening");
+    signals.next().await;
+    tokio::select! {
+        () = shut_down(&context, &front) => {}
+        () = signals.next() => return Err(DaemonError::SecondSignal),
+    }
+    guard.shutdown();
+    log::info!("ended");
+    Ok(())
+}
+
+/// Leaves, closes and ends; returns when nothing is in flight or the time limit is reached.
+pub async fn shut_down(context: &Arc<HostContext>, front: &FrontServer) {
+    let timing = &context.settings.timing;
+    let config = context.config.load_full();
+    let routes = config.iter().flat_map(|it| &it.document.services).flat_map(|it| &it.routes);
+    let limits = DrainLimits {
+        cache_lifetime: timing.cache_lifetime.0,
+        drain_limit: timing.drain_limit.0,
+        longest_request: routes.map(|it| it.timeout.0).max().unwrap_or_default(),
+    };
+    let mut tracker = DrainTracker::begin(context.clock.now(), limits);
+    context.drain.send_replace(tracker.stage());
+    log::info!("leaving");
+    sleep_until(context.clock.instant(tracker.deadline())).await;
+    loop {
+        let before = tracker.stage();
+        tracker.advance(context.clock.now(), front.in_flight());
+        if tracker.stage() != before {
+            log::info!(stage:? = tracker.stage(), in_flight = front.in_flight(); "drain stage");
+        }
+        if tracker.stage() == DrainStage::Ended {
+            break;
+        }
+        context.drain.send_replace(tracker.stage());
+        sleep(CLOSING_TICK).await;
+    }
+    context.drain.send_replace(DrainStage::Ended);
+}
+
+/// Signals that end a host.
+struct HostSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl HostSignals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/front.rs
@@ -0,0 +1,296 @@
+//! Caller side: look-up, gate, forwarding and refusals.
+
+pub mod gate;
+pub mod headers;
+pub mod lookups;
+pub mod refusals;
+
+mod forward;
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use opentelemetry::{KeyValue, trace::SpanKind};
+use parking_lot::Mutex;
+use sapphireknot::{
+    refusal::{RefusalReason, RequestRefusal},
+    retry::RetryBudget,
+    routes::RouteMiss,
+    time::MonoTime,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{sleep, timeout_at},
+};
+
+use self::{forward::AdmittedRequest, refusals::FrontRefusal};
+use crate::{
+    context::{DrainStage, HostContext, QuotaVerdict},
+    telemetry::{self, HopSpan, PathMeters},
+    upstream::connections::{ConnectionPool, REQUEST_ID},
+};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not busy the processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest request target, in bytes.
+const MAX_TARGET_BYTES: usize = 8 << 10;
+
+/// Server for callers.
+pub struct FrontServer {
+    context: Arc<HostContext>,
+    connections: Arc<ConnectionPool>,
+    budget: Mutex<RetryBudget>,
+    meters: PathMeters,
+    /// Held by each connection that may have a request in flight.
+    busy: Arc<()>,
+}
+
+impl FrontServer {
+    /// A server that forwards over `connections`.
+    pub fn new(context: Arc<HostContext>, connections: Arc<ConnectionPool>) -> Self {
+        let meters = PathMeters::default();
+        Self { context, connections, budget: Mutex::default(), meters, busy: Arc::default() }
+    }
+
+    /// Connections that may have a request in flight.
+    pub fn in_flight(&self) -> usize {
+        Arc::strong_count(&self.busy) - 1
+    }
+
+    /// Accepts connections until the host ends.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(self.context.settings.limits.max_connections));
+        let mut drain = self.context.drain.subscribe();
+        let ended = async move { drop(drain.wait_for(|it| *it == DrainStage::Ended).await) };
+        tokio::pin!(ended);
+        loop {
+            // Further connections wait in the backlog of the listener.
+            let Ok(permit) = permits.clone().acquire_owned().await else { return };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = &mut ended => return,
+            };
+            match accepted {
+                Ok((stream, peer)) => {
+                    tokio::spawn(self.clone().serve_connection(stream, peer, permit));
+                }
+                Err(err) => {
+                    log::warn!(error:% = err; "accept connection of a caller");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+        peer: SocketAddr,
+        _permit: OwnedSemaphorePermit,
+    ) {
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!(error:% = err; "set TCP_NODELAY");
+        }
+        let limits = &self.context.settings.limits;
+        let has_begun = AtomicBool::new(false);
+        let service = service_fn(|request| {
+            has_begun.store(true, Ordering::Relaxed);
+            self.handle(request, peer)
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_timeout.0)
+            .max_header_size(limits.max_header_bytes)
+            // The least size that hyper accepts.
+            .max_buf_size(limits.max_header_bytes.max(8 << 10));
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let mut drain = self.context.drain.subscribe();
+        let is_closing = *drain.borrow() >= DrainStage::Closing;
+        // Connections that are opened while closing only get refusals and do not delay the end.
+        let busy = (!is_closing).then(|| self.busy.clone());
+        let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
+        tokio::select! {
+            result = connection.as_mut() => return log_end(result),
+            () = closing => {}
+        }
+        if has_begun.load(Ordering::Relaxed) {
+            connection.as_mut().graceful_shutdown();
+        } else {
+            // A first request is still answered, with a refusal that closes the connection.
+            drop(busy);
+        }
+        log_end(connection.await);
+    }
+
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let started = self.context.clock.now();
+        let request_id = format!("{:032x}", rand::random::<u128>());
+        let parent = telemetry::extract_parent(request.headers());
+        let span = HopSpan::start("request", SpanKind::Server, &parent);
+        span.note("request", request_id.clone());
+        let is_head = request.method() == Method::HEAD;
+        let answer = self.answer(request, peer, &request_id, started, &span).await;
+        let now = self.context.clock.now();
+        let result = answer.as_ref().err().map_or("passed", |it| it.refusal.reason.as_str());
+        let labels = [KeyValue::new("result", result)];
+        self.meters.requests.add(1, &labels);
+        self.meters.latency.record(now.since(started).as_secs_f64(), &labels);
+        let mut response = match answer {
+            Ok(mut response) => {
+                headers::clean_response(response.headers_mut());
+                response
+            }
+            Err(refusal) => {
+                span.fail(result);
+                log::debug!(request = request_id, reason = result; "request refused");
+                refusal.response(&request_id, now)
+            }
+        };
+        if let Ok(id) = HeaderValue::from_str(&request_id) {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        if !is_head {
+            response.headers_mut().remove(header::CONTENT_LENGTH);
+        }
+        if *self.context.drain.borrow() >= DrainStage::Closing {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response.map(Full::new))
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+        request_id: &str,
+        started: MonoTime,
+        span: &HopSpan,
+    ) -> Result<Response<Bytes>, FrontRefusal> {
+        if *self.context.drain.borrow() >= DrainStage::Closing {
+            return Err(FrontRefusal::not_run(RefusalReason::Draining));
+        }
+        let (head, body) = request.into_parts();
+        let path = checked_path(&head.uri)?;
+        let query = head.uri.query().unwrap_or_default();
+        if path == lookups::LOOKUP_PATH {
+            if head.method != Method::GET {
+                return Err(method_refusal());
+            }
+            return lookups::answer(&self.context, query, peer.ip());
+        }
+        let config = self.context.config.load_full();
+        let config = config.ok_or_else(|| FrontRefusal::not_run(RefusalReason::NotReady))?;
+        let matched = config.routes.find(head.method.as_str(), &path).map_err(|err| match err {
+            RouteMiss::Path => FrontRefusal::not_run(RefusalReason::UnknownRoute),
+            RouteMiss::Method => method_refusal(),
+        })?;
+        let route = matched.route();
+        span.note("service", matched.service.id.to_string());
+        span.note("route", route.id.to_string());
+        let deadline = started.after(route.timeout.0);
+        let (digest, organisation) = if route.open {
+            (None, None)
+        } else {
+            let digest = gate::presented_key(&head.headers)?;
+            (Some(digest), Some(gate::key_owner(&self.context, &digest)?))
+        };
+        let body = self.read_body(&head.headers, body, deadline).await?;
+        if let (Some(digest), Some(organisation)) = (&digest, &organisation) {
+            // A key that was withdrawn while the body arrived must not take a token.
+            gate::key_owner(&self.context, digest)?;
+            span.note("organisation", organisation.to_string());
+            let verdict = self.context.quota.admit(organisation, deadline).await;
+            if let QuotaVerdict::OverRate { retry_at } = verdict {
+                let refusal = RequestRefusal::not_run(RefusalReason::OverRate);
+                return Err(refusal.retry_at(retry_at).into());
+            }
+        }
+        let target = forward_target(head.uri.path(), query)?;
+        let mut headers = head.headers;
+        headers::clean_request(&mut headers);
+        let request_id = request_id.to_owned();
+        let method = head.method;
+        let admitted = AdmittedRequest {
+            matched,
+            organisation,
+            digest,
+            method,
+            target,
+            headers,
+            body,
+            request_id,
+            deadline,
+        };
+        Ok(self.forward(&admitted, span).await?)
+    }
+
+    async fn read_body(
+        &self,
+        headers: &http::HeaderMap,
+        body: Incoming,
+        deadline: MonoTime,
+    ) -> Result<Bytes, FrontRefusal> {
+        let limits = &self.context.settings.limits;
+        let too_large = || FrontRefusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE);
+        let declared = headers.get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok());
+        let declared = declared.and_then(|it| it.parse::<u64>().ok());
+        if declared.is_some_and(|it| it > limits.max_body_bytes as u64) {
+            return Err(too_large());
+        }
+        let until = self.context.clock.now().after(limits.body_timeout.0).min(deadline);
+        let reading = Limited::new(body, limits.max_body_bytes).collect();
+        match timeout_at(self.context.clock.instant(until), reading).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(err)) if err.is::<LengthLimitError>() => Err(too_large()),
+            Ok(Err(_)) => Err(FrontRefusal::bad_request(StatusCode::BAD_REQUEST)),
+            Err(_) => Err(FrontRefusal::bad_request(StatusCode::REQUEST_TIMEOUT)),
+        }
+    }
+}
+
+fn log_end(result: hyper::Result<()>) {
+    if let Err(err) = result {
+        log::debug!(error:% = err; "connection of a caller ended");
+    }
+}
+
+fn method_refusal() -> FrontRefusal {
+    let refusal = RequestRefusal::not_run(RefusalReason::UnknownRoute);
+    FrontRefusal { refusal, status: Some(StatusCode::METHOD_NOT_ALLOWED) }
+}
+
+/// The decoded path of a request that has exactly one meaning.
+fn checked_path(uri: &Uri) -> Result<String, FrontRefusal> {
+    let bytes = uri.path_and_query().map_or(0, |it| it.as_str().len());
+    if bytes > MAX_TARGET_BYTES {
+        return Err(FrontRefusal::bad_request(StatusCode::URI_TOO_LONG));
+    }
+    let path = headers::decode_path(uri.path());
+    path.ok_or_else(|| FrontRefusal::bad_request(StatusCode::BAD_REQUEST))
+}
+
+/// The target for the backend server: the path as the caller wrote it, and the query without keys.
+fn forward_target(path: &str, query: &str) -> Result<Uri, FrontRefusal> {
+    let query = headers::clean_query(query);
+    let target = if query.is_empty() { path.to_owned() } else { format!("{path}?{query}") };
+    target.parse().map_err(|_| FrontRefusal::bad_request(StatusCode::BAD_REQUEST))
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -0,0 +1,248 @@
+//! Forwarding of a request to backend servers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http_body_util::Full;
+use opentelemetry::{KeyValue, trace::SpanKind};
+use rand::RngExt;
+use sapphireknot::{
+    ids::{OrganisationId, ServerId},
+    keys::KeyDigest,
+    refusal::{RefusalReason, RequestRefusal, RunState},
+    retry::{AttemptEnd, RetryPolicy, RetryVerdict},
+    routes::RouteMatch,
+    time::MonoTime,
+};
+use tokio::time::{sleep, timeout_at};
+
+use super::{
+    FrontServer, gate,
+    headers::{DEADLINE, ORGANISATION, REQUEST_RAN},
+};
+use crate::{
+    context::{AttemptOutcome, PickQuery, PickRefusal, ServerTicket, VersionSample},
+    telemetry::{self, HopSpan},
+    upstream::connections::{ExchangeError, REQUEST_ID},
+};
+
+/// Times that one request is sent at most.
+const MAX_ATTEMPTS: u32 = 3;
+/// Longest pause before a retry after a failure, so that retries of many requests do not arrive at once.
+const RETRY_JITTER: Duration = Duration::from_millis(10);
+/// Time after which a full service may be asked again.
+const ROOM_RETRY: Duration = Duration::from_secs(1);
+
+/// Request that passed the gate.
+#[derive(Debug)]
+pub(super) struct AdmittedRequest {
+    pub(super) matched: RouteMatch,
+    pub(super) organisation: Option<OrganisationId>,
+    pub(super) digest: Option<KeyDigest>,
+    pub(super) method: Method,
+    pub(super) target: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) request_id: String,
+    pub(super) deadline: MonoTime,
+}
+
+/// How an attempt ended.
+enum AttemptResult {
+    /// Response for the caller.
+    Passed(Response<Bytes>),
+    /// No response to pass on, unless no retry follows and `fallback` holds one.
+    Ended { end: AttemptEnd, reason: RefusalReason, fallback: Option<Response<Bytes>> },
+}
+
+impl FrontServer {
+    /// Sends `request` until a response is complete or no further attempt is allowed.
+    pub(super) async fn forward(
+        &self,
+        request: &AdmittedRequest,
+        span: &HopSpan,
+    ) -> Result<Response<Bytes>, RequestRefusal> {
+        let route = request.matched.route();
+        let mut policy = RetryPolicy::new(route.idempotent, MAX_ATTEMPTS);
+        let mut excluded: Vec<ServerId> = Vec::new();
+        let mut failure: Option<(RefusalReason, Option<Response<Bytes>>)> = None;
+        self.budget.lock().deposit();
+        loop {
+            self.check_again(request).map_err(|err| after_attempts(&policy, err))?;
+            let ticket = match self.pick(request, &excluded).await {
+                Ok(ticket) => ticket,
+                Err(refusal) => {
+                    if failure.is_some() {
+                        self.budget.lock().refund();
+                    }
+                    return give_up(&policy, failure, refusal);
+                }
+            };
+            // The wait for a slot may have taken longer than a key or the deadline lasted.
+            self.check_again(request).map_err(|err| after_attempts(&policy, err))?;
+            excluded.push(ticket.server().clone());
+            let (end, reason, fallback) = match self.attempt(request, ticket, span).await {
+                AttemptResult::Passed(response) => return Ok(response),
+                AttemptResult::Ended { end, reason, fallback } => (end, reason, fallback),
+            };
+            let verdict = policy.after(end, &mut self.budget.lock());
+            failure = Some((reason, fallback));
+            if verdict != RetryVerdict::Again {
+                return give_up(&policy, failure, RequestRefusal::not_run(reason));
+            }
+            if end == AttemptEnd::MaybeRan {
+                let part = rand::rng().random_range(0.0..1.0);
+                sleep(RETRY_JITTER.mul_f64(part)).await;
+            }
+        }
+    }
+
+    /// Refuses a request whose key or deadline ended meanwhile.
+    fn check_again(&self, request: &AdmittedRequest) -> Result<(), RequestRefusal> {
+        if let Some(digest) = &request.digest {
+            let owner = gate::key_owner(&self.context, digest)?;
+            if request.organisation.as_ref() != Some(&owner) {
+                return Err(RequestRefusal::not_run(RefusalReason::KeyRejected));
+            }
+        }
+        if self.context.clock.now() >= request.deadline {
+            return Err(RequestRefusal::not_run(RefusalReason::Deadline));
+        }
+        Ok(())
+    }
+
+    async fn pick(
+        &self,
+        request: &AdmittedRequest,
+        excluded: &[ServerId],
+    ) -> Result<Box<dyn ServerTicket>, RequestRefusal> {
+        let query = PickQuery {
+            service: &request.matched.service.id,
+            route: request.matched.route(),
+            organisation: request.organisation.as_ref(),
+            excluded,
+            deadline: request.deadline,
+        };
+        self.context.servers.pick(query).await.map_err(|err| match err {
+            PickRefusal::Deadline => RequestRefusal::not_run(RefusalReason::Deadline),
+            PickRefusal::NoServer => RequestRefusal::not_run(RefusalReason::NoServer),
+            PickRefusal::NoRoom => RequestRefusal::not_run(RefusalReason::NoRoom)
+                .retry_at(self.context.clock.now().after(ROOM_RETRY)),
+        })
+    }
+
+    async fn attempt(
+        &self,
+        request: &AdmittedRequest,
+        ticket: Box<dyn ServerTicket>,
+        parent: &HopSpan,
+    ) -> AttemptResult {
+        let span = HopSpan::start("attempt", SpanKind::Client, parent.context());
+        span.note("server", ticket.server().to_string());
+        span.note("version", ticket.version().to_string());
+        let started = self.context.clock.now();
+        let peer = ticket.address();
+        let outgoing = self.outgoing(request, ticket.as_ref(), &span);
+        let max_bytes = self.context.settings.limits.max_response_bytes;
+        let exchange = self.connections.exchange(peer, outgoing, max_bytes);
+        let until = self.context.clock.instant(request.deadline);
+        let (outcome, result) = match timeout_at(until, exchange).await {
+            Ok(Ok(response)) => judge(request, response),
+            Ok(Err(err)) => {
+                log::warn!(request = request.request_id, server:% = ticket.server(), error:% = err; "attempt failed");
+                let end = match err {
+                    ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
+                    ExchangeError::Broken { .. } => AttemptEnd::MaybeRan,
+                };
+                (AttemptOutcome::Broken, ended(end, RefusalReason::UpstreamFailed))
+            }
+            Err(_) => {
+                (AttemptOutcome::Broken, ended(AttemptEnd::MaybeRan, RefusalReason::Deadline))
+            }
+        };
+        if outcome != AttemptOutcome::Succeeded {
+            span.fail("attempt failed");
+        }
+        let latency = self.context.clock.now().since(started);
+        self.context.versions.record(VersionSample {
+            service: request.matched.service.id.clone(),
+            version: ticket.version().clone(),
+            route: request.matched.route().id.clone(),
+            outcome,
+            latency_us: u64::try_from(latency.as_micros()).unwrap_or(u64::MAX),
+        });
+        self.meters.attempts.add(1, &[KeyValue::new("outcome", format!("{outcome:?}"))]);
+        ticket.finish(outcome);
+        result
+    }
+
+    fn outgoing(
+        &self,
+        request: &AdmittedRequest,
+        ticket: &dyn ServerTicket,
+        span: &HopSpan,
+    ) -> Request<Full<Bytes>> {
+        let mut outgoing = Request::new(Full::new(request.body.clone()));
+        *outgoing.method_mut() = request.method.clone();
+        *outgoing.uri_mut() = request.target.clone();
+        let mut headers = request.headers.clone();
+        let left = self.context.clock.now().until(request.deadline).as_millis().to_string();
+        let organisation = request.organisation.as_ref().map(|it| it.to_string());
+        let own = [
+            (header::HOST.as_str(), Some(ticket.address().to_string())),
+            (ORGANISATION, organisation),
+            (REQUEST_ID, Some(request.request_id.clone())),
+            (DEADLINE, Some(left)),
+        ];
+        for (name, value) in own {
+            let value = value.and_then(|it| HeaderValue::from_str(&it).ok());
+            if let Some(value) = value {
+                headers.insert(name, value);
+            }
+        }
+        telemetry::inject_parent(span.context(), &mut headers);
+        *outgoing.headers_mut() = headers;
+        outgoing
+    }
+}
+
+fn ended(end: AttemptEnd, reason: RefusalReason) -> AttemptResult {
+    AttemptResult::Ended { end, reason, fallback: None }
+}
+
+/// What a complete response means.
+fn judge(request: &AdmittedRequest, response: Response<Bytes>) -> (AttemptOutcome, AttemptResult) {
+    let status = response.status().as_u16();
+    let ran = response.headers().get(REQUEST_RAN).map(HeaderValue::as_bytes);
+    if status == 503 && ran == Some(b"no") {
+        return (AttemptOutcome::Shed, ended(AttemptEnd::Shed, RefusalReason::NoRoom));
+    }
+    if request.matched.route().idempotent && matches!(status, 502..=504) {
+        let reason = RefusalReason::UpstreamFailed;
+        let end = AttemptEnd::MaybeRan;
+        let result = AttemptResult::Ended { end, reason, fallback: Some(response) };
+        return (AttemptOutcome::Failed, result);
+    }
+    let outcome = if status >= 500 { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded };
+    (outcome, AttemptResult::Passed(response))
+}
+
+/// A refusal that tells whether an earlier attempt may have run.
+fn after_attempts(policy: &RetryPolicy, refusal: RequestRefusal) -> RequestRefusal {
+    let ran = if policy.may_have_run() { RunState::Unknown } else { RunState::NotRun };
+    RequestRefusal { ran, ..refusal }
+}
+
+/// The result of the last attempt, or `refusal` if there was none.
+fn give_up(
+    policy: &RetryPolicy,
+    failure: Option<(RefusalReason, Option<Response<Bytes>>)>,
+    refusal: RequestRefusal,
+) -> Result<Response<Bytes>, RequestRefusal> {
+    match failure {
+        Some((_, Some(response))) => Ok(response),
+        Some((reason, None)) => Err(after_attempts(policy, RequestRefusal { reason, ..refusal })),
+        None => Err(refusal),
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/front/headers.rs
@@ -0,0 +1,124 @@
+//! What of a message is passed on.
+//!
+//! Keys never reach a backend server, and a caller cannot set what the host tells the backend server. The same holds
+//! the other way round for the headers that a host adds to responses.
+
+use http::{HeaderMap, HeaderName, header};
+
+use crate::upstream::connections::REQUEST_ID;
+
+/// Header with a key, beside `Authorization`.
+pub const KEY_HEADER: &str = "x-api-key";
+/// Query parameter with a key.
+const KEY_PARAMETER: &[u8] = b"api_key";
+/// Request header with the organisation.
+pub const ORGANISATION: &str = "x-organisation";
+/// Request header with the milliseconds that are left.
+pub const DEADLINE: &str = "x-deadline-ms";
+/// Response header of backend servers that says whether they ran a request.
+pub const REQUEST_RAN: &str = "x-request-ran";
+/// Prefix of headers that only hosts set.
+const HOST_PREFIX: &str = "x-sapphireknot-";
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+/// Such headers without a constant in `http`.
+const OLD_HOP_BY_HOP: [&str; 2] = ["keep-alive", "proxy-connection"];
+
+/// Drops what a request must not carry to a backend server.
+pub fn clean_request(headers: &mut HeaderMap) {
+    drop_hop_by_hop(headers);
+    for name in [header::AUTHORIZATION, header::HOST, header::CONTENT_LENGTH, header::EXPECT] {
+        headers.remove(name);
+    }
+    for name in [KEY_HEADER, ORGANISATION, REQUEST_ID, DEADLINE, REQUEST_RAN] {
+        headers.remove(name);
+    }
+    drop_host_headers(headers);
+}
+
+/// Drops what a response must not carry to a caller.
+pub fn clean_response(headers: &mut HeaderMap) {
+    drop_hop_by_hop(headers);
+    headers.remove(REQUEST_RAN);
+    drop_host_headers(headers);
+}
+
+fn drop_hop_by_hop(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .filter_map(|it| it.trim().parse().ok())
+        .collect();
+    for name in listed.into_iter().chain(HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    for name in OLD_HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+fn drop_host_headers(headers: &mut HeaderMap) {
+    let is_own = |it: &&HeaderName| it.as_str().starts_with(HOST_PREFIX);
+    let names: Vec<_> = headers.keys().filter(is_own).cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+/// The query without parameters that carry a key, also if their name is escaped.
+pub fn clean_query(query: &str) -> String {
+    // Some servers split parameters at semicolons too, so a key behind one is dropped as well.
+    let is_key = |it: &str| {
+        let name = it.split('=').next().unwrap_or_default().replace('+', " ");
+        decode(&name).trim_ascii().eq_ignore_ascii_case(KEY_PARAMETER)
+    };
+    let parameters = query.split('&').filter_map(|group| {
+        let kept: Vec<_> = group.split(';').filter(|it| !is_key(it)).collect();
+        (!kept.is_empty()).then(|| kept.join(";"))
+    });
+    parameters.collect::<Vec<_>>().join("&")
+}
+
+/// The path with escapes resolved, if every backend server must read it alike.
+///
+/// Refuses dot segments, empty segments, and escaped separators and control characters: a server that resolves them
+/// would run another route than the one whose rules were applied.
+pub fn decode_path(path: &str) -> Option<String> {
+    let decoded = String::from_utf8(decode(path)).ok()?;
+    let is_ambiguous = decoded.matches('/').count() != path.matches('/').count()
+        || decoded.contains(['\\', '%'])
+        || decoded.chars().any(char::is_control)
+        || decoded.contains("//")
+        || decoded.split('/').any(|it| matches!(it, "." | ".."));
+    (!is_ambiguous && decoded.starts_with('/')).then_some(decoded)
+}
+
+/// Resolves `%xx`; other text stays as it is.
+fn decode(text: &str) -> Vec<u8> {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut idx = 0;
+    while let Some(&byte) = bytes.get(idx) {
+        let digits = bytes.get(idx + 1..idx + 3).filter(|_| byte == b'%');
+        let mut value = [0];
+        if digits.is_some_and(|it| hex::decode_to_slice(it, &mut value).is_ok()) {
+            decoded.push(value[0]);
+            idx += 3;
+        } else {
+            decoded.push(byte);
+            idx += 1;
+        }
+    }
+    decoded
+}
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -6,4 +6,10 @@
 pub mod clock;
 pub mod constants;
 pub mod context;
+pub mod daemon;
+pub mod front;
+pub mod logging;
+pub mod options;
 pub mod settings;
+pub mod telemetry;
+pub mod upstream;
--- /dev/null
+++ b/crates/sapphireknotd/src/options.rs
@@ -0,0 +1,119 @@
+//! Command line of the daemon.
+//!
+//! Arguments are written into the tree of the settings file before it is checked, so that the command line goes before
+//! the file, the file before the defaults, and all are checked alike.
+
+use std::{ffi::OsString, fs, path::PathBuf};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use sapphireknot::config::ConfigProblem;
+use serde_json::{Map, Value};
+use thiserror::Error;
+
+use crate::settings::HostSettings;
+
+/// Arguments that override one field: name, path in the tree, help.
+const OVERRIDES: [(&str, &str, &str); 12] = [
+    ("host", "host", "Identifier of this host"),
+    ("region", "region", "Region of this host"),
+    ("datacentre", "datacentre", "Data centre of this host"),
+    ("listen-caller", "listen.caller", "Address to listen at for callers"),
+    ("listen-peer", "listen.peer", "Address to listen at for other hosts"),
+    ("listen-operator", "listen.operator", "Address to listen at for operators"),
+    ("advertise-caller", "advertise.caller", "Address that callers use"),
+    ("advertise-peer", "advertise.peer", "Address that other hosts use"),
+    ("store", "platform.store", "Address of the key-value store"),
+    ("host-list", "platform.host_list", "Address of the host list"),
+    ("log-level", "log.level", "Least level of logs: error, warn, info, debug or trace"),
+    ("otlp", "telemetry.otlp", "Address of an OTLP receiver"),
+];
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub struct DaemonOptions {
+    /// Settings from the command line, the file and the defaults.
+    pub settings: HostSettings,
+    /// Whether to check the settings only.
+    pub check: bool,
+}
+
+/// Why the options cannot be used.
+#[derive(Debug, Error)]
+pub enum OptionError {
+    /// The command line is wrong, or asks for help.
+    #[error("{0}")]
+    Arguments(#[from] clap::Error),
+    /// The settings file cannot be read.
+    #[error("read settings file {path}: {source}")]
+    File {
+        /// Settings file.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The settings are wrong.
+    #[error("check settings: {}", list_problems(.0))]
+    Settings(Vec<ConfigProblem>),
+}
+
+fn list_problems(problems: &[ConfigProblem]) -> String {
+    let lines: Vec<_> = problems.iter().map(|it| format!("\n  {it}")).collect();
+    lines.concat()
+}
+
+/// The command line.
+pub fn command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Settings file in YAML");
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Checks the settings and exits");
+    let overrides =
+        OVERRIDES.map(|(name, _, help)| Arg::new(name).long(name).value_name("VALUE").help(help));
+    Command::new("sapphireknotd")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Daemon of an entry host")
+        .arg(settings)
+        .arg(check)
+        .args(overrides)
+}
+
+/// Reads the command line and the settings file.
+pub fn load<I, T>(arguments: I) -> Result<DaemonOptions, OptionError>
+where
+    I: IntoIterator<Item = T>,
+    T: Into<OsString> + Clone,
+{
+    let matches = command().try_get_matches_from(arguments)?;
+    let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let text = fs::read_to_string(&path).map_err(|source| OptionError::File { path, source })?;
+    let mut tree = HostSettings::parse_tree(&text).map_err(OptionError::Settings)?;
+    override_fields(&matches, &mut tree);
+    let settings = HostSettings::from_tree(tree).map_err(OptionError::Settings)?;
+    Ok(DaemonOptions { settings, check: matches.get_flag("check") })
+}
+
+fn override_fields(matches: &ArgMatches, tree: &mut Value) {
+    for (name, path, _) in OVERRIDES {
+        if let Some(value) = matches.get_one::<String>(name) {
+            set_field(tree, path, Value::String(value.clone()));
+        }
+    }
+}
+
+fn set_field(tree: &mut Value, path: &str, value: Value) {
+    if tree.is_null() {
+        *tree = Value::Object(Map::new());
+    }
+    // A tree of another kind stays as it is and is reported by the check.
+    let Value::Object(fields) = tree else { return };
+    match path.split_once('.') {
+        Some((first, rest)) => set_field(fields.entry(first).or_insert(Value::Null), rest, value),
+        None => drop(fields.insert(path.to_owned(), value)),
+    }
+}
--- a/crates/sapphireknotd/src/settings.rs
+++ b/crates/sapphireknotd/src/settings.rs
@@ -183,8 +183,18 @@
 impl HostSettings {
     /// Reads and checks settings.
     pub fn load(text: &str) -> Result<Self, Vec<ConfigProblem>> {
-        let deserializer = serde_yaml_ng::Deserializer::from_str(text);
-        let settings: Self = serde_path_to_error::deserialize(deserializer).map_err(|err| {
+        Self::from_tree(Self::parse_tree(text)?)
+    }
+
+    /// Reads the tree of a settings file without checking it.
+    pub fn parse_tree(text: &str) -> Result<serde_json::Value, Vec<ConfigProblem>> {
+        serde_yaml_ng::from_str(text)
+            .map_err(|err| vec![ConfigProblem::new("", err, "a YAML document")])
+    }
+
+    /// Checks a tree and fills it up with defaults.
+    pub fn from_tree(tree: serde_json::Value) -> Result<Self, Vec<ConfigProblem>> {
+        let settings: Self = serde_path_to_error::deserialize(tree).map_err(|err| {
             let field = err.path().to_string();
             vec![ConfigProblem::new(field, "", err.into_inner().to_string())]
         })?;
--- /dev/null
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -0,0 +1,155 @@
+//! Connections to backend servers.
+//!
+//! A connection carries one request at a time and goes back to the pool only after a complete and correct response.
+//! Dropping it in between closes it, which tells the backend server that nobody waits any more.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use thiserror::Error;
+use tokio::{net::TcpStream, task::AbortHandle};
+
+/// Idle connections that are kept per backend server.
+const MAX_IDLE: usize = 16;
+/// Time to open a connection; far above a round trip between regions of 24 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Header of the correlation with a response.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Why an exchange with a backend server failed.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// No byte of the request was written.
+    #[error("connect to backend server {peer}: {cause}")]
+    NotSent {
+        /// Backend server.
+        peer: SocketAddr,
+        /// Cause.
+        cause: String,
+    },
+    /// The request may have been read.
+    #[error("exchange with backend server {peer}: {cause}")]
+    Broken {
+        /// Backend server.
+        peer: SocketAddr,
+        /// Cause.
+        cause: String,
+    },
+}
+
+/// One connection; closed when dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Idle connections by backend server.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl ConnectionPool {
+    /// Sends `request` and reads the whole response, whose body has at most `max_bytes`.
+    pub async fn exchange(
+        &self,
+        peer: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let request_id = request.headers().get(REQUEST_ID).cloned();
+        let method = request.method().clone();
+        let mut request = request;
+        let (mut connection, response) = loop {
+            let (mut connection, is_new) = self.connection(peer).await?;
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => break (connection, response),
+                Err(mut err) => match err.take_message() {
+                    // The backend server closed an idle connection before the request was written.
+                    Some(unsent) if !is_new => request = unsent,
+                    Some(_) => {
+                        let cause = err.into_error().to_string();
+                        return Err(ExchangeError::NotSent { peer, cause });
+                    }
+                    None => {
+                        let cause = err.into_error().to_string();
+                        return Err(ExchangeError::Broken { peer, cause });
+                    }
+                },
+            }
+        };
+        let broken = |cause: String| ExchangeError::Broken { peer, cause };
+        let (head, body) = response.into_parts();
+        if head.status.is_informational() {
+            return Err(broken("unexpected change of protocol".to_owned()));
+        }
+        if head.headers.get(REQUEST_ID) != request_id.as_ref() {
+            return Err(broken("response carries another request id".to_owned()));
+        }
+        let has_body = method != http::Method::HEAD && !matches!(head.status.as_u16(), 204 | 304);
+        if has_body && !has_framing(&head.headers) {
+            return Err(broken("response does not tell its length".to_owned()));
+        }
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|err| broken(err.to_string()))?.to_bytes();
+        // The connection is ready once the last byte was read; if it is not, it is closing.
+        if connection.sender.ready().await.is_ok() {
+            self.keep(peer, connection);
+        }
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Closes idle connections to other backend servers than `peers`.
+    pub fn retain(&self, peers: &[SocketAddr]) {
+        self.idle.lock().retain(|peer, _| peers.contains(peer));
+    }
+
+    async fn connection(&self, peer: SocketAddr) -> Result<(Connection, bool), ExchangeError> {
+        while let Some(connection) = self.take_idle(peer) {
+            if connection.sender.is_ready() {
+                return Ok((connection, false));
+            }
+        }
+        let not_sent = |cause: String| ExchangeError::NotSent { peer, cause };
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+        let stream = connecting
+            .map_err(|_| not_sent("no answer in time".to_owned()))?
+            .map_err(|err| not_sent(err.to_string()))?;
+        stream.set_nodelay(true).map_err(|err| not_sent(err.to_string()))?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| not_sent(err.to_string()))?;
+        // Errors of the connection reach the request that waits on it.
+        let driver = tokio::spawn(async move { drop(driver.await) }).abort_handle();
+        Ok((Connection { sender, driver }, true))
+    }
+
+    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
+        self.idle.lock().get_mut(&peer)?.pop()
+    }
+
+    fn keep(&self, peer: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.lock();
+        let connections = idle.entry(peer).or_default();
+        if connections.len() < MAX_IDLE {
+            connections.push(connection);
+        }
+    }
+}
+
+/// Whether the end of a body can be told from a broken connection.
+fn has_framing(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/request_path/graceful_shutdown.rs
@@ -0,0 +1,34 @@
+//! Graceful shutdown of the request path.
+
+use crate::support::{BackendMode, KEY, TestBackend, TestHost};
+use sapphireknotd::{context::DrainStage, daemon};
+
+/// Guards against a shutdown that interrupts a request, and against new requests that run while closing.
+#[tokio::test]
+async fn finishes_requests_in_flight() {
+    let backend = TestBackend::start(BackendMode::Hold).await;
+    let host = TestHost::start(&[backend.address]).await;
+    let mut stages = host.context.drain.subscribe();
+    let mut caller = host.connect().await;
+    let mut idle = host.connect().await;
+    let headers = format!("x-api-key: {KEY}\r\n");
+    let (context, front) = (host.context.clone(), host.front.clone());
+    let call = caller.call("POST", "/desk/pay", &headers, "x");
+    let rest = async {
+        backend.arrived.notified().await;
+        let shutdown = tokio::spawn(async move { daemon::shut_down(&context, &front).await });
+        stages.wait_for(|it| *it == DrainStage::Leaving).await.unwrap();
+        let response = idle.call("GET", "/v1/lookup", "", "").await;
+        assert_eq!(response.refusal(), (503, "not-ready", "not-run"), "no look-up names it");
+        stages.wait_for(|it| *it == DrainStage::Closing).await.unwrap();
+        let refused = host.call("POST", "/desk/pay", "y").await;
+        assert_eq!(refused.refusal(), (503, "draining", "not-run"));
+        assert!(!shutdown.is_finished());
+        backend.release.notify_one();
+        shutdown.await.unwrap();
+    };
+    let (response, ()) = tokio::join!(call, rest);
+    assert_eq!((response.status, response.body.as_str()), (200, "x"));
+    assert_eq!(*host.context.drain.borrow(), DrainStage::Ended);
+    assert_eq!(backend.total_runs(), 1);
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/request_path/main.rs
@@ -0,0 +1,14 @@
+//! Request path of a host, served by backend servers in this process.
+
+#[cfg(test)]
+mod bad_input;
+#[cfg(test)]
+mod graceful_shutdown;
+#[cfg(test)]
+mod request_forwarding;
+#[cfg(test)]
+mod request_refusals;
+#[cfg(test)]
+mod request_retries;
+#[cfg(test)]
+mod support;
--- /dev/null
+++ b/crates/sapphireknotd/tests/request_path/request_forwarding.rs
@@ -0,0 +1,98 @@
+//! Forwarding of requests to backend servers.
+
+use crate::support::{BackendMode, KEY, TestBackend, TestHost};
+
+/// Guards against a changed response and against lost facts for the backend server.
+#[tokio::test]
+async fn forwards_request_and_returns_whole_response() {
+    let backend = TestBackend::start(BackendMode::Echo).await;
+    let host = TestHost::start(&[backend.address]).await;
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let headers = format!("X-Api-Key: {KEY}\r\ntraceparent: 00-{trace}-b7ad6b7169203331-01\r\n");
+    let mut caller = host.connect().await;
+    let response = caller.call("POST", "/desk/pay/1?x=1", &headers, "hello").await;
+    assert_eq!((response.status, response.body.as_str()), (200, "hello"));
+    assert_eq!(response.header("x-sapphireknot-ran"), None, "a forged mark is dropped");
+    let seen = backend.seen.lock().remove(0);
+    assert_eq!(seen.target, "/desk/pay/1?x=1");
+    assert_eq!(seen.headers["x-organisation"], "harbour");
+    assert!(seen.headers["x-deadline-ms"].to_str().unwrap().parse::<u64>().unwrap() <= 5_000);
+    assert_eq!(seen.headers["x-request-id"], response.header("x-request-id").unwrap());
+    assert!(seen.headers["traceparent"].to_str().unwrap().starts_with(&format!("00-{trace}-")));
+}
+
+/// Guards against keys and headers of the caller that reach a backend server.
+#[tokio::test]
+async fn drops_keys_and_reserved_headers() {
+    let backend = TestBackend::start(BackendMode::Echo).await;
+    let host = TestHost::start(&[backend.address]).await;
+    let headers = format!(
+        "authorization: Bearer {KEY}\r\nx-organisation: quarry\r\nx-request-id: mine\r\n\
+         x-deadline-ms: 999999\r\nx-private: 1\r\nconnection: keep-alive, x-private\r\n\
+         x-sapphireknot-ran: no\r\nte: trailers\r\n"
+    );
+    let targets = [
+        "/desk/reports?api_key=harbour-secret&a=1",
+        "/desk/reports?a=1&api%5Fkey=harbour-secret",
+        "/desk/reports?a=1;API_KEY=harbour-secret",
+        "http://entry/desk/reports?a=1&%61pi_key=harbour-secret",
+    ];
+    for target in targets {
+        let response = host.connect().await.call("GET", target, &headers, "").await;
+        assert_eq!(response.status, 200, "{target}");
+        let seen = backend.seen.lock().remove(0);
+        assert_eq!(seen.target, "/desk/reports?a=1", "{target}");
+        assert!(!format!("{seen:?}").contains("secret"), "{seen:?}");
+        assert_eq!(seen.headers["x-organisation"], "harbour");
+        assert_ne!(seen.headers["x-request-id"], "mine");
+        assert_ne!(seen.headers["x-deadline-ms"], "999999");
+        for name in ["x-private", "te", "x-sapphireknot-ran", "x-api-key"] {
+            assert!(!seen.headers.contains_key(name), "{name}");
+        }
+    }
+    let headers = format!("x-api-key: {KEY}\r\nx-organisation: harbour\r\n");
+    host.connect().await.call("GET", "/desk/public", &headers, "").await;
+    let seen = backend.seen.lock().remove(0);
+    assert!(!seen.headers.contains_key("x-organisation"), "open routes have no organisation");
+    assert!(!format!("{seen:?}").contains("secret"), "{seen:?}");
+}
+
+/// Guards against a late response that reaches the caller of another request.
+#[tokio::test]
+async fn refuses_response_of_another_request() {
+    let backend = TestBackend::start(BackendMode::WrongId).await;
+    let host = TestHost::start(&[backend.address]).await;
+    let response = host.call("POST", "/desk/pay", "x").await;
+    assert_eq!(response.refusal(), (502, "upstream-failed", "unknown"));
+    *backend.mode.lock() = BackendMode::Echo;
+    assert_eq!(host.call("POST", "/desk/pay", "y").await.body, "y");
+}
+
+/// Guards against attempts that go on for a caller that left.
+#[tokio::test]
+async fn cancels_attempt_when_caller_disconnects() {
+    let backend = TestBackend::start(BackendMode::Hold).await;
+    let host = TestHost::start(&[backend.address]).await;
+    let mut caller = host.connect().await;
+    let head = format!("POST /desk/pay HTTP/1.1\r\nhost: e\r\nx-api-key: {KEY}\r\n");
+    caller.write(&format!("{head}content-length: 1\r\n\r\nx")).await;
+    backend.arrived.notified().await;
+    drop(caller);
+    backend.cancellation.notified().await;
+    assert_eq!(backend.total_runs(), 1);
+}
+
+/// Guards against look-ups that name no host or a host that leaves.
+#[tokio::test]
+async fn answers_look_ups() {
+    let host = TestHost::start(&[]).await;
+    let mut caller = host.connect().await;
+    let target = "/v1/lookup?client=10.0.0.1&organisation=harbour";
+    let response = caller.call("GET", target, "", "").await;
+    assert_eq!(response.status, 200);
+    assert!(response.header("cache-control").unwrap().starts_with("max-age="));
+    let body: serde_json::Value = serde_json::from_str(&response.body).unwrap();
+    assert_eq!(body["hosts"][0]["address"], host.address.to_string());
+    let response = caller.call("GET", "/v1/lookup?client=nowhere", "", "").await;
+    assert_eq!(response.refusal(), (400, "bad-request", "not-run"));
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/request_path/request_retries.rs
@@ -0,0 +1,75 @@
+//! Attempts at backend servers and what the caller learns of them.
+
+use std::net::SocketAddr;
+
+use crate::support::{BackendMode, TestBackend, TestHost};
+use tokio::net::TcpListener;
+
+/// An address at which nobody listens.
+async fn closed_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+/// Guards against a request that must not run twice and is sent again after it may have run.
+#[tokio::test]
+async fn sends_non_idempotent_request_once_if_it_may_have_run() {
+    let broken = TestBackend::start(BackendMode::Cut).await;
+    let other = TestBackend::start(BackendMode::Cut).await;
+    let host = TestHost::start(&[broken.address, other.address]).await;
+    let response = host.call("POST", "/desk/pay", "x").await;
+    assert_eq!(response.refusal(), (502, "upstream-failed", "unknown"));
+    assert_eq!(broken.total_runs() + other.total_runs(), 1);
+}
+
+/// Guards against a needless refusal where the request provably did not run.
+#[tokio::test]
+async fn sends_non_idempotent_request_again_if_it_did_not_run() {
+    let shedding = TestBackend::start(BackendMode::Shed).await;
+    let backend = TestBackend::start(BackendMode::Echo).await;
+    let servers = [shedding.address, closed_address().await, backend.address];
+    let host = TestHost::start(&servers).await;
+    let response = host.call("POST", "/desk/pay", "x").await;
+    assert_eq!((response.status, response.body.as_str()), (200, "x"));
+    assert_eq!((shedding.seen.lock().len(), backend.most_runs()), (1, 1));
+    *backend.mode.lock() = BackendMode::Shed;
+    let response = host.call("POST", "/desk/pay", "x").await;
+    assert_eq!(response.refusal().2, "not-run");
+}
+
+/// Guards against a partial response that looks complete, and against idempotent requests that are not retried.
+#[tokio::test]
+async fn retries_idempotent_request_after_broken_response() {
+    let broken = TestBackend::start(BackendMode::Cut).await;
+    let backend = TestBackend::start(BackendMode::Echo).await;
+    let host = TestHost::start(&[broken.address, backend.address]).await;
+    let response = host.call("PUT", "/desk/reports", "x").await;
+    assert_eq!((response.status, response.body.as_str()), (200, "x"));
+    assert_eq!((broken.total_runs(), backend.total_runs()), (1, 1));
+}
+
+/// Guards against retries that multiply the load of a failing service.
+#[tokio::test]
+async fn keeps_retries_in_budget() {
+    let first = TestBackend::start(BackendMode::Cut).await;
+    let second = TestBackend::start(BackendMode::Cut).await;
+    let host = TestHost::start(&[first.address, second.address]).await;
+    for _ in 0..100 {
+        let response = host.call("GET", "/desk/reports", "").await;
+        assert_eq!(response.refusal(), (502, "upstream-failed", "unknown"));
+    }
+    let runs = first.total_runs() + second.total_runs();
+    // Ten retries that a host starts with, and a tenth of a hundred requests.
+    assert_eq!(runs, 120);
+}
+
+/// Guards against callers that wait longer than the route allows.
+#[tokio::test]
+async fn ends_attempt_at_deadline() {
+    let backend = TestBackend::start(BackendMode::Hold).await;
+    let host = TestHost::start(&[backend.address]).await;
+    let response = host.call("POST", "/desk/brief", "x").await;
+    assert_eq!(response.refusal(), (504, "deadline", "unknown"));
+    backend.cancellation.notified().await;
+    *backend.mode.lock() = BackendMode::Echo;
+    assert_eq!(host.call("POST", "/desk/brief", "y").await.body, "y");
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/request_path/support.rs
@@ -0,0 +1,325 @@
+//! A host with its request path and backend servers, all in this process.
+
+use std::{
+    collections::HashMap,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use sapphireknot::{
+    config::load_document, ids::ConfigGeneration, installed::InstalledConfig, keys::KeyDigest,
+    time::MonoTime,
+};
+use sapphireknotd::{
+    clock::HostClock, context::HostContext, daemon, front::FrontServer, settings::HostSettings,
+    upstream::connections::ConnectionPool,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
+
+/// Key of the organisation `harbour`.
+pub(crate) const KEY: &str = "harbour-secret";
+/// Key of the organisation `quarry`, whose burst is one request.
+pub(crate) const SMALL_KEY: &str = "quarry-secret";
+
+/// How a backend server treats a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BackendMode {
+    /// Answers 200 with the request's body.
+    Echo,
+    /// Answers 503 before running the request.
+    Shed,
+    /// Closes the connection in the middle of the response.
+    Cut,
+    /// Answers with the id of another request.
+    WrongId,
+    /// Answers only after the release.
+    Hold,
+}
+
+/// Request that a backend server ran or refused.
+#[derive(Debug, Clone)]
+pub(crate) struct SeenRequest {
+    /// Path and query.
+    pub(crate) target: String,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+}
+
+/// Backend server.
+#[derive(Debug)]
+pub(crate) struct TestBackend {
+    pub(crate) address: SocketAddr,
+    pub(crate) mode: Mutex<BackendMode>,
+    /// Runs by request id.
+    pub(crate) runs: Mutex<HashMap<String, usize>>,
+    pub(crate) seen: Mutex<Vec<SeenRequest>>,
+    /// Signals that a request has arrived.
+    pub(crate) arrived: Notify,
+    pub(crate) release: Notify,
+    /// Requests that were cancelled while they were held.
+    pub(crate) cancelled: Arc<AtomicUsize>,
+    pub(crate) cancellation: Arc<Notify>,
+}
+
+struct CancelGuard(Option<(Arc<AtomicUsize>, Arc<Notify>)>);
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if let Some((count, notify)) = self.0.take() {
+            count.fetch_add(1, Ordering::SeqCst);
+            notify.notify_one();
+        }
+    }
+}
+
+type TestBody = BoxBody<Bytes, io::Error>;
+
+impl TestBackend {
+    pub(crate) async fn start(mode: BackendMode) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let backend = Arc::new(Self {
+            address: listener.local_addr().unwrap(),
+            mode: Mutex::new(mode),
+            runs: Mutex::default(),
+            seen: Mutex::default(),
+            arrived: Notify::new(),
+            release: Notify::new(),
+            cancelled: Arc::default(),
+            cancellation: Arc::default(),
+        });
+        let server = backend.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let server = server.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(|request| server.answer(request));
+                    let io = TokioIo::new(stream);
+                    // Cut connections end with an error.
+                    drop(http1::Builder::new().serve_connection(io, service).await);
+                });
+            }
+        });
+        backend
+    }
+
+    /// Highest number of runs of one request.
+    pub(crate) fn most_runs(&self) -> usize {
+        self.runs.lock().values().copied().max().unwrap_or(0)
+    }
+
+    /// Runs of all requests.
+    pub(crate) fn total_runs(&self) -> usize {
+        self.runs.lock().values().sum()
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<TestBody>, Infallible> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.unwrap().to_bytes();
+        let id = head.headers["x-request-id"].to_str().unwrap().to_owned();
+        let target = head.uri.to_string();
+        self.seen.lock().push(SeenRequest { target, headers: head.headers });
+        let mode = *self.mode.lock();
+        let response = Response::builder().header("x-request-id", &id);
+        if mode == BackendMode::Shed {
+            let response = response.status(503).header("x-request-ran", "no");
+            return Ok(response.body(full(Bytes::new())).unwrap());
+        }
+        *self.runs.lock().entry(id).or_default() += 1;
+        self.arrived.notify_one();
+        let response = match mode {
+            BackendMode::Cut => {
+                let frames = [Ok(Frame::data(Bytes::from("part"))), Err(io::Error::other("cut"))];
+                response.body(StreamBody::new(stream::iter(frames)).boxed())
+            }
+            BackendMode::WrongId => {
+                Response::builder().header("x-request-id", "another").body(full(body))
+            }
+            BackendMode::Hold => {
+                let mut guard =
+                    CancelGuard(Some((self.cancelled.clone(), self.cancellation.clone())));
+                self.release.notified().await;
+                guard.0 = None;
+                response.body(full(body))
+            }
+            BackendMode::Echo | BackendMode::Shed => {
+                response.header("x-sapphireknot-ran", "forged").body(full(body))
+            }
+        };
+        Ok(response.unwrap())
+    }
+}
+
+fn full(body: Bytes) -> TestBody {
+    Full::new(body).map_err(|err| match err {}).boxed()
+}
+
+/// Host whose control state is set by the test.
+pub(crate) struct TestHost {
+    pub(crate) context: Arc<HostContext>,
+    pub(crate) front: Arc<FrontServer>,
+    pub(crate) address: SocketAddr,
+}
+
+impl TestHost {
+    /// A host whose configuration names `backends` in this order, each with one slot of `slots`.
+    pub(crate) async fn start(backends: &[SocketAddr]) -> Self {
+        let settings = HostSettings::load(&settings_text()).unwrap();
+        let clock = HostClock::start();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let identity = daemon::identity(&settings, &clock, [address; 3]);
+        let (context, _) = daemon::build_context(settings, clock, identity);
+        let connections = Arc::new(ConnectionPool::default());
+        let front = Arc::new(FrontServer::new(context.clone(), connections));
+        tokio::spawn(front.clone().serve(listener));
+        let host = Self { context, front, address };
+        host.context.fresh_until.set(MonoTime(u64::MAX));
+        host.install(1, &document_text(backends, KEY));
+        host
+    }
+
+    /// Installs a configuration.
+    pub(crate) fn install(&self, generation: u64, text: &str) {
+        let document = load_document(text).unwrap();
+        let config = InstalledConfig::new(ConfigGeneration(generation), document);
+        self.context.config.store(Some(Arc::new(config)));
+    }
+
+    pub(crate) async fn connect(&self) -> TestCaller {
+        TestCaller(TcpStream::connect(self.address).await.unwrap())
+    }
+
+    /// Sends one request with the key of `harbour`.
+    pub(crate) async fn call(&self, method: &str, target: &str, body: &str) -> TestResponse {
+        let headers = format!("authorization: Bearer {KEY}\r\n");
+        self.connect().await.call(method, target, &headers, body).await
+    }
+}
+
+/// Connection of a caller that writes bytes as they are given.
+pub(crate) struct TestCaller(pub(crate) TcpStream);
+
+#[derive(Debug)]
+pub(crate) struct TestResponse {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+impl TestResponse {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().skip(1).filter_map(|it| it.split_once(": "));
+        lines.find(|(it, _)| it.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+    }
+
+    /// Status, reason and whether the request ran.
+    pub(crate) fn refusal(&self) -> (u16, &str, &str) {
+        let reason = self.header("x-sapphireknot-reason").unwrap_or("");
+        (self.status, reason, self.header("x-sapphireknot-ran").unwrap_or(""))
+    }
+}
+
+impl TestCaller {
+    pub(crate) async fn write(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    pub(crate) async fn call(
+        &mut self,
+        method: &str,
+        target: &str,
+        headers: &str,
+        body: &str,
+    ) -> TestResponse {
+        let length = body.len();
+        let head = format!("{method} {target} HTTP/1.1\r\nhost: entry\r\n{headers}");
+        self.write(&format!("{head}content-length: {length}\r\n\r\n{body}")).await;
+        self.read().await
+    }
+
+    /// Reads one response; fails the test if none comes.
+    pub(crate) async fn read(&mut self) -> TestResponse {
+        tokio::time::timeout(Duration::from_secs(10), self.try_read()).await.unwrap().unwrap()
+    }
+
+    async fn try_read(&mut self) -> io::Result<TestResponse> {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"\r\n\r\n") {
+            bytes.push(self.0.read_u8().await?);
+        }
+        let head = String::from_utf8(bytes).unwrap();
+        let status = head[9..12].parse().unwrap();
+        let mut response = TestResponse { status, head, body: String::new() };
+        let length = response.header("content-length").map_or(0, |it| it.parse().unwrap());
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).await?;
+        response.body = String::from_utf8(body).unwrap();
+        Ok(response)
+    }
+}
+
+pub(crate) fn settings_text() -> String {
+    let listen = "{caller: 127.0.0.1:0, peer: 127.0.0.1:0, operator: 127.0.0.1:0}";
+    let platform = "{store: 127.0.0.1:1, store_region: east, host_list: 127.0.0.1:1}";
+    let digest = "0".repeat(64);
+    format!(
+        "{{host: entry-1, region: east, datacentre: east-1, listen: {listen}, \
+         platform: {platform}, operator_token_sha256: '{digest}', \
+         limits: {{header_timeout: 300ms, body_timeout: 300ms, max_body_bytes: 65536}}, \
+         timing: {{cache_lifetime: 50ms, drain_limit: 5s}}}}"
+    )
+}
+
+/// A document in which `harbour` owns `key`.
+pub(crate) fn document_text(backends: &[SocketAddr], key: &str) -> String {
+    let digest = |key: &str| KeyDigest::of(key.as_bytes()).to_hex();
+    let servers: Vec<_> = backends
+        .iter()
+        .enumerate()
+        .map(|(idx, address)| {
+            format!(
+                "{{id: s{idx}, address: '{address}', datacentre: east-1, version: v1, slots: '50', \
+                 connections: 100}}"
+            )
+        })
+        .collect();
+    format!(
+        "regions: [{{id: east, datacentres: [east-1]}}]\n\
+         organisations:\n\
+         - {{id: harbour, rate: 1000/s, burst: '1000', keys: [{{id: k1, sha256: {}}}]}}\n\
+         - {{id: quarry, rate: 0.1/s, burst: '1', keys: [{{id: k1, sha256: {}}}]}}\n\
+         services:\n\
+         - id: desk\n  \
+           versions: {{v1: 100%}}\n  \
+           routes:\n  \
+           - {{id: reports, prefix: /reports, idempotent: true, timeout: 5s}}\n  \
+           - {{id: brief, prefix: /brief, timeout: 100ms}}\n  \
+           - {{id: pay, prefix: /pay, methods: [POST], timeout: 5s}}\n  \
+           - {{id: public, prefix: /public, open: true, timeout: 5s}}\n  \
+           servers: [{}]\n",
+        digest(key),
+        digest(SMALL_KEY),
+        servers.join(", ")
+    )
+}
