sapphireknotd: bound memory and time of callers and test the first path

4,096 connections with a request of 1 MB and a response of 8 MB each would exceed a small host, and a caller that did not read held its response for ever.

Bodies now hold part of a budget until their bytes are written, and a write that stalls ends the connection. Waiting for memory was ruled out for requests, which are refused as not run, and kept for responses, whose request ran. The drain tracker advances one stage at a time, so that the count of requests in flight is read only after new ones are refused; before, it went from leaving to ended at once. The end of telemetry has a time limit. The load probe no longer expects an echoed request id that it did not send.

--- a/crates/sapphireknot/src/drain.rs
+++ b/crates/sapphireknot/src/drain.rs
@@ -64,11 +64,13 @@
 
     /// Advances to the stage at `now` with `in_flight` unfinished requests.
     pub fn advance(&mut self, now: MonoTime, in_flight: usize) {
-        if self.stage == DrainStage::Leaving && now >= self.leaving_until {
-            self.stage = DrainStage::Closing;
-        }
-        if self.stage == DrainStage::Closing && (in_flight == 0 || now >= self.closing_until) {
-            self.stage = DrainStage::Ended;
+        // One stage at a time: requests count as none in flight only after new ones are refused.
+        match self.stage {
+            DrainStage::Leaving if now >= self.leaving_until => self.stage = DrainStage::Closing,
+            DrainStage::Closing if in_flight == 0 || now >= self.closing_until => {
+                self.stage = DrainStage::Ended;
+            }
+            _ => {}
         }
     }
 }
--- /dev/null
+++ b/crates/sapphireknot/tests/retry_policy.rs
@@ -0,0 +1,46 @@
+//! Retry rules and their budget.
+
+use arbtest::arbtest;
+use sapphireknot::retry::{AttemptEnd, RetryBudget, RetryPolicy, RetryVerdict};
+
+const ENDS: [AttemptEnd; 3] = [AttemptEnd::NotSent, AttemptEnd::Shed, AttemptEnd::MaybeRan];
+
+fn check(seed: u64) {
+    arbtest(|u| {
+        let mut budget = RetryBudget::default();
+        let (mut requests, mut retries) = (0, 0);
+        while !u.is_empty() {
+            let is_idempotent = u.arbitrary()?;
+            let mut policy = RetryPolicy::new(is_idempotent, 3);
+            budget.deposit();
+            requests += 1;
+            let mut may_have_run = false;
+            loop {
+                let end = *u.choose(&ENDS)?;
+                may_have_run |= end == AttemptEnd::MaybeRan;
+                match policy.after(end, &mut budget) {
+                    RetryVerdict::Again => {
+                        retries += 1;
+                        assert!(is_idempotent || !may_have_run, "a request may run twice");
+                    }
+                    RetryVerdict::NotRun => break assert!(!may_have_run, "not run is untrue"),
+                    RetryVerdict::Unknown => break assert!(may_have_run),
+                }
+            }
+        }
+        assert!(retries <= 10 + requests / 10, "{retries} retries of {requests} requests");
+        Ok(())
+    })
+    .seed(seed)
+    .run();
+}
+
+/// Guards against a second run, an untrue `not-run` and more retries than a tenth of requests.
+#[test]
+fn keeps_rules_for_any_sequence_of_ends() {
+    for seed in 0..100u64 {
+        for size in [16, 256, 4_096] {
+            check((seed << 32) | size);
+        }
+    }
+}
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -8,12 +8,16 @@
 pub const MAX_BODY_BYTES: usize = 1 << 20;
 /// Bytes of a response's body.
 pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Bytes of request bodies that are held at the same time, and of response bodies; an entry host is small.
+pub const MAX_BUFFERED_BYTES: usize = 64 << 20;
 /// Connections of callers at the same time.
 pub const MAX_CONNECTIONS: usize = 4_096;
 /// Time in which the headers of a request must arrive.
 pub const HEADER_TIMEOUT: ClockSpan = ClockSpan::from_secs(5);
 /// Time in which the body of a request must arrive.
 pub const BODY_TIMEOUT: ClockSpan = ClockSpan::from_secs(10);
+/// Time for which a caller may not read its response.
+pub const WRITE_TIMEOUT: ClockSpan = ClockSpan::from_secs(10);
 
 /// Longest time without proof that no key was withdrawn.
 pub const KEY_FRESHNESS: ClockSpan = ClockSpan::from_secs(5);
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -16,7 +16,7 @@
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
-    time::{sleep, sleep_until},
+    time::{sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -35,6 +35,8 @@
 
 /// Interval at which a closing host looks for requests in flight.
 const CLOSING_TICK: Duration = Duration::from_millis(10);
+/// Time to export pending telemetry; a receiver that is down must not delay a planned stop much.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why the daemon ended early.
 #[derive(Debug, Error)]
@@ -148,19 +150,27 @@
     let clock = HostClock::start();
     let identity = identity(&settings, &clock, bound);
     let guard = telemetry::install(&settings.telemetry, &identity)?;
+    let max_buffered_bytes = settings.limits.max_buffered_bytes;
     let (context, pool) = build_context(settings, clock, identity);
-    let connections = Arc::new(ConnectionPool::default());
+    let connections = Arc::new(ConnectionPool::new(max_buffered_bytes));
     tokio::spawn(probes::run(context.clone(), pool, connections.clone()));
     let front = Arc::new(FrontServer::new(context.clone(), connections));
     tokio::spawn(front.clone().serve(listeners.caller));
     let [caller, peer, operator] = bound;
     log::info!(caller:%, peer:%, operator:%; "listening");
     signals.next().await;
+    let ending = async {
+        shut_down(&context, &front).await;
+        // Exporters block while they send what is pending.
+        let exporting = tokio::task::spawn_blocking(|| guard.shutdown());
+        if timeout(EXPORT_TIMEOUT, exporting).await.is_err() {
+            log::warn!("export telemetry at the end: no answer in time");
+        }
+    };
     tokio::select! {
-        () = shut_down(&context, &front) => {}
+        () = ending => {}
         () = signals.next() => return Err(DaemonError::SecondSignal),
     }
-    guard.shutdown();
     log::info!("ended");
     Ok(())
 }
@@ -170,8 +180,10 @@
     let timing = &context.settings.timing;
     let config = context.config.load_full();
     let routes = config.iter().flat_map(|it| &it.document.services).flat_map(|it| &it.routes);
+    // Peers name this host in look-ups until gossip has told them, which may take two exchanges.
+    let told = timing.gossip_interval.0.saturating_mul(2);
     let limits = DrainLimits {
-        cache_lifetime: timing.cache_lifetime.0,
+        cache_lifetime: timing.cache_lifetime.0.saturating_add(told),
         drain_limit: timing.drain_limit.0,
         longest_request: routes.map(|it| it.timeout.0).max().unwrap_or_default(),
     };
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -4,6 +4,7 @@
 pub mod headers;
 pub mod lookups;
 pub mod refusals;
+pub mod streams;
 
 mod forward;
 
@@ -19,7 +20,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use opentelemetry::{KeyValue, trace::SpanKind};
@@ -36,8 +37,9 @@
     time::{sleep, timeout_at},
 };
 
-use self::{forward::AdmittedRequest, refusals::FrontRefusal};
+use self::{forward::AdmittedRequest, refusals::FrontRefusal, streams::PromptStream};
 use crate::{
+    buffers::{BufferBudget, CollectError, MemoryWait},
     context::{DrainStage, HostContext, QuotaVerdict},
     telemetry::{self, HopSpan, PathMeters},
     upstream::connections::{ConnectionPool, REQUEST_ID},
@@ -53,6 +55,7 @@
     context: Arc<HostContext>,
     connections: Arc<ConnectionPool>,
     budget: Mutex<RetryBudget>,
+    buffers: BufferBudget,
     meters: PathMeters,
     /// Held by each connection that may have a request in flight.
     busy: Arc<()>,
@@ -62,7 +65,11 @@
     /// A server that forwards over `connections`.
     pub fn new(context: Arc<HostContext>, connections: Arc<ConnectionPool>) -> Self {
         let meters = PathMeters::default();
-        Self { context, connections, budget: Mutex::default(), meters, busy: Arc::default() }
+        // A request that has not run is refused rather than kept waiting for memory.
+        let max_bytes = context.settings.limits.max_buffered_bytes;
+        let buffers = BufferBudget::new(max_bytes, MemoryWait::Fail);
+        let budget = Mutex::default();
+        Self { context, connections, budget, buffers, meters, busy: Arc::default() }
     }
 
     /// Connections that may have a request in flight.
@@ -105,6 +112,7 @@
             log::debug!(error:% = err; "set TCP_NODELAY");
         }
         let limits = &self.context.settings.limits;
+        let stream = PromptStream::new(stream, limits.write_timeout.0);
         let has_begun = AtomicBool::new(false);
         let service = service_fn(|request| {
             has_begun.store(true, Ordering::Relaxed);
@@ -120,9 +128,8 @@
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let mut drain = self.context.drain.subscribe();
-        let is_closing = *drain.borrow() >= DrainStage::Closing;
-        // Connections that are opened while closing only get refusals and do not delay the end.
-        let busy = (!is_closing).then(|| self.busy.clone());
+        // Counts before it looks at the stage, so that the end of closing cannot miss it.
+        let busy = self.busy.clone();
         let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
         tokio::select! {
             result = connection.as_mut() => return log_end(result),
@@ -171,7 +178,8 @@
         if !is_head {
             response.headers_mut().remove(header::CONTENT_LENGTH);
         }
-        if *self.context.drain.borrow() >= DrainStage::Closing {
+        // Callers that reconnect early follow a new look-up, so that few connections are left to close.
+        if *self.context.drain.borrow() >= DrainStage::Leaving {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response.map(Full::new))
@@ -257,11 +265,14 @@
             return Err(too_large());
         }
         let until = self.context.clock.now().after(limits.body_timeout.0).min(deadline);
-        let reading = Limited::new(body, limits.max_body_bytes).collect();
+        let reading = self.buffers.collect(body, limits.max_body_bytes);
         match timeout_at(self.context.clock.instant(until), reading).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(err)) if err.is::<LengthLimitError>() => Err(too_large()),
-            Ok(Err(_)) => Err(FrontRefusal::bad_request(StatusCode::BAD_REQUEST)),
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(CollectError::TooLarge(_))) => Err(too_large()),
+            Ok(Err(CollectError::NoMemory)) => Err(FrontRefusal::not_run(RefusalReason::NoRoom)),
+            Ok(Err(CollectError::Broken(_))) => {
+                Err(FrontRefusal::bad_request(StatusCode::BAD_REQUEST))
+            }
             Err(_) => Err(FrontRefusal::bad_request(StatusCode::REQUEST_TIMEOUT)),
         }
     }
--- a/crates/sapphireknotd/src/front/headers.rs
+++ b/crates/sapphireknotd/src/front/headers.rs
@@ -42,6 +42,14 @@
     for name in [KEY_HEADER, ORGANISATION, REQUEST_ID, DEADLINE, REQUEST_RAN] {
         headers.remove(name);
     }
+    // A page whose address carried a key passes it on in this header.
+    let has_key = |it: &http::HeaderValue| {
+        let text = decode(&String::from_utf8_lossy(it.as_bytes())).to_ascii_lowercase();
+        text.windows(KEY_PARAMETER.len()).any(|it| it == KEY_PARAMETER)
+    };
+    if headers.get_all(header::REFERER).iter().any(has_key) {
+        headers.remove(header::REFERER);
+    }
     drop_host_headers(headers);
 }
 
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -3,6 +3,7 @@
 //! The decisions are in the library `sapphireknot`; this crate drives them. Actors own the control state, and requests
 //! read the snapshots in [`context`].
 
+pub mod buffers;
 pub mod clock;
 pub mod constants;
 pub mod context;
--- a/crates/sapphireknotd/src/main.rs
+++ b/crates/sapphireknotd/src/main.rs
@@ -23,7 +23,10 @@
         Ok(runtime) => runtime,
         Err(err) => return fail(&err),
     };
-    match runtime.block_on(daemon::run(options.settings)) {
+    let result = runtime.block_on(daemon::run(options.settings));
+    // A second signal must not wait for blocking tasks.
+    runtime.shutdown_background();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!(error:% = err; "daemon ended");
--- a/crates/sapphireknotd/src/settings.rs
+++ b/crates/sapphireknotd/src/settings.rs
@@ -116,12 +116,16 @@
     pub max_body_bytes: usize,
     /// Bytes of a response's body.
     pub max_response_bytes: usize,
+    /// Bytes of request bodies that are held at the same time, and of response bodies.
+    pub max_buffered_bytes: usize,
     /// Connections of callers at the same time.
     pub max_connections: usize,
     /// Time in which the headers of a request must arrive.
     pub header_timeout: ClockSpan,
     /// Time in which the body of a request must arrive.
     pub body_timeout: ClockSpan,
+    /// Time for which a caller may not read its response.
+    pub write_timeout: ClockSpan,
 }
 
 impl Default for LimitSettings {
@@ -130,9 +134,11 @@
             max_header_bytes: constants::MAX_HEADER_BYTES,
             max_body_bytes: constants::MAX_BODY_BYTES,
             max_response_bytes: constants::MAX_RESPONSE_BYTES,
+            max_buffered_bytes: constants::MAX_BUFFERED_BYTES,
             max_connections: constants::MAX_CONNECTIONS,
             header_timeout: constants::HEADER_TIMEOUT,
             body_timeout: constants::BODY_TIMEOUT,
+            write_timeout: constants::WRITE_TIMEOUT,
         }
     }
 }
@@ -225,6 +231,13 @@
                 problems.push(ConfigProblem::new(field, size, "at least 1"));
             }
         }
+        let limits = &self.limits;
+        let largest = limits.max_body_bytes.max(limits.max_response_bytes);
+        if limits.max_buffered_bytes < largest {
+            let allowed = "at least limits.max_body_bytes and limits.max_response_bytes";
+            let field = "limits.max_buffered_bytes";
+            problems.push(ConfigProblem::new(field, limits.max_buffered_bytes, allowed));
+        }
         problems
     }
 
@@ -243,6 +256,7 @@
             ("timing.long_lease", timing.long_lease),
             ("limits.header_timeout", self.limits.header_timeout),
             ("limits.body_timeout", self.limits.body_timeout),
+            ("limits.write_timeout", self.limits.write_timeout),
         ];
         for (field, span) in spans {
             if span.0 < Duration::from_millis(1) {
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -7,13 +7,15 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle};
 
+use crate::buffers::{BufferBudget, MemoryWait};
+
 /// Idle connections that are kept per backend server.
 const MAX_IDLE: usize = 16;
 /// Time to open a connection; far above a round trip between regions of 24 ms.
@@ -56,12 +58,20 @@
 }
 
 /// Idle connections by backend server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    buffers: BufferBudget,
 }
 
 impl ConnectionPool {
+    /// A pool whose responses together hold at most `max_buffered_bytes`.
+    pub fn new(max_buffered_bytes: usize) -> Self {
+        // The request ran, so its response waits for memory rather than being lost.
+        let buffers = BufferBudget::new(max_buffered_bytes, MemoryWait::Wait);
+        Self { idle: Mutex::default(), buffers }
+    }
+
     /// Sends `request` and reads the whole response, whose body has at most `max_bytes`.
     pub async fn exchange(
         &self,
@@ -95,15 +105,15 @@
         if head.status.is_informational() {
             return Err(broken("unexpected change of protocol".to_owned()));
         }
-        if head.headers.get(REQUEST_ID) != request_id.as_ref() {
+        if request_id.is_some() && head.headers.get(REQUEST_ID) != request_id.as_ref() {
             return Err(broken("response carries another request id".to_owned()));
         }
         let has_body = method != http::Method::HEAD && !matches!(head.status.as_u16(), 204 | 304);
         if has_body && !has_framing(&head.headers) {
             return Err(broken("response does not tell its length".to_owned()));
         }
-        let body = Limited::new(body, max_bytes).collect().await;
-        let body = body.map_err(|err| broken(err.to_string()))?.to_bytes();
+        let body = self.buffers.collect(body, max_bytes).await;
+        let body = body.map_err(|err| broken(err.to_string()))?;
         // The connection is ready once the last byte was read; if it is not, it is closing.
         if connection.sender.ready().await.is_ok() {
             self.keep(peer, connection);
--- a/crates/sapphireknotd/src/upstream/probes.rs
+++ b/crates/sapphireknotd/src/upstream/probes.rs
@@ -41,7 +41,7 @@
     servers: Arc<RegionalPool>,
     requests: Arc<ConnectionPool>,
 ) {
-    let pool = ConnectionPool::default();
+    let pool = ConnectionPool::new(PROBES_AT_ONCE * MAX_REPORT_BYTES);
     let mut ticks = interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while *context.drain.borrow() != DrainStage::Ended {
--- a/crates/sapphireknotd/tests/request_path/graceful_shutdown.rs
+++ b/crates/sapphireknotd/tests/request_path/graceful_shutdown.rs
@@ -20,6 +20,7 @@
         stages.wait_for(|it| *it == DrainStage::Leaving).await.unwrap();
         let response = idle.call("GET", "/v1/lookup", "", "").await;
         assert_eq!(response.refusal(), (503, "not-ready", "not-run"), "no look-up names it");
+        assert_eq!(response.header("connection"), Some("close"));
         stages.wait_for(|it| *it == DrainStage::Closing).await.unwrap();
         let refused = host.call("POST", "/desk/pay", "y").await;
         assert_eq!(refused.refusal(), (503, "draining", "not-run"));
--- a/crates/sapphireknotd/tests/request_path/main.rs
+++ b/crates/sapphireknotd/tests/request_path/main.rs
@@ -11,4 +11,6 @@
 #[cfg(test)]
 mod request_retries;
 #[cfg(test)]
+mod server_choice;
+#[cfg(test)]
 mod support;
--- a/crates/sapphireknotd/tests/request_path/request_retries.rs
+++ b/crates/sapphireknotd/tests/request_path/request_retries.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::support::{BackendMode, TestBackend, TestHost};
+use crate::support::{BackendMode, TestBackend, TestHost, document_text};
 use tokio::net::TcpListener;
 
 /// An address at which nobody listens.
@@ -73,3 +73,22 @@
     *backend.mode.lock() = BackendMode::Echo;
     assert_eq!(host.call("POST", "/desk/brief", "y").await.body, "y");
 }
+
+/// Guards against a retry on behalf of a key that was withdrawn during the first attempt.
+#[tokio::test]
+async fn checks_key_before_each_attempt() {
+    let first = TestBackend::start(BackendMode::Hold).await;
+    let host = TestHost::start(&[first.address]).await;
+    let withdrawing = async {
+        first.arrived.notified().await;
+        let other = TestBackend::start(BackendMode::Echo).await;
+        host.install(2, &document_text(&[first.address, other.address], "new-secret"));
+        *first.mode.lock() = BackendMode::Cut;
+        first.release.notify_one();
+        other
+    };
+    let call = host.call("GET", "/desk/reports", "");
+    let (response, other) = tokio::join!(call, withdrawing);
+    assert_eq!(response.refusal(), (401, "key-rejected", "unknown"));
+    assert_eq!((first.total_runs(), other.total_runs()), (1, 0));
+}
