--- a/crates/sapphireknotd/tests/request_path/server_choice.rs
+++ b/crates/sapphireknotd/tests/request_path/server_choice.rs
@@ -34,7 +34,7 @@
     let host = TestHost::start(&[]).await;
     let addresses = ["127.0.0.1:1".parse().unwrap(), "127.0.0.1:2".parse().unwrap()];
     let text = document_text(&addresses, "key")
-        .replace("slots: '50'", "slots: '1'")
+        .replace("slots: 50", "slots: 1")
         .replacen("datacentre: east-1", "datacentre: west-1", 1)
         .replacen("regions: [", "regions: [{id: west, datacentres: [west-1]}, ", 1);
     host.install(2, &text);
--- a/crates/sapphireknotd/tests/request_path/support.rs
+++ b/crates/sapphireknotd/tests/request_path/support.rs
@@ -308,7 +308,7 @@
         .enumerate()
         .map(|(idx, address)| {
             format!(
-                "{{id: s{idx}, address: '{address}', datacentre: east-1, version: v1, slots: '50', \
+                "{{id: s{idx}, address: '{address}', datacentre: east-1, version: v1, slots: 50, \
                  connections: 100}}"
             )
         })
@@ -316,8 +316,8 @@
     format!(
         "regions: [{{id: east, datacentres: [east-1]}}]\n\
          organisations:\n\
-         - {{id: harbour, rate: 1000/s, burst: '1000', keys: [{{id: k1, sha256: {}}}]}}\n\
-         - {{id: quarry, rate: 0.1/s, burst: '1', keys: [{{id: k1, sha256: {}}}]}}\n\
+         - {{id: harbour, rate: 1000/s, burst: 1000, keys: [{{id: k1, sha256: {}}}]}}\n\
+         - {{id: quarry, rate: 0.1/s, burst: 1, keys: [{{id: k1, sha256: {}}}]}}\n\
          services:\n\
          - id: desk\n  \
            versions: {{v1: 100%}}\n  \
