--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod config;
 pub mod drain;
+pub mod idempotency;
 pub mod ids;
 pub mod installed;
 pub mod keys;
