sapphireknotd, lookup: give back before the end and hash look-ups once

The stage Ended means that roles and grants are given back, but it was set as soon as nothing was in flight; the shutdown now takes a future that runs before it. Look-ups hashed organisation and block once per host and distances copied identifiers at each use; both are avoided, as are two ranks per candidate and a quadratic clean-up of servers that are no longer configured.

--- a/crates/sapphireknot/src/lookup.rs
+++ b/crates/sapphireknot/src/lookup.rs
@@ -13,7 +13,7 @@
 
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use prefix_trie::PrefixMap;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     config::ConfigDocument,
@@ -71,35 +71,29 @@
 /// One-way latency between regions over the links of a document.
 #[derive(Debug, Default)]
 pub struct RegionDistances {
-    latencies: BTreeMap<(RegionId, RegionId), Duration>,
+    // Nested, so that a look-up by reference copies no identifier.
+    rows: BTreeMap<RegionId, BTreeMap<RegionId, Duration>>,
 }
 
 impl RegionDistances {
     /// The shortest paths over the links of `document`.
     pub fn new(document: &ConfigDocument) -> Self {
-        let mut latencies = BTreeMap::new();
-        for region in &document.regions {
-            latencies.insert((region.id.clone(), region.id.clone()), Duration::ZERO);
-        }
+        let mut distances = Self::default();
         for link in &document.links {
-            let latency = latencies.entry((link.from.clone(), link.to.clone()));
-            let latency = latency.or_insert(link.latency.0);
-            *latency = link.latency.0.min(*latency);
+            distances.shorten(&link.from, &link.to, link.latency.0);
         }
         for middle in &document.regions {
             for from in &document.regions {
                 for to in &document.regions {
-                    let get = |a: &RegionId, b: &RegionId| latencies.get(&(a.clone(), b.clone()));
-                    let first = get(&from.id, &middle.id);
-                    let Some(first) = first.copied() else { continue };
-                    let Some(second) = get(&middle.id, &to.id).copied() else { continue };
-                    let path = first.saturating_add(second);
-                    let latency = latencies.entry((from.id.clone(), to.id.clone())).or_insert(path);
-                    *latency = path.min(*latency);
+                    let first = distances.between(&from.id, &middle.id);
+                    let path = first.saturating_add(distances.between(&middle.id, &to.id));
+                    if path < Duration::MAX {
+                        distances.shorten(&from.id, &to.id, path);
+                    }
                 }
             }
         }
-        Self { latencies }
+        distances
     }
 
     /// The latency from `from` to `to`; the longest possible one if no path is known.
@@ -107,7 +101,13 @@
         if from == to {
             return Duration::ZERO;
         }
-        self.latencies.get(&(from.clone(), to.clone())).copied().unwrap_or(Duration::MAX)
+        self.rows.get(from).and_then(|it| it.get(to)).copied().unwrap_or(Duration::MAX)
+    }
+
+    fn shorten(&mut self, from: &RegionId, to: &RegionId, latency: Duration) {
+        let row = self.rows.entry(from.clone()).or_default();
+        let known = row.entry(to.clone()).or_insert(latency);
+        *known = latency.min(*known);
     }
 }
 
@@ -139,13 +139,16 @@
     candidates: &[HostCandidate<'_>],
     distances: &RegionDistances,
 ) -> Vec<usize> {
+    let organisation = query.organisation.map_or("", OrganisationId::as_str);
+    // Identifiers contain no slash, so that the text has one reading. It is hashed once, not once per host.
+    let seed = xxh3_64(format!("{organisation}/{}", query.block).as_bytes());
     let mut order: Vec<_> = candidates
         .iter()
         .enumerate()
         .filter(|(_, it)| it.weight > 0)
         .map(|(idx, it)| {
             let distance = distances.between(query.region, it.region);
-            (distance, Reverse(rendezvous_score(query, it)), it.id, idx)
+            (distance, Reverse(rendezvous_score(seed, it)), it.id, idx)
         })
         .collect();
     order.sort();
@@ -153,15 +156,10 @@
 }
 
 /// Score whose maximum falls on each host in proportion to its weight.
-fn rendezvous_score(query: &LookupQuery<'_>, candidate: &HostCandidate<'_>) -> u64 {
-    let mut hasher = Xxh3::new();
-    hasher.update(query.organisation.map_or("", OrganisationId::as_str).as_bytes());
-    hasher.update(b"\0");
-    hasher.update(query.block.to_string().as_bytes());
-    hasher.update(b"\0");
-    hasher.update(candidate.id.as_str().as_bytes());
+fn rendezvous_score(seed: u64, candidate: &HostCandidate<'_>) -> u64 {
+    let hash = xxh3_64_with_seed(candidate.id.as_str().as_bytes(), seed);
     // The upper 53 bits give a uniform number strictly between 0 and 1, so that its logarithm is finite and negative.
-    let uniform = ((hasher.digest() >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
     let score = f64::from(candidate.weight) / -uniform.ln();
     // The bits of non-negative floats are ordered like the floats.
     score.to_bits()
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -160,7 +160,7 @@
     log::info!(caller:%, peer:%, operator:%; "listening");
     signals.next().await;
     let ending = async {
-        shut_down(&context, &front).await;
+        shut_down(&context, &front, std::future::ready(())).await;
         // Exporters block while they send what is pending.
         let exporting = tokio::task::spawn_blocking(|| guard.shutdown());
         if timeout(EXPORT_TIMEOUT, exporting).await.is_err() {
@@ -175,8 +175,11 @@
     Ok(())
 }
 
-/// Leaves, closes and ends; returns when nothing is in flight or the time limit is reached.
-pub async fn shut_down(context: &Arc<HostContext>, front: &FrontServer) {
+/// Leaves, closes, runs `give_back` once nothing is in flight or the time limit is reached, and ends.
+pub async fn shut_down<F>(context: &HostContext, front: &FrontServer, give_back: F)
+where
+    F: Future<Output = ()>,
+{
     let timing = &context.settings.timing;
     let config = context.config.load_full();
     let routes = config.iter().flat_map(|it| &it.document.services).flat_map(|it| &it.routes);
@@ -203,6 +206,7 @@
         context.drain.send_replace(tracker.stage());
         sleep(CLOSING_TICK).await;
     }
+    give_back.await;
     context.drain.send_replace(DrainStage::Ended);
 }
 
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -3,7 +3,11 @@
 //! A connection carries one request at a time and goes back to the pool only after a complete and correct response.
 //! Dropping it in between closes it, which tells the backend server that nobody waits any more.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
@@ -122,7 +126,7 @@
     }
 
     /// Closes idle connections to other backend servers than `peers`.
-    pub fn retain(&self, peers: &[SocketAddr]) {
+    pub fn retain(&self, peers: &HashSet<SocketAddr>) {
         self.idle.lock().retain(|peer, _| peers.contains(peer));
     }
 
--- a/crates/sapphireknotd/src/upstream/pool.rs
+++ b/crates/sapphireknotd/src/upstream/pool.rs
@@ -4,7 +4,7 @@
 //! others, then the one with the fewest requests in flight is taken.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Weak},
     time::Duration,
@@ -101,8 +101,9 @@
 
     /// Forgets idle servers that are not in `targets`.
     pub fn retain(&self, targets: &[(ServerId, SocketAddr)]) {
+        let known: HashSet<&ServerId> = targets.iter().map(|(id, _)| id).collect();
         let mut servers = self.state.servers.lock();
-        servers.retain(|id, it| it.in_flight > 0 || targets.iter().any(|(other, _)| other == id));
+        servers.retain(|id, it| it.in_flight > 0 || known.contains(id));
     }
 
     fn try_pick(
@@ -133,9 +134,10 @@
             let load = state.map_or(0, |it| it.expected_load(now));
             (is_avoided, distance.unwrap_or(Duration::MAX), load)
         };
-        let has_room = |it: &ServerEntry| rank(it).2 < it.slots.0;
-        let best = usable.into_iter().filter(|it| has_room(it)).min_by_key(|it| rank(it));
-        let best = best.ok_or(PickRefusal::NoRoom)?;
+        let ranked = usable.into_iter().map(|it| (rank(it), it));
+        let with_room = ranked.filter(|((_, _, load), it)| *load < it.slots.0);
+        let best = with_room.min_by_key(|(rank, _)| *rank);
+        let (_, best) = best.ok_or(PickRefusal::NoRoom)?;
         servers.entry(best.id.clone()).or_default().in_flight += 1;
         let state = self.state.clone();
         let (server, address) = (best.id.clone(), best.address);
--- a/crates/sapphireknotd/src/upstream/probes.rs
+++ b/crates/sapphireknotd/src/upstream/probes.rs
@@ -1,6 +1,6 @@
 //! Load probes of backend servers.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -47,7 +47,7 @@
     while *context.drain.borrow() != DrainStage::Ended {
         ticks.tick().await;
         let targets = targets(&context);
-        let addresses: Vec<_> = targets.iter().map(|(_, address)| *address).collect();
+        let addresses: HashSet<_> = targets.iter().map(|(_, address)| *address).collect();
         pool.retain(&addresses);
         requests.retain(&addresses);
         servers.retain(&targets);
--- a/crates/sapphireknotd/tests/request_path/graceful_shutdown.rs
+++ b/crates/sapphireknotd/tests/request_path/graceful_shutdown.rs
@@ -18,7 +18,9 @@
     let call = caller.call("POST", "/desk/pay", &headers, "x");
     let rest = async {
         backend.arrived.notified().await;
-        let shutdown = tokio::spawn(async move { daemon::shut_down(&context, &front).await });
+        let shutdown = tokio::spawn(async move {
+            daemon::shut_down(&context, &front, std::future::ready(())).await
+        });
         stages.wait_for(|it| *it == DrainStage::Leaving).await.unwrap();
         let response = idle.call("GET", "/v1/lookup", "", "").await;
         assert_eq!(response.refusal(), (503, "not-ready", "not-run"), "no look-up names it");
