--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod config;
+pub mod drain;
 pub mod idempotency;
 pub mod ids;
 pub mod installed;
@@ -14,6 +15,7 @@
 pub mod operator;
 pub mod picker;
 pub mod refusal;
+pub mod retry;
 pub mod routes;
 pub mod time;
 pub mod units;
