--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod admission;
 pub mod config;
 pub mod drain;
+pub mod freshness;
+pub mod head;
 pub mod idempotency;
 pub mod ids;
 pub mod installed;
@@ -16,6 +18,7 @@
 pub mod picker;
 pub mod refusal;
 pub mod retry;
+pub mod roles;
 pub mod routes;
 pub mod time;
 pub mod units;
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::{
     clock::HostClock,
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
+    control::{self, ControlError, ControlListeners},
     front::FrontServer,
     settings::{HostSettings, ListenSettings},
     telemetry::{self, TelemetryError},
@@ -54,6 +55,9 @@
     /// Signals cannot be received.
     #[error("receive signals: {0}")]
     Signals(#[source] std::io::Error),
+    /// The control modules did not start.
+    #[error(transparent)]
+    Control(#[from] ControlError),
     /// Telemetry cannot be exported.
     #[error("start telemetry: {0}")]
     Telemetry(#[from] TelemetryError),
@@ -157,10 +161,12 @@
     let front = Arc::new(FrontServer::new(context.clone(), connections));
     tokio::spawn(front.clone().serve(listeners.caller));
     let [caller, peer, operator] = bound;
+    let control_listeners = ControlListeners { peer: listeners.peer, operator: listeners.operator };
+    let control = control::start(context.clone(), control_listeners).await?;
     log::info!(caller:%, peer:%, operator:%; "listening");
     signals.next().await;
     let ending = async {
-        shut_down(&context, &front, std::future::ready(())).await;
+        shut_down(&context, &front, control.stop()).await;
         // Exporters block while they send what is pending.
         let exporting = tokio::task::spawn_blocking(|| guard.shutdown());
         if timeout(EXPORT_TIMEOUT, exporting).await.is_err() {
