--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod config;
+pub mod drain;
 pub mod freshness;
 pub mod head;
 pub mod idempotency;
@@ -16,6 +17,7 @@
 pub mod operator;
 pub mod picker;
 pub mod refusal;
+pub mod retry;
 pub mod roles;
 pub mod routes;
 pub mod time;
