membership: announce a joining host to three peers at once

A host that starts last is in nobody's list, and probes at one a second tell of it slowly. It now notifies three random peers when its list brings new hosts. A longer limit in the test was ruled out.

--- a/crates/sapphireknot/src/membership/table.rs
+++ b/crates/sapphireknot/src/membership/table.rs
@@ -216,11 +216,16 @@
         self.revision += u64::from(is_change);
         match event {
             MemberEvent::Seeded(records) => {
+                let count = self.others.len();
                 for record in records {
                     if record.id != self.own.id && !self.others.contains_key(&record.id) {
                         self.take_record(now, &record);
                     }
                 }
+                // Hosts that listed this one earlier do not know it; probes alone take several intervals to tell all.
+                if self.others.len() > count {
+                    return self.notify(rng);
+                }
             }
             MemberEvent::Heard { sender, members } => {
                 // What others tell of this host comes first, so that the reply carries the refutation.
