standin: run the whole path on separate processes

Cause: the parts were tested apart; nothing showed that callers, hosts, store and command line fit together.

--- a/crates/sapphireknot-standin/src/fixture.rs
+++ b/crates/sapphireknot-standin/src/fixture.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod process;
 mod relay;
+mod service;
 
 use std::{
     io,
@@ -24,6 +25,7 @@
     platform::{BackendProcess, PlatformProcess},
     process::{ChildProcess, CommandOutput, ProcessSignal},
     relay::{CutTable, TcpRelay},
+    service::{OrganisationPlan, ServerPlace, ServiceBed, ServicePlan},
 };
 use crate::client::ClientError;
 
--- /dev/null
+++ b/crates/sapphireknot-standin/tests/end_to_end/main.rs
@@ -0,0 +1,3 @@
+//! End-to-end tests on separate processes: hosts, store, host list, backend servers and the command line.
+
+mod request_served;
