sapphireknotd, control: read the host list often while alone

Cause: a host that starts before the platform lists it waited 10 s for the next read of the list. Change: it reads every 500 ms until it knows another host; a read that takes longer delays the next one.

--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -34,6 +34,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Interval at which the platform's host list is read.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// The same while this host knows no other one, since it can learn of others only there.
+const ALONE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a host that is gone is forgotten.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Hosts of the store's region that are asked at each interval while proofs are overdue.
@@ -373,16 +375,15 @@
     }
 }
 
-/// Reads the platform's host list at the interval, for as long as the task runs.
+/// Reads the platform's host list again and again, for as long as the task runs.
 pub(super) async fn list_hosts(shared: Arc<ControlShared>, members: ActorRef<MemberMessage>) {
-    let mut interval = tokio::time::interval(LIST_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
         match shared.hosts.list_hosts().await {
             Ok(hosts) => send(&members, MemberMessage::Listed(hosts)),
             Err(err) => log::debug!("read the host list: {err}"),
         }
+        let live = shared.context.members.load().iter().filter(|it| it.state.is_live()).count();
+        tokio::time::sleep(if live > 1 { LIST_INTERVAL } else { ALONE_INTERVAL }).await;
     }
 }
 
