sapphireknotd, upstream: pick by fresh probes and admit through a fair queue

The first pool took the least loaded server by lagging reports and let every request wait 250 ms in no order, so that a flood of one organisation kept the others waiting, and other regions were used without limit.

Each request now probes two random servers, waits 2 ms for the answers at most, and takes its place in the fair queue of its service. ServerPicker chooses; other regions need a right from the new SpillGate, whose first form splits the configured rate equally over the live hosts. A server whose subset leaves the host out, or that leaves, gets nothing new; its state is kept. A server that shed is tried again only if no other is left: excluding it for good refused requests of services with one server.

FairQueue charged an organisation for entries that expired in the queue, which cost it later turns, and one entry that nothing fitted would have blocked the rest. It now charges served entries only and skips entries that do not fit.

Probes of single requests that go on after 2 ms are not cancelled, since that would close their connection.

--- a/crates/sapphireknot/tests/fair_admission.rs
+++ b/crates/sapphireknot/tests/fair_admission.rs
@@ -73,6 +73,45 @@
     assert_eq!(queue.pop(later), None);
 }
 
+/// Guards against an organisation that gets less than its share because earlier entries of it expired.
+#[test]
+fn expired_entries_cost_nothing() {
+    let mut queue = FairQueue::new(LIMITS);
+    for _ in 0..50 {
+        queue.push(organisation("late"), 1, MonoTime(1), MonoTime(0), "late").expect("room");
+    }
+    queue.push(organisation("steady"), 1, LATE, MonoTime(0), "steady").expect("room");
+    while queue.len() > 1 {
+        assert_eq!(queue.pop_where(MonoTime(1), |_| false), Some(QueueItem::Expired("late")));
+    }
+    for _ in 0..20 {
+        queue.push(organisation("late"), 1, LATE, MonoTime(1), "late").expect("room");
+        queue.push(organisation("steady"), 1, LATE, MonoTime(1), "steady").expect("room");
+    }
+    let mut served = BTreeMap::new();
+    for _ in 0..20 {
+        let Some(QueueItem::Ready(name)) = queue.pop(MonoTime(1)) else { panic!("none is ready") };
+        *served.entry(name).or_insert(0) += 1;
+    }
+    assert_eq!(served, BTreeMap::from([("late", 10), ("steady", 10)]));
+}
+
+/// Guards against an entry that blocks others because nothing fits it, and against left entries that use room.
+#[test]
+fn skipped_and_left_entries() {
+    let mut queue = FairQueue::new(QueueLimits { per_organisation: 2, total: 3 });
+    queue.push(organisation("a"), 1, LATE, MonoTime(0), 1).expect("room");
+    queue.push(organisation("a"), 1, LATE, MonoTime(0), 2).expect("room");
+    queue.push(organisation("b"), 1, LATE, MonoTime(0), 3).expect("room");
+    assert_eq!(queue.pop_where(MonoTime(0), |it| *it == 2), Some(QueueItem::Ready(2)));
+    queue.push(organisation("a"), 1, LATE, MonoTime(0), 4).expect("room");
+    assert!(queue.is_full(&organisation("b")));
+    queue.retain(|it, _| *it != 3);
+    assert!(!queue.is_full(&organisation("b")));
+    assert_eq!(queue.pop(MonoTime(0)), Some(QueueItem::Ready(1)));
+    assert_eq!(queue.pop(MonoTime(0)), Some(QueueItem::Ready(4)));
+}
+
 /// Guards against entries that are lost, doubled, or out of order within an organisation.
 #[test]
 fn queue_fuzz() {
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -144,6 +144,12 @@
     async fn pick(&self, query: PickQuery<'_>) -> Result<Box<dyn ServerTicket>, PickRefusal>;
 }
 
+/// Admission of requests into other regions.
+pub trait SpillGate: Send + Sync {
+    /// Takes the right to send one request of `service` to a backend server in the region `into`.
+    fn try_spill(&self, service: &ServiceId, into: &RegionId) -> bool;
+}
+
 /// Finished request, as evidence about a version.
 #[derive(Debug, Clone)]
 pub struct VersionSample {
@@ -188,6 +194,8 @@
     pub quota: Arc<dyn QuotaGate>,
     /// Versions. Owner: rollout actor.
     pub versions: Arc<dyn VersionRouter>,
+    /// Spill to other regions. Owner: quota actor.
+    pub spill: Arc<dyn SpillGate>,
     /// Backend servers. Owner: upstream module.
     pub servers: Arc<dyn ServerPool>,
 }
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -30,6 +30,7 @@
         connections::ConnectionPool,
         pool::RegionalPool,
         probes,
+        spill::EqualSplitSpill,
     },
 };
 
@@ -128,6 +129,7 @@
             drain: watch::Sender::new(DrainStage::Serving),
             quota: Arc::new(EqualSplitGate::new(context.clone())),
             versions: Arc::new(ConfiguredRouter::new(context.clone())),
+            spill: Arc::new(EqualSplitSpill::new(context.clone())),
             servers,
         }
     });
--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -65,11 +65,17 @@
     ) -> Result<Response<Bytes>, RequestRefusal> {
         let route = request.matched.route();
         let mut policy = RetryPolicy::new(route.idempotent, MAX_ATTEMPTS);
-        let mut excluded: Vec<ServerId> = Vec::new();
+        let (mut broken, mut shedding): (Vec<ServerId>, Vec<ServerId>) = Default::default();
         let mut failure: Option<(RefusalReason, Option<Response<Bytes>>)> = None;
         self.budget.lock().deposit();
         loop {
-            let ticket = match self.pick(request, &excluded).await {
+            let excluded = [broken.as_slice(), &shedding].concat();
+            let mut picked = self.pick(request, &excluded).await;
+            if matches!(&picked, Err(it) if it.reason == RefusalReason::NoServer) {
+                // Servers that shed may have room again; no other one is left.
+                picked = self.pick(request, &broken).await;
+            }
+            let ticket = match picked {
                 Ok(ticket) => ticket,
                 Err(refusal) => {
                     if failure.is_some() {
@@ -80,13 +86,15 @@
             };
             // A key may have been withdrawn during the body, an earlier attempt or the wait for a slot.
             self.check_again(request).map_err(|err| after_attempts(&policy, err))?;
-            excluded.push(ticket.server().clone());
+            let server = ticket.server().clone();
             let (end, reason, fallback) = match self.attempt(request, ticket, span).await {
                 AttemptResult::Passed(response) => return Ok(response),
                 AttemptResult::Ended { end, reason, fallback } => (end, reason, fallback),
             };
             let verdict = policy.after(end, &mut self.budget.lock());
             failure = Some((reason, fallback));
+            let tried = if end == AttemptEnd::Shed { &mut shedding } else { &mut broken };
+            tried.push(server);
             if verdict != RetryVerdict::Again {
                 return give_up(&policy, failure, RequestRefusal::not_run(reason));
             }
--- a/crates/sapphireknotd/src/upstream.rs
+++ b/crates/sapphireknotd/src/upstream.rs
@@ -4,3 +4,6 @@
 pub mod connections;
 pub mod pool;
 pub mod probes;
+pub mod spill;
+
+mod service;
--- a/crates/sapphireknotd/src/upstream/probes.rs
+++ b/crates/sapphireknotd/src/upstream/probes.rs
@@ -1,38 +1,119 @@
 //! Load probes of backend servers.
+//!
+//! Regular probes find servers that leave and keep the reports of all servers recent; fresh ones are sent for single
+//! requests. Both use connections that are kept open, apart from those of requests.
 
-use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http::Request;
 use http_body_util::Full;
-use sapphireknot::ids::ServerId;
+use parking_lot::Mutex;
+use sapphireknot::{ids::ServerId, picker::LoadReport};
 use serde::Deserialize;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::{
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval, timeout},
+};
 
-use super::{connections::ConnectionPool, pool::RegionalPool};
+use super::{connections::ConnectionPool, pool::RegionalPool, service::ServiceState};
 use crate::context::{DrainStage, HostContext};
 
-/// Interval of probes; leaving servers must stop getting requests within a few seconds.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of regular probes; below half of the time for which a report is used, so that one lost probe does not matter.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time in which a probe must be answered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Probes at the same time, so that a large fleet does not open all connections at once.
+/// Regular probes at the same time, so that a large fleet does not open all connections at once.
 const PROBES_AT_ONCE: usize = 64;
+/// Fresh probes of one server at the same time; more would use up the connections that the server accepts.
+const PROBES_PER_SERVER: u32 = 2;
 /// Bytes of an answer.
 const MAX_REPORT_BYTES: usize = 4 << 10;
+/// Bytes of all answers at the same time.
+const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
 /// What a backend server reports of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-pub struct LoadReport {
-    /// Requests that it runs.
-    pub in_flight: u32,
-    /// Requests that it can run at the same time.
-    pub slots: u32,
-    /// Open connections.
-    pub connections: u32,
-    /// Whether it is to get no new requests.
-    pub leaving: bool,
+#[derive(Debug, Deserialize)]
+struct ReportBody {
+    in_flight: u32,
+    connections: u32,
+    leaving: bool,
+}
+
+/// Sender of probes.
+#[derive(Debug)]
+pub(super) struct LoadProber {
+    connections: ConnectionPool,
+    /// Fresh probes that wait for their answer.
+    pending: Mutex<HashMap<SocketAddr, u32>>,
+}
+
+impl Default for LoadProber {
+    fn default() -> Self {
+        Self { connections: ConnectionPool::new(MAX_BUFFERED_BYTES), pending: Mutex::default() }
+    }
+}
+
+impl LoadProber {
+    /// Starts a fresh probe, unless too many of this server wait for their answer.
+    pub(super) fn start(
+        self: &Arc<Self>,
+        context: &Arc<HostContext>,
+        state: &Arc<ServiceState>,
+        server: ServerId,
+        address: SocketAddr,
+    ) -> Option<JoinHandle<()>> {
+        let mut pending = self.pending.lock();
+        let count = pending.entry(address).or_default();
+        if *count >= PROBES_PER_SERVER {
+            return None;
+        }
+        *count += 1;
+        drop(pending);
+        let (prober, context, state) = (self.clone(), context.clone(), state.clone());
+        Some(tokio::spawn(async move {
+            prober.probe(&context, &state, &server, address).await;
+            let mut pending = prober.pending.lock();
+            if let Some(count) = pending.get_mut(&address) {
+                *count -= 1;
+                if *count == 0 {
+                    pending.remove(&address);
+                }
+            }
+        }))
+    }
+
+    /// Asks one server for its load and records the answer.
+    async fn probe(
+        &self,
+        context: &HostContext,
+        state: &ServiceState,
+        server: &ServerId,
+        address: SocketAddr,
+    ) {
+        let asked_at = context.clock.now();
+        let answer = timeout(PROBE_TIMEOUT, self.exchange(address)).await.ok().flatten();
+        if let Some(body) = answer {
+            let ReportBody { in_flight, connections, leaving: is_leaving } = body;
+            let report = LoadReport { asked_at, in_flight, connections, is_leaving };
+            state.record_report(server, report);
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr) -> Option<ReportBody> {
+        let request = Request::get("/load")
+            .header(http::header::HOST, address.to_string())
+            .body(Full::<Bytes>::default())
+            .ok()?;
+        let response = self.connections.exchange(address, request, MAX_REPORT_BYTES).await.ok()?;
+        serde_json::from_slice(response.body()).ok()
+    }
 }
 
 /// Probes all backend servers of the configuration until the host ends.
@@ -41,42 +122,32 @@
     servers: Arc<RegionalPool>,
     requests: Arc<ConnectionPool>,
 ) {
-    let pool = ConnectionPool::new(PROBES_AT_ONCE * MAX_REPORT_BYTES);
+    let prober = servers.prober().clone();
     let mut ticks = interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while *context.drain.borrow() != DrainStage::Ended {
         ticks.tick().await;
-        let targets = targets(&context);
-        let addresses: HashSet<_> = targets.iter().map(|(_, address)| *address).collect();
-        pool.retain(&addresses);
+        servers.retain(&context);
+        let states = configured_services(&context, &servers);
+        let targets: Vec<_> = states
+            .iter()
+            .flat_map(|state| state.servers().into_iter().map(|it| (state.clone(), it)))
+            .collect();
+        let addresses: HashSet<_> = targets.iter().map(|(_, (_, address))| *address).collect();
+        prober.connections.retain(&addresses);
         requests.retain(&addresses);
-        servers.retain(&targets);
-        let probes = targets.into_iter().map(|(id, address)| {
-            let (pool, servers) = (&pool, &servers);
-            async move {
-                let sent = servers.in_flight(&id);
-                let answer = timeout(PROBE_TIMEOUT, probe(pool, address)).await.ok().flatten();
-                if let Some(report) = answer {
-                    servers.take_report(&id, report, sent);
-                }
-            }
+        let probes = targets.into_iter().map(|(state, (server, address))| {
+            let (prober, context) = (prober.clone(), context.clone());
+            async move { prober.probe(&context, &state, &server, address).await }
         });
         stream::iter(probes).buffer_unordered(PROBES_AT_ONCE).collect::<()>().await;
+        states.iter().for_each(|it| it.dispatch(&context));
     }
 }
 
-fn targets(context: &HostContext) -> Vec<(ServerId, SocketAddr)> {
+fn configured_services(context: &HostContext, servers: &RegionalPool) -> Vec<Arc<ServiceState>> {
     let config = context.config.load();
     let Some(config) = config.as_ref() else { return Vec::new() };
-    let servers = config.document.services.iter().flat_map(|it| &it.servers);
-    servers.map(|it| (it.id.clone(), it.address)).collect()
-}
-
-async fn probe(pool: &ConnectionPool, address: SocketAddr) -> Option<LoadReport> {
-    let request = Request::get("/load")
-        .header(http::header::HOST, address.to_string())
-        .body(Full::<Bytes>::default())
-        .ok()?;
-    let response = pool.exchange(address, request, MAX_REPORT_BYTES).await.ok()?;
-    serde_json::from_slice(response.body()).ok()
+    let states = config.document.services.iter().map(|it| servers.service(&it.id));
+    states.inspect(|it| it.refresh(context)).collect()
 }
--- /dev/null
+++ b/crates/sapphireknotd/src/upstream/service.rs
@@ -0,0 +1,336 @@
+//! Backend servers and waiting requests of one service.
+//!
+//! Every request passes through the fair queue, so that a new one does not overtake those that wait. The queue is served
+//! whenever room may have appeared: a request ended, a report arrived, or a tick passed while requests wait.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use rand::{Rng, seq::IteratorRandom};
+use sapphireknot::{
+    admission::{FairQueue, QueueItem, QueueLimits, QueueRefusal},
+    config::ServiceEntry,
+    ids::{HostId, OrganisationId, RegionId, ServerId, ServiceId, VersionId},
+    installed::InstalledConfig,
+    membership::MemberRecord,
+    picker::{
+        FreshProbes, LoadReport, OutlierLimits, PickCriteria, PickMiss, ServerOutcome,
+        ServerPicker, ServerSpec, SubsetLimits, is_in_subset,
+    },
+    time::MonoTime,
+};
+use tokio::sync::oneshot;
+
+use super::pool::PoolTicket;
+use crate::context::{HostContext, PickQuery, PickRefusal};
+
+/// Requests of one service that may wait on this host. Each is looked at whenever room appears, so that a longer queue
+/// would cost much processor time; 64 of one organisation leave room for others.
+const QUEUE_LIMITS: QueueLimits = QueueLimits { per_organisation: 64, total: 256 };
+/// Connections that a host keeps to a backend server: its slots, of which a server has 3 to 5, and probes.
+const HOST_CONNECTIONS: u32 = 8;
+/// Weight of a new sample in the usual latency, as a divisor.
+const LATENCY_WEIGHT: u64 = 8;
+
+/// Request that waits for its turn.
+struct WaitingPick {
+    /// Uniform number that decides the version.
+    draw: u32,
+    version: VersionId,
+    excluded: Vec<ServerId>,
+    sender: oneshot::Sender<PoolTicket>,
+}
+
+/// A request's place in the queue.
+pub(super) struct QueuePlace {
+    pub(super) turn: oneshot::Receiver<PoolTicket>,
+    /// When the request can no longer finish.
+    pub(super) start_by: MonoTime,
+}
+
+/// State of one service.
+pub(super) struct ServiceState {
+    pub(super) id: ServiceId,
+    inner: Mutex<ServiceInner>,
+}
+
+struct ServiceInner {
+    picker: ServerPicker,
+    queue: FairQueue<WaitingPick, Option<OrganisationId>>,
+    /// Configuration and members from which the servers were derived.
+    config: Option<Arc<InstalledConfig>>,
+    members: Arc<Vec<MemberRecord>>,
+    addresses: HashMap<ServerId, SocketAddr>,
+    /// Own region, then those into which a spill is configured, by distance.
+    regions: Vec<RegionId>,
+    /// Average time of successful requests.
+    usual_latency_us: u64,
+    is_ticking: bool,
+}
+
+impl ServiceState {
+    pub(super) fn new(id: ServiceId) -> Self {
+        let inner = ServiceInner {
+            picker: ServerPicker::new(Box::new(FreshProbes::default()), OutlierLimits::default()),
+            queue: FairQueue::new(QUEUE_LIMITS),
+            config: None,
+            members: Arc::default(),
+            addresses: HashMap::new(),
+            regions: Vec::new(),
+            usual_latency_us: 0,
+            is_ticking: false,
+        };
+        Self { id, inner: Mutex::new(inner) }
+    }
+
+    /// Adds a request to the queue; the second value says that the caller has to start ticks.
+    pub(super) fn enqueue(
+        &self,
+        context: &HostContext,
+        query: &PickQuery<'_>,
+        draw: u32,
+    ) -> Result<(QueuePlace, bool), PickRefusal> {
+        let now = context.clock.now();
+        let version = context.versions.choose(&self.id, draw).ok_or(PickRefusal::NoServer)?;
+        let mut inner = self.inner.lock();
+        inner.refresh(context, &self.id, now)?;
+        if !inner.has_server(&version, query.excluded, now) {
+            return Err(PickRefusal::NoServer);
+        }
+        let organisation = query.organisation.cloned();
+        if inner.queue.is_full(&organisation) {
+            inner.queue.retain(|it, start_by| now < start_by && !it.sender.is_closed());
+        }
+        let weight = inner.weight(query.organisation);
+        let start_by = inner.start_by(query.deadline, now);
+        let (sender, turn) = oneshot::channel();
+        let excluded = query.excluded.to_vec();
+        let waiting = WaitingPick { draw, version, excluded, sender };
+        inner.queue.push(organisation, weight, start_by, now, waiting).map_err(|it| match it {
+            QueueRefusal::Full => PickRefusal::NoRoom,
+            QueueRefusal::Late => PickRefusal::Deadline,
+        })?;
+        let starts_ticks = !std::mem::replace(&mut inner.is_ticking, true);
+        Ok((QueuePlace { turn, start_by }, starts_ticks))
+    }
+
+    /// Gives free room to waiting requests.
+    pub(super) fn dispatch(self: &Arc<Self>, context: &Arc<HostContext>) {
+        // A ticket that nobody takes any more gives its room back when it is dropped, which needs the lock.
+        let mut untaken = Vec::new();
+        let mut inner = self.inner.lock();
+        let now = context.clock.now();
+        if inner.refresh(context, &self.id, now).is_err() {
+            return;
+        }
+        let mut full = Vec::new();
+        while !inner.queue.is_empty() {
+            let ServiceInner { picker, queue, regions, addresses, .. } = &mut *inner;
+            let mut chosen = None;
+            let round = PickRound { context, service: &self.id, regions, now };
+            let item =
+                queue.pop_where(now, |it| match round.pick(picker, it, &mut full, addresses) {
+                    Some(server) => {
+                        chosen = Some(server);
+                        true
+                    }
+                    None => false,
+                });
+            let Some(item) = item else { break };
+            let (QueueItem::Ready(waiting), Some((server, address))) = (item, chosen) else {
+                continue;
+            };
+            picker.start(&server);
+            let ticket = PoolTicket::new(self, context, server, address, waiting.version);
+            untaken.extend(waiting.sender.send(ticket).err());
+        }
+        drop(inner);
+    }
+
+    /// Drops requests that left or expired; ends the ticks and says so if none is left.
+    pub(super) fn end_ticks(&self, now: MonoTime) -> bool {
+        let mut inner = self.inner.lock();
+        inner.queue.retain(|it, start_by| now < start_by && !it.sender.is_closed());
+        inner.is_ticking = !inner.queue.is_empty();
+        !inner.is_ticking
+    }
+
+    /// Ends a request at `server`.
+    pub(super) fn finish(
+        &self,
+        server: &ServerId,
+        outcome: ServerOutcome,
+        latency_us: u64,
+        now: MonoTime,
+    ) {
+        let mut inner = self.inner.lock();
+        inner.picker.finish(server, outcome, latency_us, now);
+        if outcome == ServerOutcome::Succeeded {
+            inner.usual_latency_us = match inner.usual_latency_us {
+                0 => latency_us,
+                old => (old * (LATENCY_WEIGHT - 1) + latency_us) / LATENCY_WEIGHT,
+            };
+        }
+    }
+
+    pub(super) fn record_report(&self, server: &ServerId, report: LoadReport) {
+        self.inner.lock().picker.record_report(server, report);
+    }
+
+    /// Takes over changes of the configuration and the members.
+    pub(super) fn refresh(&self, context: &HostContext) {
+        let refreshed = self.inner.lock().refresh(context, &self.id, context.clock.now());
+        if let Err(err) = refreshed {
+            log::debug!(service:% = self.id, error:? = err; "service is not configured");
+        }
+    }
+
+    /// Up to `count` random servers of the own region that may get requests, for probes.
+    pub(super) fn probe_targets<R>(
+        &self,
+        count: usize,
+        excluded: &[ServerId],
+        rng: &mut R,
+    ) -> Vec<(ServerId, SocketAddr)>
+    where
+        R: Rng,
+    {
+        let inner = self.inner.lock();
+        let Some(own) = inner.regions.first() else { return Vec::new() };
+        let usable = inner
+            .picker
+            .servers()
+            .map(|it| it.spec())
+            .filter(|it| it.region == *own && !it.is_leaving && !excluded.contains(&it.id));
+        let drawn = usable.sample(rng, count);
+        drawn
+            .into_iter()
+            .filter_map(|it| Some((it.id.clone(), *inner.addresses.get(&it.id)?)))
+            .collect()
+    }
+
+    /// All servers that may get requests of this host.
+    pub(super) fn servers(&self) -> Vec<(ServerId, SocketAddr)> {
+        let inner = self.inner.lock();
+        let used = inner.picker.servers().map(|it| it.spec()).filter(|it| !it.is_leaving);
+        used.filter_map(|it| Some((it.id.clone(), *inner.addresses.get(&it.id)?))).collect()
+    }
+}
+
+/// Facts of one pass over the queue.
+struct PickRound<'a> {
+    context: &'a HostContext,
+    service: &'a ServiceId,
+    regions: &'a [RegionId],
+    now: MonoTime,
+}
+
+impl PickRound<'_> {
+    /// The server for `waiting`, whose version follows the shares that are in force now.
+    fn pick(
+        &self,
+        picker: &ServerPicker,
+        waiting: &mut WaitingPick,
+        full: &mut Vec<VersionId>,
+        addresses: &HashMap<ServerId, SocketAddr>,
+    ) -> Option<(ServerId, SocketAddr)> {
+        if waiting.sender.is_closed() || full.contains(&waiting.version) {
+            return None;
+        }
+        waiting.version = self.context.versions.choose(self.service, waiting.draw)?;
+        if full.contains(&waiting.version) {
+            return None;
+        }
+        for (index, region) in self.regions.iter().enumerate() {
+            let criteria =
+                PickCriteria { version: &waiting.version, region, excluded: &waiting.excluded };
+            let Ok(server) = picker.pick(&criteria, self.now, &mut rand::rng()) else { continue };
+            let is_allowed = index == 0 || self.context.spill.try_spill(self.service, region);
+            if let Some(address) = addresses.get(&server).filter(|_| is_allowed) {
+                return Some((server, *address));
+            }
+        }
+        if waiting.excluded.is_empty() {
+            full.push(waiting.version.clone());
+        }
+        None
+    }
+}
+
+impl ServiceInner {
+    fn refresh(
+        &mut self,
+        context: &HostContext,
+        id: &ServiceId,
+        now: MonoTime,
+    ) -> Result<(), PickRefusal> {
+        let config = context.config.load_full().ok_or(PickRefusal::NoServer)?;
+        let service = config.routes.service(id).ok_or(PickRefusal::NoServer)?.clone();
+        let members = context.members.load_full();
+        let is_known = self.config.as_ref().is_some_and(|it| Arc::ptr_eq(it, &config));
+        if is_known && Arc::ptr_eq(&self.members, &members) {
+            return Ok(());
+        }
+        let own = &context.identity.region;
+        let mut regions: Vec<_> = service.spill.iter().map(|it| it.into.clone()).collect();
+        regions.retain(|it| it != own);
+        regions.sort_by_key(|it| config.distances.between(own, it));
+        regions.insert(0, own.clone());
+        self.addresses = service.servers.iter().map(|it| (it.id.clone(), it.address)).collect();
+        let specs = server_specs(context, &config, &service, &members);
+        self.picker.replace_servers(specs, now);
+        self.regions = regions;
+        self.members = members;
+        self.config = Some(config);
+        Ok(())
+    }
+
+    fn has_server(&self, version: &VersionId, excluded: &[ServerId], now: MonoTime) -> bool {
+        self.regions.iter().any(|region| {
+            let criteria = PickCriteria { version, region, excluded };
+            self.picker.pick(&criteria, now, &mut rand::rng()) != Err(PickMiss::NoServer)
+        })
+    }
+
+    fn weight(&self, organisation: Option<&OrganisationId>) -> u32 {
+        let config = self.config.as_ref().zip(organisation);
+        let entry = config.and_then(|(config, it)| config.document.organisation(it));
+        entry.map_or(1, |it| it.weight)
+    }
+
+    /// When a request must start at the latest.
+    ///
+    /// Half of the time left is allowed in any case: otherwise a service that has become slower than its deadlines would
+    /// get no request, and its recovery would not be seen.
+    fn start_by(&self, deadline: MonoTime, now: MonoTime) -> MonoTime {
+        let usual = Duration::from_micros(self.usual_latency_us);
+        deadline.before(usual.min(now.until(deadline) / 2))
+    }
+}
+
+/// The servers of `service`; one whose subset leaves this host out counts as leaving.
+fn server_specs(
+    context: &HostContext,
+    config: &InstalledConfig,
+    service: &ServiceEntry,
+    members: &[MemberRecord],
+) -> Vec<ServerSpec> {
+    let own = &context.identity;
+    let specs = service.servers.iter().filter_map(|it| {
+        let region = config.document.region_of(&it.datacentre)?;
+        let takes_spill = service.spill.iter().any(|it| it.into == *region);
+        let users = members.iter().filter(|it| it.state.is_live() && it.id != own.id);
+        let users = users.filter(|it| takes_spill || it.region == *region).map(|it| &it.id);
+        let users: Vec<&HostId> = users.chain([&own.id]).collect();
+        let limits =
+            SubsetLimits { server_connections: it.connections, host_connections: HOST_CONNECTIONS };
+        Some(ServerSpec {
+            id: it.id.clone(),
+            region: region.clone(),
+            version: it.version.clone(),
+            slots: it.slots,
+            is_leaving: it.leaving || !is_in_subset(&own.id, &it.id, users, limits),
+        })
+    });
+    specs.collect()
+}
