sapphireknotd, claims: run a request with an idempotency key once

A caller that lost an answer and sent its payment again, to the same or another host, ran it twice. A keyed, non-idempotent request with the header Idempotency-Key now claims the key at its three owners before it is sent, by the peer call ClaimRequest, and is sent only if two owners that remember the whole window grant it. Its deadline ends one part in a hundred before the window, so that it cannot run when the owners may forget it. One task per owner sends the claim and then the end, so that the end does not overtake the claim.

An owner vouches for keys from its start only if it read that no configuration exists; a restarted one waits out the window. Counting on generation 1 instead was ruled out: a host may restart while it is in force.

--- a/crates/sapphireknot/src/idempotency.rs
+++ b/crates/sapphireknot/src/idempotency.rs
@@ -162,6 +162,11 @@
         Self { limits, records: HashMap::new(), complete_at, sweep_at: now }
     }
 
+    /// Notes that no request can have run before `time`.
+    pub fn vouch_from(&mut self, time: MonoTime) {
+        self.complete_at = self.complete_at.min(time);
+    }
+
     /// Claims `key` for `holder`.
     ///
     /// A claim that is retried by its holder gets the same answer, so that a lost answer does no harm.
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -25,7 +25,7 @@
     time::MonoTime,
 };
 
-use crate::{clock::HostClock, settings::HostSettings};
+use crate::{claims::RequestClaims, clock::HostClock, settings::HostSettings};
 
 /// This host as others see it.
 #[derive(Debug, Clone)]
@@ -196,6 +196,8 @@
     pub versions: Arc<dyn VersionRouter>,
     /// Spill to other regions. Owner: quota actor.
     pub spill: Arc<dyn SpillGate>,
+    /// Idempotency keys.
+    pub claims: Arc<RequestClaims>,
     /// Backend servers. Owner: upstream module.
     pub servers: Arc<dyn ServerPool>,
 }
--- a/crates/sapphireknotd/src/control.rs
+++ b/crates/sapphireknotd/src/control.rs
@@ -107,6 +107,7 @@
         proof: SharedDeadline::default(),
         watch_until: SharedDeadline::default(),
     });
+    shared.context.claims.connect(peers.clone());
     let arguments = MemberArguments { shared: shared.clone(), peers: peers.clone() };
     let (members, _) = Actor::spawn(None, MemberActor, arguments)
         .await
--- a/crates/sapphireknotd/src/control/config_actor.rs
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -26,6 +26,9 @@
 /// Interval at which the freshness deadline is recomputed from reports that end.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Time until a host that starts knows the others, and with them the owners of idempotency keys; five exchanges of gossip.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
 /// What a peer's reply told.
 #[derive(Debug)]
 pub struct PeerEvidence {
@@ -164,6 +167,10 @@
             Err(err) => return log::warn!("{err}"),
         };
         let installed = self.shared().generation();
+        if entry.is_none() && installed == ConfigGeneration::default() {
+            // Without a configuration no host has served a request.
+            self.shared().context.claims.vouch_from(began.after(SETTLE_TIME));
+        }
         if head.generation <= installed {
             // A lower head is not the one that this host has seen and proves nothing.
             if head.generation == installed {
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -9,6 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sapphireknot::{
     drain::{DrainLimits, DrainTracker},
+    idempotency::ClaimLimits,
     ids::IncarnationId,
 };
 use thiserror::Error;
@@ -20,6 +21,7 @@
 };
 
 use crate::{
+    claims::RequestClaims,
     clock::HostClock,
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
     control::{self, ControlError, ControlListeners},
@@ -133,6 +135,7 @@
             drain: watch::Sender::new(DrainStage::Serving),
             quota: Arc::new(EqualSplitGate::new(context.clone())),
             versions: Arc::new(ConfiguredRouter::new(context.clone())),
+            claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
             spill: Arc::new(EqualSplitSpill::new(context.clone())),
             servers,
         }
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -26,7 +26,8 @@
 use opentelemetry::{KeyValue, trace::SpanKind};
 use parking_lot::Mutex;
 use sapphireknot::{
-    refusal::{RefusalReason, RequestRefusal},
+    idempotency::{ClaimEnd, ClaimKey},
+    refusal::{RefusalReason, RequestRefusal, RunState},
     retry::RetryBudget,
     routes::RouteMiss,
     time::MonoTime,
@@ -237,7 +238,7 @@
         headers::clean_request(&mut headers);
         let request_id = request_id.to_owned();
         let method = head.method;
-        let admitted = AdmittedRequest {
+        let mut admitted = AdmittedRequest {
             matched,
             organisation,
             digest,
@@ -247,8 +248,34 @@
             body,
             request_id,
             deadline,
+            claim: None,
         };
-        Ok(self.forward(&admitted, span).await?)
+        self.claim(&mut admitted).await?;
+        let result = self.forward(&admitted, span).await;
+        if let Some(claim) = admitted.claim {
+            claim.finish(match &result {
+                Ok(_) => ClaimEnd::Ran,
+                Err(refusal) if refusal.ran == RunState::NotRun => ClaimEnd::NotRun,
+                Err(_) => ClaimEnd::Unknown,
+            });
+        }
+        Ok(result?)
+    }
+
+    /// Claims the idempotency key of a request that must not run twice.
+    async fn claim(&self, request: &mut AdmittedRequest) -> Result<(), FrontRefusal> {
+        let Some(organisation) = &request.organisation else { return Ok(()) };
+        if request.matched.route().idempotent {
+            return Ok(());
+        }
+        let Some(digest) = headers::idempotency_key(&request.headers)? else { return Ok(()) };
+        let key = ClaimKey { organisation: organisation.clone(), digest };
+        let claims = &self.context.claims;
+        let claim = claims.claim(&self.context, key, request.deadline).await?;
+        // A request that still ran when the owners forget its claim could run a second time.
+        request.deadline = request.deadline.min(claim.send_by());
+        request.claim = Some(claim);
+        Ok(())
     }
 
     async fn read_body(
--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -22,6 +22,7 @@
     headers::{DEADLINE, ORGANISATION, REQUEST_RAN},
 };
 use crate::{
+    claims::RequestClaim,
     context::{AttemptOutcome, PickQuery, PickRefusal, ServerTicket, VersionSample},
     telemetry::{self, HopSpan},
     upstream::connections::{ExchangeError, REQUEST_ID},
@@ -46,6 +47,8 @@
     pub(super) body: Bytes,
     pub(super) request_id: String,
     pub(super) deadline: MonoTime,
+    /// Idempotency key that is held for this request.
+    pub(super) claim: Option<RequestClaim>,
 }
 
 /// How an attempt ended.
@@ -152,6 +155,9 @@
         let peer = ticket.address();
         let outgoing = self.outgoing(request, ticket.as_ref(), &span);
         let max_bytes = self.context.settings.limits.max_response_bytes;
+        if let Some(claim) = &request.claim {
+            claim.record_sent();
+        }
         let exchange = self.connections.exchange(peer, outgoing, max_bytes);
         let until = self.context.clock.instant(request.deadline);
         let (outcome, result) = match timeout_at(until, exchange).await {
--- a/crates/sapphireknotd/src/front/headers.rs
+++ b/crates/sapphireknotd/src/front/headers.rs
@@ -3,12 +3,18 @@
 //! Keys never reach a backend server, and a caller cannot set what the host tells the backend server. The same holds
 //! the other way round for the headers that a host adds to responses.
 
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, StatusCode, header};
+use sapphireknot::keys::KeyDigest;
 
+use super::refusals::FrontRefusal;
 use crate::upstream::connections::REQUEST_ID;
 
 /// Header with a key, beside `Authorization`.
 pub const KEY_HEADER: &str = "x-api-key";
+/// Header with the key under which a request runs at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Longest idempotency key.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 /// Query parameter with a key.
 const KEY_PARAMETER: &[u8] = b"api_key";
 /// Request header with the organisation.
@@ -33,6 +39,17 @@
 /// Such headers without a constant in `http`.
 const OLD_HOP_BY_HOP: [&str; 2] = ["keep-alive", "proxy-connection"];
 
+/// Digest of the idempotency key, if the request has one; two keys or one without text have no meaning.
+pub fn idempotency_key(headers: &HeaderMap) -> Result<Option<KeyDigest>, FrontRefusal> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.as_bytes().trim_ascii();
+    if text.is_empty() || text.len() > MAX_IDEMPOTENCY_KEY_BYTES || values.next().is_some() {
+        return Err(FrontRefusal::bad_request(StatusCode::BAD_REQUEST));
+    }
+    Ok(Some(KeyDigest::of(text)))
+}
+
 /// Drops what a request must not carry to a backend server.
 pub fn clean_request(headers: &mut HeaderMap) {
     drop_hop_by_hop(headers);
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -4,6 +4,7 @@
 //! read the snapshots in [`context`].
 
 pub mod buffers;
+pub mod claims;
 pub mod clock;
 pub mod constants;
 pub mod context;
--- a/crates/sapphireknotd/src/peer.rs
+++ b/crates/sapphireknotd/src/peer.rs
@@ -1,5 +1,6 @@
 //! Calls between hosts.
 
+mod claims;
 mod client;
 pub mod convert;
 mod server;
--- a/crates/sapphireknotd/src/peer/client.rs
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -19,8 +19,8 @@
     membership::MemberRecord,
 };
 use sapphireknot_wire::peer::{
-    ExchangeReply, ExchangeRequest, FetchConfigRequest, Gossip, ProbeViaRequest,
-    peer_client::PeerClient,
+    ClaimRequestReply, ClaimRequestRequest, ExchangeReply, ExchangeRequest, FetchConfigRequest,
+    Gossip, ProbeViaRequest, peer_client::PeerClient,
 };
 use thiserror::Error;
 use tonic::{
@@ -167,6 +167,17 @@
         Ok(self.call("peer probe via", delegate, limit, call).await?.answered)
     }
 
+    /// Claims an idempotency key at its owner `peer`, or tells it the end.
+    pub(super) async fn claim_request(
+        &self,
+        peer: SocketAddr,
+        request: ClaimRequestRequest,
+    ) -> Result<ClaimRequestReply, PeerError> {
+        let mut client = self.client(peer);
+        let call = client.claim_request(request);
+        self.call("peer claim request", peer, self.call_timeout, call).await
+    }
+
     /// Fetches the configuration of `peer` if it is newer than `known`.
     pub async fn fetch_config(
         &self,
--- a/crates/sapphireknotd/src/peer/convert.rs
+++ b/crates/sapphireknotd/src/peer/convert.rs
@@ -19,7 +19,7 @@
     pub reason: String,
 }
 
-fn parse<T>(field: &'static str, text: &str) -> Result<T, ConvertError>
+pub(super) fn parse<T>(field: &'static str, text: &str) -> Result<T, ConvertError>
 where
     T: FromStr,
     T::Err: ToString,
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -14,6 +14,7 @@
 use tonic::{Request, Response, Status};
 
 use super::{
+    claims::{claim_from_wire, claim_reply_to_wire},
     client::{MAX_MESSAGE_BYTES, PeerClients},
     convert::gossip_from_wire,
 };
@@ -122,9 +123,12 @@
 
     async fn claim_request(
         &self,
-        _: Request<ClaimRequestRequest>,
+        request: Request<ClaimRequestRequest>,
     ) -> Result<Response<ClaimRequestReply>, Status> {
-        Err(Status::unimplemented("this host keeps no claims"))
+        let message = claim_from_wire(request.get_ref())
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let reply = self.shared.context.claims.answer(message);
+        Ok(Response::new(claim_reply_to_wire(reply)))
     }
 }
 
--- a/crates/sapphireknotd/tests/control/main.rs
+++ b/crates/sapphireknotd/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Control modules of several hosts in one process, on loopback, with an in-memory platform.
 
+mod claim_calls;
 mod config_spread;
 mod note_submission;
 #[cfg(test)]
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -11,16 +11,18 @@
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use sapphireknot::{
     config::{ConfigDocument, ReleaseNote, load_document, load_note},
-    ids::{ConfigGeneration, IncarnationId, OrganisationId, ServiceId, VersionId},
+    idempotency::ClaimLimits,
+    ids::{ConfigGeneration, IncarnationId, OrganisationId, RegionId, ServiceId, VersionId},
     keys::KeyDigest,
     operator::{ChangeReceipt, DocumentSubmission, NoteSubmission},
 };
 use sapphireknot_platform::ListedHost;
 use sapphireknotd::{
+    claims::RequestClaims,
     clock::HostClock,
     context::{
         DrainStage, HostContext, HostIdentity, PickQuery, PickRefusal, QuotaGate, QuotaVerdict,
-        ServerPool, ServerTicket, VersionRouter, VersionSample,
+        ServerPool, ServerTicket, SpillGate, VersionRouter, VersionSample,
     },
     control::{self, ControlHandle, ControlListeners, PlatformClients},
     settings::HostSettings,
@@ -53,6 +55,12 @@
     }
 }
 
+impl SpillGate for Nothing {
+    fn try_spill(&self, _: &ServiceId, _: &RegionId) -> bool {
+        false
+    }
+}
+
 impl VersionRouter for Nothing {
     fn choose(&self, _: &ServiceId, _: u32) -> Option<VersionId> {
         None
@@ -137,6 +145,8 @@
         drain: tokio::sync::watch::Sender::new(DrainStage::Serving),
         quota: nothing.clone(),
         versions: nothing.clone(),
+        claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
+        spill: nothing.clone(),
         servers: nothing,
     });
     let store = platform.store.view();
--- a/crates/sapphireknotd/tests/request_path/main.rs
+++ b/crates/sapphireknotd/tests/request_path/main.rs
@@ -5,6 +5,8 @@
 #[cfg(test)]
 mod graceful_shutdown;
 #[cfg(test)]
+mod idempotency_keys;
+#[cfg(test)]
 mod request_forwarding;
 #[cfg(test)]
 mod request_refusals;
--- a/crates/sapphireknotd/tests/request_path/server_choice.rs
+++ b/crates/sapphireknotd/tests/request_path/server_choice.rs
@@ -47,7 +47,8 @@
     document_text(backends, KEY).replace("slots: 50", &format!("slots: {slots}"))
 }
 
-fn start_backend(slots: u32, base_us: u64) -> BackendServer {
+/// Backend server that takes `base_us` for each request and does not queue.
+pub(crate) fn start_backend(slots: u32, base_us: u64) -> BackendServer {
     let plan = BackendPlan { slots, base_us, mean_us: 0, queue_ms: 0, ..BackendPlan::default() };
     let any = "127.0.0.1:0".parse().unwrap();
     BackendServer::start(plan, any, any).unwrap()
--- a/crates/sapphireknotd/tests/request_path/support.rs
+++ b/crates/sapphireknotd/tests/request_path/support.rs
@@ -192,7 +192,12 @@
 impl TestHost {
     /// A host whose configuration names `backends` in this order.
     pub(crate) async fn start(backends: &[SocketAddr]) -> Self {
-        let settings = HostSettings::load(&settings_text()).unwrap();
+        Self::start_as("entry-1", backends).await
+    }
+
+    /// The same for a host of another name.
+    pub(crate) async fn start_as(id: &str, backends: &[SocketAddr]) -> Self {
+        let settings = HostSettings::load(&settings_text().replace("entry-1", id)).unwrap();
         let clock = HostClock::start();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
