sapphireknotd: start and stop a host from another program

Cause: an example that runs several hosts in one process cannot use signals and process-wide telemetry. Change: RunningHost starts and stops one host; the daemon adds telemetry and signals around it. The log line names the bound addresses as before.

--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -17,6 +17,7 @@
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
+    task::JoinHandle,
     time::{sleep, sleep_until, timeout},
 };
 
@@ -24,7 +25,7 @@
     claims::RequestClaims,
     clock::HostClock,
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
-    control::{self, ControlError, ControlListeners},
+    control::{self, ControlError, ControlHandle, ControlListeners},
     front::FrontServer,
     settings::{HostSettings, ListenSettings},
     telemetry::{self, TelemetryError},
@@ -91,6 +92,20 @@
     }
 }
 
+impl HostListeners {
+    /// The bound addresses for callers, peers and operators.
+    fn addresses(&self, wanted: &ListenSettings) -> Result<[SocketAddr; 3], DaemonError> {
+        let bound = |role, listener: &TcpListener, address| {
+            listener.local_addr().map_err(|source| DaemonError::Listen { role, address, source })
+        };
+        Ok([
+            bound("callers", &self.caller, wanted.caller)?,
+            bound("peers", &self.peer, wanted.peer)?,
+            bound("operators", &self.operator, wanted.operator)?,
+        ])
+    }
+}
+
 async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     let describe = |source| DaemonError::Listen { role, address, source };
     TcpListener::bind(address).await.map_err(describe)
@@ -144,34 +159,60 @@
     (context, pool)
 }
 
+/// Host that runs in this process.
+pub struct RunningHost {
+    context: Arc<HostContext>,
+    front: Arc<FrontServer>,
+    control: ControlHandle,
+    tasks: Vec<JoinHandle<()>>,
+    bound: [SocketAddr; 3],
+}
+
+impl RunningHost {
+    /// Binds the listeners of `settings` and starts to serve.
+    pub async fn start(settings: HostSettings) -> Result<Self, DaemonError> {
+        let listeners = HostListeners::bind(&settings.listen).await?;
+        let clock = HostClock::start();
+        let bound = listeners.addresses(&settings.listen)?;
+        let identity = identity(&settings, &clock, bound);
+        let max_buffered_bytes = settings.limits.max_buffered_bytes;
+        let (context, pool) = build_context(settings, clock, identity);
+        let connections = Arc::new(ConnectionPool::new(max_buffered_bytes));
+        let front = Arc::new(FrontServer::new(context.clone(), connections.clone()));
+        let tasks = vec![
+            tokio::spawn(probes::run(context.clone(), pool, connections)),
+            tokio::spawn(front.clone().serve(listeners.caller)),
+        ];
+        let control_listeners =
+            ControlListeners { peer: listeners.peer, operator: listeners.operator };
+        let control = control::start(context.clone(), control_listeners).await?;
+        Ok(Self { context, front, control, tasks, bound })
+    }
+
+    /// This host as others see it.
+    pub fn identity(&self) -> &HostIdentity {
+        &self.context.identity
+    }
+
+    /// Ends the host by a graceful shutdown.
+    pub async fn stop(self) {
+        shut_down(&self.context, &self.front, self.control.stop()).await;
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
 /// Runs a host until a signal ends it.
 pub async fn run(settings: HostSettings) -> Result<(), DaemonError> {
     let mut signals = HostSignals::new().map_err(DaemonError::Signals)?;
-    let listeners = HostListeners::bind(&settings.listen).await?;
-    let address = |role, listener: &TcpListener, address| {
-        listener.local_addr().map_err(|source| DaemonError::Listen { role, address, source })
-    };
-    let bound = [
-        address("callers", &listeners.caller, settings.listen.caller)?,
-        address("peers", &listeners.peer, settings.listen.peer)?,
-        address("operators", &listeners.operator, settings.listen.operator)?,
-    ];
-    let clock = HostClock::start();
-    let identity = identity(&settings, &clock, bound);
-    let guard = telemetry::install(&settings.telemetry, &identity)?;
-    let max_buffered_bytes = settings.limits.max_buffered_bytes;
-    let (context, pool) = build_context(settings, clock, identity);
-    let connections = Arc::new(ConnectionPool::new(max_buffered_bytes));
-    tokio::spawn(probes::run(context.clone(), pool, connections.clone()));
-    let front = Arc::new(FrontServer::new(context.clone(), connections));
-    tokio::spawn(front.clone().serve(listeners.caller));
-    let [caller, peer, operator] = bound;
-    let control_listeners = ControlListeners { peer: listeners.peer, operator: listeners.operator };
-    let control = control::start(context.clone(), control_listeners).await?;
+    let guard = telemetry::install(&settings)?;
+    let host = RunningHost::start(settings).await?;
+    let [caller, peer, operator] = host.bound;
     log::info!(caller:%, peer:%, operator:%; "listening");
     signals.next().await;
     let ending = async {
-        shut_down(&context, &front, control.stop()).await;
+        host.stop().await;
         // Exporters block while they send what is pending.
         let exporting = tokio::task::spawn_blocking(|| guard.shutdown());
         if timeout(EXPORT_TIMEOUT, exporting).await.is_err() {
--- a/crates/sapphireknotd/src/telemetry.rs
+++ b/crates/sapphireknotd/src/telemetry.rs
@@ -19,7 +19,7 @@
 };
 use thiserror::Error;
 
-use crate::{context::HostIdentity, settings::TelemetrySettings};
+use crate::settings::HostSettings;
 
 /// Name under which spans and metrics are produced.
 pub const SCOPE: &str = "sapphireknotd";
@@ -46,19 +46,16 @@
     metrics: SdkMeterProvider,
 }
 
-/// Starts telemetry for `identity`.
-pub fn install(
-    settings: &TelemetrySettings,
-    identity: &HostIdentity,
-) -> Result<TelemetryGuard, TelemetryError> {
+/// Starts telemetry for the host of `settings`.
+pub fn install(settings: &HostSettings) -> Result<TelemetryGuard, TelemetryError> {
     let resource = Resource::builder()
         .with_service_name(SCOPE)
-        .with_attribute(KeyValue::new("host.name", identity.id.to_string()))
-        .with_attribute(KeyValue::new("region", identity.region.to_string()))
+        .with_attribute(KeyValue::new("host.name", settings.host.to_string()))
+        .with_attribute(KeyValue::new("region", settings.region.to_string()))
         .build();
     let mut traces = SdkTracerProvider::builder().with_resource(resource.clone());
     let mut metrics = SdkMeterProvider::builder().with_resource(resource);
-    if let Some(receiver) = settings.otlp {
+    if let Some(receiver) = settings.telemetry.otlp {
         let endpoint = format!("http://{receiver}");
         let describe = |source| TelemetryError::Exporter { receiver: receiver.to_string(), source };
         let exporter = SpanExporter::builder().with_tonic().with_endpoint(&endpoint).build();
