quota: add ledger of shares and tokens with a fuzz test

Cause: no organisation may exceed its rate and burst over all hosts together, whatever hosts, messages and the store do. Ruled out: adopting a grant that was merely read back, because a host whose lease was renewed anew could then use share that another host is reclaiming; a release that drops what is still lent; lease records that a new run of a host overwrites. Change: token buckets in exact integers, accounts with deadlines taken in order at every use, subleases with transfer ids that are granted once, the store record with claim and release, the reclaim grace, a demand estimate and a ledger with a lock per shard of resources.

--- a/crates/sapphireknot-standin/src/lib.rs
+++ b/crates/sapphireknot-standin/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the platform and backend servers.
+
+pub mod quota_world;
--- /dev/null
+++ b/crates/sapphireknot-standin/src/quota_world/process.rs
@@ -0,0 +1,82 @@
+//! Process of a host in a quota world.
+
+use sapphireknot::{
+    ids::{HostId, IncarnationId},
+    quota::{
+        BorrowCall, GiveBackCall, LedgerIdentity, QuotaLedger, QuotaLimits, ReclaimWatch,
+        ResourceId,
+    },
+    time::MonoTime,
+};
+
+use super::WorldEvent;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ProcessState {
+    Running,
+    Paused,
+    Dead,
+}
+
+#[derive(Debug)]
+pub(super) struct WorldProcess {
+    pub(super) host: HostId,
+    pub(super) incarnation: IncarnationId,
+    pub(super) ledger: QuotaLedger,
+    pub(super) state: ProcessState,
+    pub(super) is_stopping: bool,
+    /// Whether the process does not reach the store.
+    pub(super) is_cut_off: bool,
+    /// Events that arrived during a pause.
+    pub(super) inbox: Vec<WorldEvent>,
+    pub(super) leases: [Option<u64>; 2],
+    pub(super) watch: ReclaimWatch,
+    /// Calls sent so far, for retries and duplicates.
+    pub(super) borrows: Vec<(HostId, BorrowCall)>,
+    pub(super) give_backs: Vec<GiveBackCall>,
+    pub(super) limits: Vec<QuotaLimits>,
+    clock_offset: u64,
+    clock_ppm: u64,
+}
+
+impl WorldProcess {
+    pub(super) fn new(
+        host: HostId,
+        incarnation: IncarnationId,
+        clock: (u64, u64),
+        now: u64,
+        limits: &[(ResourceId, QuotaLimits)],
+    ) -> Self {
+        let ledger = QuotaLedger::new(LedgerIdentity::new(host.clone(), incarnation));
+        let mut process = Self {
+            host,
+            incarnation,
+            ledger,
+            state: ProcessState::Running,
+            is_stopping: false,
+            is_cut_off: false,
+            inbox: Vec::new(),
+            leases: [None; 2],
+            watch: ReclaimWatch::default(),
+            borrows: Vec::new(),
+            give_backs: Vec::new(),
+            limits: limits.iter().map(|it| it.1).collect(),
+            clock_offset: clock.0,
+            clock_ppm: clock.1,
+        };
+        let local = process.local(now);
+        for (resource, limits) in limits {
+            process.ledger.set_limits(local, resource, *limits);
+        }
+        process
+    }
+
+    /// The process's clock at a true time. Both are whole milliseconds, so nothing is rounded.
+    pub(super) fn local(&self, now: u64) -> MonoTime {
+        MonoTime(self.clock_offset + now * self.clock_ppm / 1_000_000)
+    }
+
+    pub(super) fn is_running(&self) -> bool {
+        self.state == ProcessState::Running
+    }
+}
--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod lookup;
 pub mod membership;
 pub mod operator;
+pub mod quota;
 pub mod refusal;
 pub mod routes;
 pub mod time;
