--- a/crates/sapphireknot-standin/src/quota_world/store.rs
+++ b/crates/sapphireknot-standin/src/quota_store.rs
@@ -1,4 +1,4 @@
-//! Quota record and leases of a store that follows true time.
+//! Quota record and leases of a store that follows true time, for fuzz tests and measurements.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -8,11 +8,12 @@
 };
 
 /// Lease of surplus.
-pub(super) const SHORT_LEASE: Duration = Duration::from_secs(5);
+pub const SHORT_LEASE: Duration = Duration::from_secs(5);
 /// Lease of floors; shorter than in operation so that runs see it end.
-pub(super) const LONG_LEASE: Duration = Duration::from_secs(12);
+pub const LONG_LEASE: Duration = Duration::from_secs(12);
 
-pub(super) fn lease_span(kind: LeaseKind) -> Duration {
+/// Length of a lease.
+pub fn lease_span(kind: LeaseKind) -> Duration {
     match kind {
         LeaseKind::Floor => LONG_LEASE,
         LeaseKind::Surplus => SHORT_LEASE,
@@ -28,24 +29,26 @@
 
 /// Store with one quota record.
 #[derive(Debug, Default)]
-pub(super) struct WorldStore {
-    pub(super) record: QuotaRecord,
-    pub(super) revision: u64,
+pub struct QuotaStore {
+    /// Grants.
+    pub record: QuotaRecord,
+    /// Revision of the record.
+    pub revision: u64,
     /// Whether calls go unanswered.
-    pub(super) is_down: bool,
+    pub is_down: bool,
     /// End of the latest outage, in microseconds of true time.
-    pub(super) down_until: u64,
+    pub down_until: u64,
     leases: HashMap<(HostId, LeaseKind), StoredLease>,
     last_lease: u64,
 }
 
-impl WorldStore {
+impl QuotaStore {
     fn lease(&self, host: &HostId, kind: LeaseKind, now: u64) -> Option<&StoredLease> {
         self.leases.get(&(host.clone(), kind)).filter(|it| now < it.ends)
     }
 
     /// Creates the lease record if there is none; returns the own lease if it is there already.
-    pub(super) fn create_lease(
+    pub fn create_lease(
         &mut self,
         host: &HostId,
         incarnation: IncarnationId,
@@ -64,13 +67,7 @@
     }
 
     /// Renews a lease; false if it ended.
-    pub(super) fn renew_lease(
-        &mut self,
-        host: &HostId,
-        kind: LeaseKind,
-        id: u64,
-        now: u64,
-    ) -> bool {
+    pub fn renew_lease(&mut self, host: &HostId, kind: LeaseKind, id: u64, now: u64) -> bool {
         let lease = self.leases.get_mut(&(host.clone(), kind));
         let Some(lease) = lease.filter(|it| it.id == id && now < it.ends) else {
             return false;
@@ -80,7 +77,7 @@
     }
 
     /// Lease records that are there.
-    pub(super) fn lease_view(&self, now: u64) -> LeaseView {
+    pub fn lease_view(&self, now: u64) -> LeaseView {
         let mut view = LeaseView::default();
         for ((host, kind), lease) in self.leases.iter().filter(|(_, it)| now < it.ends) {
             view.add(host.clone(), *kind, lease.incarnation);
@@ -89,7 +86,7 @@
     }
 
     /// Replaces the record if its revision is the expected one.
-    pub(super) fn swap(&mut self, revision: u64, record: QuotaRecord) -> bool {
+    pub fn swap(&mut self, revision: u64, record: QuotaRecord) -> bool {
         let is_current = self.revision == revision;
         if is_current {
             self.revision += 1;
--- a/crates/sapphireknot-standin/src/quota_world.rs
+++ b/crates/sapphireknot-standin/src/quota_world.rs
@@ -8,7 +8,6 @@
 mod oracle;
 mod process;
 mod steps;
-mod store;
 
 use std::collections::BTreeMap;
 
@@ -23,8 +22,8 @@
     event::WorldEvent,
     oracle::WholeBucket,
     process::{ProcessState, WorldProcess},
-    store::WorldStore,
 };
+use crate::quota_store::QuotaStore;
 
 /// Hosts of a world.
 const HOSTS: usize = 4;
@@ -37,7 +36,7 @@
     now: u64,
     queue: BTreeMap<(u64, u64), WorldEvent>,
     queued: u64,
-    store: WorldStore,
+    store: QuotaStore,
     processes: Vec<WorldProcess>,
     whole: Vec<WholeBucket>,
     configured: Vec<(ResourceId, QuotaLimits)>,
@@ -78,7 +77,7 @@
             now: 0,
             queue: BTreeMap::new(),
             queued: 0,
-            store: WorldStore::default(),
+            store: QuotaStore::default(),
             processes: Vec::new(),
             whole,
             configured,
--- a/crates/sapphireknot-standin/src/quota_world/steps.rs
+++ b/crates/sapphireknot-standin/src/quota_world/steps.rs
@@ -9,11 +9,8 @@
     units::{TokenCount, TrafficShare},
 };
 
-use super::{
-    HOSTS, MILLI, QuotaWorld, WorldEvent, draw_limits,
-    process::ProcessState,
-    store::{SHORT_LEASE, lease_span},
-};
+use super::{HOSTS, MILLI, QuotaWorld, WorldEvent, draw_limits, process::ProcessState};
+use crate::quota_store::{SHORT_LEASE, lease_span};
 
 /// Interval of renewals on the host's clock.
 const HEARTBEAT_MILLIS: u64 = 800;
--- a/crates/sapphireknot/src/quota/account.rs
+++ b/crates/sapphireknot/src/quota/account.rs
@@ -1,25 +1,27 @@
 //! Share and tokens of one resource on this host.
 
+mod lending;
+
 use std::{collections::HashMap, time::Duration};
 
 use crate::{
     ids::{HostId, IncarnationId, TransferId},
     quota::{
-        BorrowAnswer, BorrowCall, DemandEstimate, GiveBackCall, LeaseKind, QuotaLimits,
-        TokenBucket,
-        terms::{LeaseTerms, without_margin},
+        BorrowAnswer, DemandEstimate, LeaseKind, QuotaLimits, TokenBucket,
+        demand::share_for_demand, terms::LeaseTerms,
     },
     time::MonoTime,
-    units::{TokenCount, TrafficShare},
+    units::{RequestRate, TokenCount, TrafficShare},
 };
 
-/// Longest time for which share is lent. The lender cannot call it back, so this bounds how long a wrong guess lasts.
-const LONGEST_SUBLEASE: Duration = Duration::from_secs(5);
-/// Shortest sublease worth a message.
-const SHORTEST_SUBLEASE: Duration = Duration::from_millis(200);
 /// Demand for which a lender keeps tokens.
 const KEPT_DEMAND: Duration = Duration::from_millis(500);
 
+/// Tokens that a demand uses up in the time for which tokens are kept.
+fn tokens_for(demand: RequestRate) -> TokenCount {
+    demand.accrued(MonoTime(0), MonoTime(0).after(KEPT_DEMAND))
+}
+
 #[derive(Debug)]
 struct BorrowedShare {
     transfer: TransferId,
@@ -36,12 +38,20 @@
     first_sent: MonoTime,
 }
 
+/// Where lent share comes from. What is borrowed may be lent on, until the own sublease ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ShareSource {
+    Grant(LeaseKind),
+    Sublease(TransferId),
+}
+
+/// Part of a transfer to a borrower; a transfer may have parts from several sources, which end together.
 #[derive(Debug)]
 struct LentShare {
     borrower: HostId,
     incarnation: IncarnationId,
     transfer: TransferId,
-    kind: LeaseKind,
+    source: ShareSource,
     share: TrafficShare,
     tokens: TokenCount,
     /// When the share is this host's again; the borrower stops a margin earlier.
@@ -72,8 +82,6 @@
     pub tokens: TokenCount,
     /// Share that the demand needs.
     pub needed: TrafficShare,
-    /// Tokens that the demand of half a second uses up.
-    pub needed_tokens: TokenCount,
     /// Unanswered calls to lenders.
     pub pending: usize,
     /// When the next token is there if none is taken.
@@ -106,22 +114,39 @@
 
     /// Share that is usable at `time`.
     fn active_at(&self, time: MonoTime, terms: &LeaseTerms) -> TrafficShare {
-        let own = LeaseKind::ALL.iter().map(|&kind| self.unlent_at(kind, time, terms).0);
-        let borrowed = self.borrowed.iter().filter(|it| time < it.deadline).map(|it| it.share.0);
-        TrafficShare(own.chain(borrowed).sum())
+        TrafficShare(self.sources(terms).map(|it| self.unlent_at(it, time).0).sum())
     }
 
-    fn lent_at(&self, kind: LeaseKind, time: MonoTime) -> TrafficShare {
-        let lent = self.lent.iter().filter(|it| it.kind == kind && time < it.until);
+    /// Everything that this host may use or lend, with its share and deadline.
+    fn sources(
+        &self,
+        terms: &LeaseTerms,
+    ) -> impl Iterator<Item = (ShareSource, TrafficShare, MonoTime)> {
+        let grants = LeaseKind::ALL.map(|kind| {
+            let share = self.granted[kind as usize];
+            (ShareSource::Grant(kind), share, terms.get(kind).deadline())
+        });
+        let borrowed = self.borrowed.iter();
+        let subleases =
+            borrowed.map(|it| (ShareSource::Sublease(it.transfer), it.share, it.deadline));
+        grants.into_iter().chain(subleases)
+    }
+
+    fn lent_at(&self, source: ShareSource, time: MonoTime) -> TrafficShare {
+        let lent = self.lent.iter().filter(|it| it.source == source && time < it.until);
         TrafficShare(lent.map(|it| it.share.0).sum())
     }
 
-    /// Granted share of a kind that is neither lapsed nor lent.
-    fn unlent_at(&self, kind: LeaseKind, time: MonoTime, terms: &LeaseTerms) -> TrafficShare {
-        if time >= terms.get(kind).deadline() {
+    /// Share of a source that is neither lapsed nor lent.
+    fn unlent_at(
+        &self,
+        (source, share, deadline): (ShareSource, TrafficShare, MonoTime),
+        time: MonoTime,
+    ) -> TrafficShare {
+        if time >= deadline {
             return TrafficShare::NONE;
         }
-        self.granted[kind as usize].saturating_sub(self.lent_at(kind, time))
+        share.saturating_sub(self.lent_at(source, time))
     }
 
     /// The first deadline after the settled time and not after `now`.
@@ -167,104 +192,27 @@
         self.bucket.try_take(TokenCount::ONE)
     }
 
-    /// Lends unused share, or repeats the answer to a transfer that is known.
-    pub(super) fn lend(&mut self, call: &BorrowCall, terms: &LeaseTerms) -> BorrowAnswer {
-        let now = self.bucket.settled();
-        let is_same = |it: &&LentShare| {
-            it.transfer == call.transfer
-                && it.borrower == call.borrower
-                && it.incarnation == call.incarnation
-        };
-        if let Some(lent) = self.lent.iter().find(is_same) {
-            return BorrowAnswer::of(
-                lent.share,
-                lent.tokens,
-                without_margin(now.until(lent.until)),
-            );
-        }
-        if !self.mark_transfer(&call.borrower, call.incarnation, call.transfer) {
-            return BorrowAnswer::REFUSED;
-        }
-        let Some((kind, share, until)) = self.choose_loan(call.share, terms) else {
-            return BorrowAnswer::REFUSED;
-        };
-        let tokens = self.choose_tokens(share, call.tokens);
-        self.bucket.try_take(tokens);
-        self.lent.push(LentShare {
-            borrower: call.borrower.clone(),
-            incarnation: call.incarnation,
-            transfer: call.transfer,
-            kind,
-            share,
-            tokens,
-            until,
-        });
-        self.refresh(terms);
-        BorrowAnswer::of(share, tokens, without_margin(now.until(until)))
+    /// Share that covers a demand and has room for its tokens.
+    fn needed_room(&self, demand: RequestRate) -> TrafficShare {
+        let limits = self.bucket.limits();
+        share_for_demand(demand, limits).max(limits.share_for(tokens_for(demand)))
     }
 
-    /// Notes a transfer as seen; false if it or a later one of the borrower was seen before.
-    fn mark_transfer(
-        &mut self,
-        borrower: &HostId,
-        incarnation: IncarnationId,
-        transfer: TransferId,
-    ) -> bool {
-        let mark = TransferMark { incarnation, transfer };
-        let is_new = self.marks.get(borrower).is_none_or(|it| *it < mark);
-        if is_new {
-            self.marks.insert(borrower.clone(), mark);
+    /// Share and tokens that the demand and `waiting` requests lack; `None` if nothing or if answers are awaited.
+    pub(super) fn borrow_need(&self, waiting: u32) -> Option<(TrafficShare, TokenCount)> {
+        if !self.pending.is_empty() {
+            return None;
         }
-        is_new
-    }
-
-    /// Share that the own demand leaves, from the lease kind with most of it.
-    fn choose_loan(
-        &self,
-        wanted: TrafficShare,
-        terms: &LeaseTerms,
-    ) -> Option<(LeaseKind, TrafficShare, MonoTime)> {
-        let now = self.bucket.settled();
-        let needed = self.demand.needed_share(self.bucket.limits());
-        let spare = self.bucket.share().saturating_sub(needed);
-        let loans = LeaseKind::ALL.iter().map(|&kind| {
-            let share = self.unlent_at(kind, now, terms).min(spare).min(wanted);
-            let until = terms.get(kind).deadline().min(now.after(LONGEST_SUBLEASE));
-            (kind, share, until)
-        });
-        loans
-            .filter(|(_, share, until)| {
-                *share > TrafficShare::NONE && now.until(*until) >= SHORTEST_SUBLEASE
-            })
-            .max_by_key(|(_, share, until)| (*share, *until))
-    }
-
-    /// Tokens that go with `share`: those wanted beyond the own demand, and those that no longer fit here.
-    fn choose_tokens(&self, share: TrafficShare, wanted: TokenCount) -> TokenCount {
         let limits = self.bucket.limits();
-        let there = self.bucket.tokens();
-        let kept = self.demand.needed_tokens(KEPT_DEMAND);
-        let remaining = limits.burst.scaled(self.bucket.share().saturating_sub(share));
-        let offered = there.saturating_sub(kept).min(wanted).max(there.saturating_sub(remaining));
-        offered.min(limits.burst.scaled(share))
-    }
-
-    /// Takes lent share back before its deadline; false if it is not lent any more.
-    pub(super) fn take_back(&mut self, call: &GiveBackCall, terms: &LeaseTerms) -> bool {
-        let found = self.lent.iter().position(|it| {
-            it.transfer == call.transfer
-                && it.borrower == call.borrower
-                && it.incarnation == call.incarnation
-        });
-        let Some(idx) = found else {
-            // A call to borrow that is overtaken by its return must not be granted later.
-            self.mark_transfer(&call.borrower, call.incarnation, call.transfer);
-            return false;
-        };
-        self.lent.swap_remove(idx);
-        self.refresh(terms);
-        self.bucket.add(call.tokens);
-        true
+        let demand = self.demand.rate();
+        let waiting = TokenCount(u64::from(waiting) * TokenCount::ONE.0);
+        let kept = tokens_for(demand).max(waiting);
+        let least = self.needed_room(demand).max(limits.share_for(kept));
+        let (there, active) = (self.bucket.tokens(), self.bucket.share());
+        // Tokens are asked for once half of what is kept is gone, so that small changes cause no messages.
+        let is_short = least > active || there < waiting || there.0 * 2 < kept.0;
+        let share = least.saturating_sub(active);
+        is_short.then_some((share, kept.saturating_sub(there)))
     }
 
     pub(super) fn begin_borrow(&mut self, transfer: TransferId, lender: HostId) {
@@ -284,12 +232,14 @@
         };
         let pending = self.pending.swap_remove(idx);
         let deadline = pending.first_sent.after(answer.remaining);
-        if answer.share == TrafficShare::NONE || deadline <= self.bucket.settled() {
+        if deadline <= self.bucket.settled() {
             return;
         }
-        let lender = pending.lender;
-        self.borrowed.push(BorrowedShare { transfer, lender, share: answer.share, deadline });
-        self.refresh(terms);
+        if answer.share > TrafficShare::NONE {
+            let lender = pending.lender;
+            self.borrowed.push(BorrowedShare { transfer, lender, share: answer.share, deadline });
+            self.refresh(terms);
+        }
         self.bucket.add(answer.tokens);
     }
 
@@ -299,13 +249,18 @@
         Some(self.pending.swap_remove(idx).lender)
     }
 
-    /// Subtracts borrowed share with its part of the tokens; returns the lender and the tokens.
+    /// Subtracts borrowed share with its part of the tokens; returns the lender and the tokens. Share that is lent on
+    /// stays until it is back or ends.
     pub(super) fn give_back(
         &mut self,
         transfer: TransferId,
         terms: &LeaseTerms,
     ) -> Option<(HostId, TokenCount)> {
         let idx = self.borrowed.iter().position(|it| it.transfer == transfer)?;
+        if self.lent_at(ShareSource::Sublease(transfer), self.bucket.settled()) > TrafficShare::NONE
+        {
+            return None;
+        }
         let borrowed = self.borrowed.swap_remove(idx);
         let whole = u128::from(self.bucket.share().0.max(1));
         let part = u128::from(self.bucket.tokens().0) * u128::from(borrowed.share.0) / whole;
@@ -317,7 +272,7 @@
 
     /// Borrowed transfers that end before `before`, or all that the demand does not need.
     pub(super) fn returnable(&self, before: MonoTime) -> Vec<TransferId> {
-        let needed = self.demand.needed_share(self.bucket.limits());
+        let needed = self.needed_room(self.demand.peak_rate());
         let mut spare = self.bucket.share().saturating_sub(needed);
         let mut transfers = Vec::new();
         for borrowed in &self.borrowed {
@@ -341,7 +296,7 @@
 
     /// Share of a kind that is lent at the settled time.
     pub(super) fn lent(&self, kind: LeaseKind) -> TrafficShare {
-        self.lent_at(kind, self.bucket.settled())
+        self.lent_at(ShareSource::Grant(kind), self.bucket.settled())
     }
 
     pub(super) fn view(&self) -> AccountView {
@@ -352,8 +307,7 @@
             borrowed: TrafficShare(self.borrowed.iter().map(|it| it.share.0).sum()),
             lent: TrafficShare(self.lent.iter().map(|it| it.share.0).sum()),
             tokens: self.bucket.tokens(),
-            needed: self.demand.needed_share(self.bucket.limits()),
-            needed_tokens: self.demand.needed_tokens(KEPT_DEMAND),
+            needed: share_for_demand(self.demand.rate(), self.bucket.limits()),
             pending: self.pending.len(),
             ready_at: self.bucket.ready_at(TokenCount::ONE),
         }
--- a/crates/sapphireknot/src/quota/demand.rs
+++ b/crates/sapphireknot/src/quota/demand.rs
@@ -6,13 +6,15 @@
     ids::HostId,
     quota::QuotaLimits,
     time::MonoTime,
-    units::{RequestRate, TokenCount, TrafficShare},
+    units::{RequestRate, TrafficShare},
 };
 
 /// Length of a slot in which requests are counted. Shorter ones see too few requests at a few tens per second.
 const SLOT: Duration = Duration::from_millis(100);
 /// Slots of a second.
 const SLOTS_PER_SECOND: u64 = 10;
+/// How long the highest demand counts for giving back. Shorter ones send share back and forth in uneven demand.
+const PEAK_HOLD: Duration = Duration::from_secs(2);
 /// Slots without any call after which the demand counts as nothing.
 const IDLE_SLOTS: u32 = 64;
 
@@ -23,12 +25,21 @@
     count: u64,
     fast: u64,
     slow: u64,
+    peak: RequestRate,
+    peak_ends: MonoTime,
 }
 
 impl DemandEstimate {
     /// No demand.
     pub fn new(now: MonoTime) -> Self {
-        Self { slot_end: now.after(SLOT), count: 0, fast: 0, slow: 0 }
+        Self {
+            slot_end: now.after(SLOT),
+            count: 0,
+            fast: 0,
+            slow: 0,
+            peak: RequestRate(0),
+            peak_ends: now,
+        }
     }
 
     /// Counts one request, whether or not it is admitted.
@@ -44,39 +55,42 @@
                 return;
             }
             let rate = RequestRate::per_second(self.count * SLOTS_PER_SECOND).0;
-            self.fast = (self.fast + rate) / 2;
+            self.fast = (self.fast + self.certain_rate()) / 2;
             self.slow = (self.slow * 15 + rate) / 16;
+            if self.rate() >= self.peak || self.slot_end >= self.peak_ends {
+                self.peak = self.rate();
+                self.peak_ends = self.slot_end.after(PEAK_HOLD);
+            }
             self.count = 0;
             self.slot_end = self.slot_end.after(SLOT);
         }
         *self = Self::new(now);
     }
 
+    /// Rate of the open slot less its standard deviation, so that a single request is not taken for a burst.
+    fn certain_rate(&self) -> u64 {
+        RequestRate::per_second((self.count - self.count.isqrt()) * SLOTS_PER_SECOND).0
+    }
+
     /// Demand of the slots closed so far; the open slot counts once it exceeds them.
     pub fn rate(&self) -> RequestRate {
-        let open = RequestRate::per_second(self.count * SLOTS_PER_SECOND).0 / 2;
-        RequestRate(self.fast.max(self.slow).max(open))
+        RequestRate(self.fast.max(self.slow).max(self.certain_rate()))
     }
 
-    /// Share that covers the demand with a quarter to spare, rounded up.
-    pub fn needed_share(&self, limits: QuotaLimits) -> TrafficShare {
-        let wanted = u128::from(self.rate().0) * 5 / 4 * u128::from(TrafficShare::WHOLE.0);
-        if limits.rate.0 == 0 {
-            return TrafficShare::NONE;
-        }
-        let share =
-            wanted.div_ceil(u128::from(limits.rate.0)).min(u128::from(TrafficShare::WHOLE.0));
-        TrafficShare(u32::try_from(share).unwrap_or(TrafficShare::WHOLE.0))
+    /// Highest demand of the last two seconds.
+    pub fn peak_rate(&self) -> RequestRate {
+        self.peak.max(self.rate())
     }
+}
 
-    /// Tokens that the demand uses up within `span`, rounded up to at least one if there is any demand.
-    pub fn needed_tokens(&self, span: Duration) -> TokenCount {
-        let rate = self.rate();
-        if rate.0 == 0 {
-            return TokenCount::NONE;
-        }
-        rate.accrued(MonoTime(0), MonoTime(0).after(span)).max(TokenCount::ONE)
+/// Share of `limits` that covers `demand` with a quarter to spare, rounded up.
+pub(super) fn share_for_demand(demand: RequestRate, limits: QuotaLimits) -> TrafficShare {
+    if limits.rate.0 == 0 {
+        return TrafficShare::NONE;
     }
+    let whole = u128::from(TrafficShare::WHOLE.0);
+    let share = (u128::from(demand.0) * 5 / 4 * whole).div_ceil(u128::from(limits.rate.0));
+    TrafficShare(u32::try_from(share.min(whole)).unwrap_or(TrafficShare::WHOLE.0))
 }
 
 /// How far a peer is.
--- a/crates/sapphireknot/src/quota/ledger.rs
+++ b/crates/sapphireknot/src/quota/ledger.rs
@@ -244,6 +244,17 @@
         self.accounts.values_mut().map(|it| it.take_back(call, &terms)).filter(|it| *it).count() > 0
     }
 
+    /// Brings a resource to `now` and returns what its demand and `waiting` requests lack. It is asked of each of the
+    /// nearest peers; what turns out to be too much is given back.
+    pub fn borrow_need(
+        &mut self,
+        now: MonoTime,
+        resource: &ResourceId,
+        waiting: u32,
+    ) -> Option<(TrafficShare, TokenCount)> {
+        self.settled(now, resource)?.borrow_need(waiting)
+    }
+
     /// Begins a transfer from `lender`; the call is to be sent after this and may be repeated.
     pub fn begin_borrow(
         &mut self,
--- a/crates/sapphireknot/src/quota/terms.rs
+++ b/crates/sapphireknot/src/quota/terms.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     time::MonoTime,
-    units::{BurstSize, RequestRate},
+    units::{BurstSize, RequestRate, TokenCount, TrafficShare},
 };
 
 /// Fraction of a lease by which its holder stops early: one in this many parts. It covers clocks of two machines whose
@@ -22,6 +22,15 @@
     pub burst: BurstSize,
 }
 
+impl QuotaLimits {
+    /// The smallest share whose bucket holds `tokens`, at most the whole.
+    pub fn share_for(self, tokens: TokenCount) -> TrafficShare {
+        // A share of one part per million holds a millionth of a token for each request of the burst.
+        let share = tokens.0.div_ceil(self.burst.0.max(1)).min(u64::from(TrafficShare::WHOLE.0));
+        TrafficShare(u32::try_from(share).unwrap_or(TrafficShare::WHOLE.0))
+    }
+}
+
 /// Lease to which a grant is bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
