--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod operator;
 pub mod picker;
+pub mod quota;
 pub mod refusal;
 pub mod retry;
 pub mod roles;
