rollout: decide shares of versions from evidence

A traffic plan needs a decision that any host can continue: how much traffic a new version carries, and when it is taken back.

Ruled out: fixed thresholds on rates (no bound on errors when read after each report), a fixed-horizon test (invalid under continuous monitoring), and a test against a stored baseline (wrong when load changes both versions).

EvidenceLedger merges cumulative counts per host and incarnation by maximum. EvidenceJudge bets on blocks of new against old outcomes per route, against "worse by at most the tolerated gap" over the rollout and "worse by at least the harmful gap" in each step. RolloutPlanner raises shares in bounded steps, RolloutView applies them on a host, LocalTrip and TripSet take a version back without store or planner, next_drain bounds planned drains.

--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod operator;
 pub mod refusal;
+pub mod rollout;
 pub mod routes;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/sapphireknot/src/rollout.rs
@@ -0,0 +1,28 @@
+//! Moves of traffic between versions of a service.
+//!
+//! [`EvidenceLedger`] merges the cumulative counts of all hosts, [`EvidenceJudge`] turns them into sequential tests of
+//! every route, and [`RolloutPlanner`] decides the next [`RolloutState`]. Each host holds a [`RolloutView`], which
+//! answers the shares to use, and a [`LocalTrip`], which takes a version back on the host's own evidence. [`drain`]
+//! bounds how much of a service may leave at once.
+//!
+//! A share of a new version rises in capped steps. A fall is not capped: it goes back to the old version at once.
+
+pub mod betting;
+pub mod drain;
+pub mod evidence;
+pub mod judge;
+pub mod planner;
+pub mod state;
+pub mod trip;
+pub mod view;
+
+pub use self::{
+    betting::{BettingDetector, RateSample},
+    drain::{DrainServer, DrainStep, next_drain},
+    evidence::{EvidenceLedger, OutcomeCounts, SampleKey},
+    judge::{EvidenceJudge, RouteStanding},
+    planner::{PlannerAction, PlannerInput, PlannerLimits, RolloutPlanner},
+    state::{RolloutState, RolloutVerdict, ShareMap, TrafficMove},
+    trip::{LocalTrip, SlowThreshold, TripNotice, TripSet},
+    view::{RolloutView, ShareNotice},
+};
--- /dev/null
+++ b/crates/sapphireknot/src/rollout/betting.rs
@@ -0,0 +1,123 @@
+//! Sequential tests by betting.
+//!
+//! A block of outcomes of the new and the old version gives an e-variable: a factor whose mean is at most 1 while the
+//! hypothesis holds. The factor is the likelihood of a guess made before the block, divided by the likelihood of the
+//! point of the hypothesis that is closest to the guess (in relative entropy, weighted by the counts of the block). For
+//! a convex hypothesis this mean is at most 1 for any rates in it, so both rates may change from block to block. By
+//! Ville's inequality the product of the factors exceeds `1/alpha` with probability at most `alpha`, at any time.
+
+use serde::{Deserialize, Serialize};
+
+/// Bad outcomes among all outcomes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateSample {
+    /// Bad outcomes.
+    pub hits: u64,
+    /// All outcomes.
+    pub total: u64,
+}
+
+impl RateSample {
+    /// Estimate that starts from `prior` with the weight of ten outcomes.
+    pub fn estimate(self, prior: f64) -> f64 {
+        (self.hits as f64 + 10.0 * prior) / (self.total as f64 + 10.0)
+    }
+
+    /// Rate that the true rate exceeds rarely: two standard deviations and two outcomes above the observed one.
+    pub fn upper_bound(self) -> f64 {
+        let hits = self.hits as f64;
+        ((hits + 2.0 + 2.0 * (hits + 1.0).sqrt()) / (self.total as f64 + 4.0)).min(0.9)
+    }
+}
+
+/// Side of the line `new = old + gap` on which the hypothesis lies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HypothesisSide {
+    /// The new version is worse by at most the gap.
+    AtMost,
+    /// The new version is worse by at least the gap.
+    AtLeast,
+}
+
+/// Smallest rate of a guess, so that no outcome is impossible.
+const RATE_FLOOR: f64 = 1e-4;
+
+fn clamp_rate(rate: f64) -> f64 {
+    rate.clamp(RATE_FLOOR, 1.0 - RATE_FLOOR)
+}
+
+/// Logarithm of the factor of one block; 0 unless the guess `(new, old)` lies outside the hypothesis.
+pub fn block_factor(
+    new: RateSample,
+    old: RateSample,
+    guess: (f64, f64),
+    gap: f64,
+    side: HypothesisSide,
+) -> f64 {
+    let (guess_new, guess_old) = (clamp_rate(guess.0), clamp_rate(guess.1));
+    let is_inside = match side {
+        HypothesisSide::AtMost => guess_new <= guess_old + gap,
+        HypothesisSide::AtLeast => guess_new >= guess_old + gap,
+    };
+    if is_inside || new.total == 0 || old.total == 0 {
+        return 0.0;
+    }
+    let (count_new, count_old) = (new.total as f64, old.total as f64);
+    // Derivative of the relative entropy along the line; it rises with `base`.
+    let slope = |base: f64| {
+        let term = |guess: f64, rate: f64| (1.0 - guess) / (1.0 - rate) - guess / rate;
+        count_new * term(guess_new, base + gap) + count_old * term(guess_old, base)
+    };
+    let (mut low, mut high) = (1e-9, 1.0 - gap - 1e-9);
+    for _ in 0..50 {
+        let middle = (low + high) / 2.0;
+        if slope(middle) < 0.0 {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    let base = (low + high) / 2.0;
+    rate_factor(new, guess_new, base + gap) + rate_factor(old, guess_old, base)
+}
+
+/// Logarithm of the likelihood of `guess` over that of `rate`.
+pub fn rate_factor(sample: RateSample, guess: f64, rate: f64) -> f64 {
+    let (hits, misses) = (sample.hits as f64, sample.total.saturating_sub(sample.hits) as f64);
+    hits * (guess / rate).ln() + misses * ((1.0 - guess) / (1.0 - rate)).ln()
+}
+
+/// Test of a hypothesis that may cease to hold at any block.
+///
+/// A small part of the initial wealth of 1 is added before each block, so that a fault that starts late is found as
+/// fast as one that starts early, apart from the logarithm of the block's number. The wealth and the parts not yet
+/// added together are a supermartingale: the false-alarm rate over all time stays at most `alpha`.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct BettingDetector {
+    log_wealth: f64,
+    blocks: u64,
+}
+
+impl Default for BettingDetector {
+    fn default() -> Self {
+        Self { log_wealth: -700.0, blocks: 0 }
+    }
+}
+
+impl BettingDetector {
+    /// Takes the logarithm of the factor of the next block.
+    pub fn absorb(&mut self, log_factor: f64) {
+        self.blocks += 1;
+        let place = self.blocks as f64 + 2.0;
+        // The sum of 1 / (n ln^2 n) over n >= 3 is about 1.07.
+        let part = -(1.1 * place * place.ln().powi(2)).ln();
+        let (low, high) = (self.log_wealth.min(part), self.log_wealth.max(part));
+        self.log_wealth = high + (low - high).exp().ln_1p() + log_factor;
+        self.log_wealth = self.log_wealth.max(-700.0);
+    }
+
+    /// Whether the hypothesis is rejected at the error rate `alpha`.
+    pub fn rejects(&self, alpha: f64) -> bool {
+        self.log_wealth >= -alpha.ln()
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/rollout/evidence.rs
@@ -0,0 +1,145 @@
+//! Evidence about versions.
+//!
+//! Each host counts outcomes per version and route from its start, or from the start of the plan if that is later.
+//! Counts only grow within an incarnation, so the larger of two reports contains the smaller one: a lost, doubled or
+//! reordered report costs time, never accuracy.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{HostId, IncarnationId, RouteId, VersionId},
+    rollout::RateSample,
+    time::MonoTime,
+};
+
+/// Disjoint cumulative counts of outcomes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeCounts {
+    /// Complete in time.
+    pub succeeded: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Complete, but slower than the old version's 95th percentile.
+    pub slow: u64,
+}
+
+impl OutcomeCounts {
+    /// All outcomes.
+    pub fn total(self) -> u64 {
+        self.succeeded.saturating_add(self.failed).saturating_add(self.slow)
+    }
+
+    /// Failures among all outcomes.
+    pub fn failures(self) -> RateSample {
+        RateSample { hits: self.failed, total: self.total() }
+    }
+
+    /// Slow responses among complete ones.
+    pub fn slowness(self) -> RateSample {
+        RateSample { hits: self.slow, total: self.succeeded.saturating_add(self.slow) }
+    }
+
+    /// Larger count of each outcome.
+    pub fn joined(self, other: Self) -> Self {
+        self.zipped(other, u64::max)
+    }
+
+    /// Sum of each outcome.
+    pub fn plus(self, other: Self) -> Self {
+        self.zipped(other, u64::saturating_add)
+    }
+
+    /// What was counted since `earlier`.
+    pub fn since(self, earlier: Self) -> Self {
+        self.zipped(earlier, u64::saturating_sub)
+    }
+
+    fn zipped<F>(self, other: Self, combine: F) -> Self
+    where
+        F: Fn(u64, u64) -> u64,
+    {
+        Self {
+            succeeded: combine(self.succeeded, other.succeeded),
+            failed: combine(self.failed, other.failed),
+            slow: combine(self.slow, other.slow),
+        }
+    }
+}
+
+/// Version and route to which counts belong.
+pub type SampleKey = (VersionId, RouteId);
+
+#[derive(Debug, Clone, Default)]
+struct HostCounts {
+    incarnation: IncarnationId,
+    asked_at: MonoTime,
+    counts: BTreeMap<SampleKey, OutcomeCounts>,
+}
+
+/// Counts of all hosts for one plan.
+///
+/// Size is bounded by hosts times known keys: counts of unknown keys are dropped, and the counts of an ended
+/// incarnation are folded into one sum.
+#[derive(Debug, Clone)]
+pub struct EvidenceLedger {
+    keys: Vec<SampleKey>,
+    hosts: BTreeMap<HostId, HostCounts>,
+    folded: BTreeMap<SampleKey, OutcomeCounts>,
+}
+
+impl EvidenceLedger {
+    /// A ledger of the given versions and routes.
+    pub fn new(versions: &[VersionId], routes: &[RouteId]) -> Self {
+        let pairs =
+            versions.iter().flat_map(|it| routes.iter().map(|that| (it.clone(), that.clone())));
+        Self { keys: pairs.collect(), hosts: BTreeMap::new(), folded: BTreeMap::new() }
+    }
+
+    /// Merges the report of a host that answers a request sent at `asked_at`.
+    pub fn merge(
+        &mut self,
+        host: &HostId,
+        incarnation: IncarnationId,
+        asked_at: MonoTime,
+        counts: &BTreeMap<SampleKey, OutcomeCounts>,
+    ) {
+        let held = self
+            .hosts
+            .entry(host.clone())
+            .or_insert_with(|| HostCounts { incarnation, ..HostCounts::default() });
+        if incarnation < held.incarnation {
+            return;
+        }
+        if incarnation > held.incarnation {
+            for (key, ended) in std::mem::take(&mut held.counts) {
+                let sum = self.folded.entry(key).or_default();
+                *sum = sum.plus(ended);
+            }
+            held.incarnation = incarnation;
+        }
+        held.asked_at = held.asked_at.max(asked_at);
+        for (key, counted) in counts.iter().filter(|(key, _)| self.keys.contains(key)) {
+            let entry = held.counts.entry(key.clone()).or_default();
+            *entry = entry.joined(*counted);
+        }
+    }
+
+    /// Counts over all hosts and incarnations.
+    pub fn totals(&self) -> BTreeMap<SampleKey, OutcomeCounts> {
+        let mut totals = self.folded.clone();
+        for (key, counted) in self.hosts.values().flat_map(|it| &it.counts) {
+            let sum = totals.entry(key.clone()).or_default();
+            *sum = sum.plus(*counted);
+        }
+        totals
+    }
+
+    /// How many of `live` hosts have answered a request sent within `age`.
+    pub fn fresh_hosts(&self, live: &[HostId], now: MonoTime, age: Duration) -> usize {
+        let is_fresh =
+            |it: &&HostId| self.hosts.get(*it).is_some_and(|that| now.since(that.asked_at) <= age);
+        live.iter().filter(is_fresh).count()
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/rollout/trip.rs
@@ -0,0 +1,236 @@
+//! Trips: versions that a host takes back on its own evidence.
+//!
+//! A host bets after each outcome of a rising version against the rate that the old version has lately had on this host
+//! and route, so a version on which nearly every request fails trips within about ten requests of its fault. A trip
+//! needs neither store nor planner and holds for its plan for ever. Smaller faults are left to the planner, which sees
+//! all hosts.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    ids::{HostId, PlanId, RouteId, VersionId},
+    rollout::{
+        OutcomeCounts, RateSample, SampleKey, TrafficMove,
+        betting::{BettingDetector, rate_factor},
+    },
+};
+
+/// Probability that any host trips a good version during a plan.
+pub const TRIP_ALARM_RATE: f64 = 0.001;
+/// Failure rate against which a failure is weighed.
+const FAILING_RATE: f64 = 0.75;
+/// Slow rate against which a slow response is weighed.
+const SLOW_RATE: f64 = 0.9;
+/// Excess over the old version's failure rate that is tolerated.
+const FAILED_SLACK: f64 = 0.01;
+/// Excess over the old version's slow rate that is tolerated.
+const SLOW_SLACK: f64 = 0.05;
+/// The same once the old version is idle: a peak of load slows it too, but does not show.
+const IDLE_SLOW_SLACK: f64 = 0.45;
+/// Outcomes of a new version without one of the old after which the old one is taken to be idle.
+const IDLE_SAMPLES: u32 = 50;
+/// Outcomes of the old version that the short memory holds; short enough to follow a fault that both versions share.
+const SHORT_MEMORY: f64 = 32.0;
+
+/// A version that some host found bad.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TripNotice {
+    /// Plan.
+    pub plan: PlanId,
+    /// Version.
+    pub version: VersionId,
+    /// Host that found it.
+    pub host: HostId,
+    /// Why.
+    pub reason: String,
+}
+
+/// Trips known to a host; only grows while its plans are kept.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TripSet {
+    trips: BTreeMap<(PlanId, VersionId), (HostId, String)>,
+}
+
+impl TripSet {
+    /// Takes a trip; the order and number of notices do not matter.
+    pub fn merge(&mut self, notice: &TripNotice) {
+        let told = (notice.host.clone(), notice.reason.clone());
+        let held = self.trips.entry((notice.plan.clone(), notice.version.clone()));
+        let held = held.or_insert_with(|| told.clone());
+        if told < *held {
+            *held = told;
+        }
+    }
+
+    /// Forgets the trips of plans that the configuration no longer holds.
+    pub fn retain_plans(&mut self, plans: &[PlanId]) {
+        self.trips.retain(|(plan, _), _| plans.contains(plan));
+    }
+
+    /// Why `version` was tripped.
+    pub fn reason(&self, plan: &PlanId, version: &VersionId) -> Option<&str> {
+        self.trips.get(&(plan.clone(), version.clone())).map(|it| it.1.as_str())
+    }
+
+    /// All trips, for peers.
+    pub fn notices(&self) -> Vec<TripNotice> {
+        let notice =
+            |((plan, version), (host, reason)): (&(PlanId, VersionId), &(HostId, String))| {
+                TripNotice {
+                    plan: plan.clone(),
+                    version: version.clone(),
+                    host: host.clone(),
+                    reason: reason.clone(),
+                }
+            };
+        self.trips.iter().map(notice).collect()
+    }
+}
+
+/// Estimate of the old version's 95th percentile on one route.
+///
+/// A slow response raises it and any other lowers it a nineteenth as much, so that it settles where one in twenty is
+/// slow and follows the load. The test compares both versions against the same value and does not rely on it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct SlowThreshold {
+    latency_us: Option<f64>,
+}
+
+impl SlowThreshold {
+    /// Takes a latency of the old version.
+    pub fn absorb(&mut self, latency_us: u64) {
+        let latency = latency_us as f64;
+        let held = self.latency_us.unwrap_or(2.0 * latency);
+        let factor = if latency > held { 1.0 + 0.95 * 0.1 } else { 1.0 - 0.05 * 0.1 };
+        self.latency_us = Some((held * factor).max(1.0));
+    }
+
+    /// Whether a latency is slow; nothing is before the first latency of the old version.
+    pub fn is_slow(&self, latency_us: u64) -> bool {
+        self.latency_us.is_some_and(|it| latency_us as f64 > it)
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct OldRate {
+    short: (f64, f64),
+    long: RateSample,
+}
+
+impl OldRate {
+    fn absorb(&mut self, is_hit: bool) {
+        let keep = 1.0 - 1.0 / SHORT_MEMORY;
+        let hit = f64::from(u8::from(is_hit));
+        self.short = (self.short.0 * keep + hit, self.short.1 * keep + 1.0);
+        if self.long.total >= 1_000 {
+            self.long = RateSample { hits: self.long.hits / 2, total: self.long.total / 2 };
+        }
+        self.long.hits += u64::from(is_hit);
+        self.long.total += 1;
+    }
+
+    fn limit(&self, slack: f64) -> f64 {
+        let (hits, total) = self.short;
+        let short = (hits + 1.0 + 2.0 * hits.sqrt()) / (total + 2.0);
+        (short.max(self.long.upper_bound()) + slack).min(0.98)
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct RouteRates {
+    threshold: SlowThreshold,
+    failed: OldRate,
+    slow: OldRate,
+    new_since_old: u32,
+}
+
+/// Outcomes of one plan on this host, with the decision to trip.
+#[derive(Debug, Clone)]
+pub struct LocalTrip {
+    old: Option<VersionId>,
+    rising: Vec<VersionId>,
+    alpha: f64,
+    routes: BTreeMap<RouteId, RouteRates>,
+    counts: BTreeMap<SampleKey, OutcomeCounts>,
+    detectors: BTreeMap<SampleKey, [BettingDetector; 2]>,
+    tripped: Option<(VersionId, String)>,
+}
+
+impl LocalTrip {
+    /// Starts counting for a move of a service with `routes` on one of `hosts` hosts.
+    pub fn new(traffic: &TrafficMove, routes: &[RouteId], hosts: usize) -> Self {
+        let rising = traffic.rising();
+        let tests = (2 * routes.len() * rising.len() * hosts).max(1);
+        Self {
+            old: traffic.old_version(),
+            rising,
+            alpha: TRIP_ALARM_RATE / tests as f64,
+            routes: routes.iter().map(|it| (it.clone(), RouteRates::default())).collect(),
+            counts: BTreeMap::new(),
+            detectors: BTreeMap::new(),
+            tripped: None,
+        }
+    }
+
+    /// Takes the outcome of one request.
+    pub fn record(
+        &mut self,
+        version: &VersionId,
+        route: &RouteId,
+        succeeded: bool,
+        latency_us: u64,
+    ) {
+        let is_old = self.old.as_ref() == Some(version);
+        let Some(rates) =
+            self.routes.get_mut(route).filter(|_| is_old || self.rising.contains(version))
+        else {
+            return;
+        };
+        let key = (version.clone(), route.clone());
+        let is_slow = succeeded && rates.threshold.is_slow(latency_us);
+        let counts = self.counts.entry(key.clone()).or_default();
+        counts.failed += u64::from(!succeeded);
+        counts.slow += u64::from(is_slow);
+        counts.succeeded += u64::from(succeeded && !is_slow);
+        if is_old {
+            rates.new_since_old = 0;
+            rates.failed.absorb(!succeeded);
+            if succeeded {
+                rates.slow.absorb(is_slow);
+                rates.threshold.absorb(latency_us);
+            }
+            return;
+        }
+        rates.new_since_old = rates.new_since_old.saturating_add(1);
+        let [failed, slow] = self.detectors.entry(key).or_default();
+        failed.absorb(weigh(!succeeded, FAILING_RATE, rates.failed.limit(FAILED_SLACK)));
+        if succeeded {
+            let is_idle = rates.new_since_old >= IDLE_SAMPLES;
+            let slack = if is_idle { IDLE_SLOW_SLACK } else { SLOW_SLACK };
+            slow.absorb(weigh(is_slow, SLOW_RATE, rates.slow.limit(slack)));
+        }
+        let name = if failed.rejects(self.alpha) { "failed" } else { "slow" };
+        if self.tripped.is_none() && (failed.rejects(self.alpha) || slow.rejects(self.alpha)) {
+            let hits = if name == "failed" { counts.failed } else { counts.slow };
+            let reason = format!("route {route}: {hits} of {} {name} on this host", counts.total());
+            self.tripped = Some((version.clone(), reason));
+        }
+    }
+
+    /// Cumulative counts of this incarnation.
+    pub fn counts(&self) -> &BTreeMap<SampleKey, OutcomeCounts> {
+        &self.counts
+    }
+
+    /// Version that this host found bad, with the reason.
+    pub fn tripped(&self) -> Option<&(VersionId, String)> {
+        self.tripped.as_ref()
+    }
+}
+
+fn weigh(is_hit: bool, guess: f64, limit: f64) -> f64 {
+    if guess <= limit {
+        return 0.0;
+    }
+    rate_factor(RateSample { hits: u64::from(is_hit), total: 1 }, guess, limit)
+}
--- /dev/null
+++ b/crates/sapphireknot/tests/rollout_planner.rs
@@ -0,0 +1,298 @@
+//! Decisions of the rollout planner, view and drains.
+
+use std::{collections::BTreeMap, fmt::Debug, str::FromStr};
+
+use sapphireknot::{
+    config::TrafficPlan,
+    ids::{FencingToken, RouteId, VersionId},
+    rollout::{
+        DrainServer, EvidenceJudge, OutcomeCounts, PlannerAction, PlannerInput, PlannerLimits,
+        RolloutPlanner, RolloutState, RolloutVerdict, RolloutView, SampleKey, ShareMap,
+        ShareNotice, TripNotice, TripSet, next_drain,
+    },
+    time::{MonoTime, WallTime},
+    units::{SlotCount, TrafficShare},
+};
+
+/// Parses an identifier that is known to be valid.
+fn id<T>(text: &str) -> T
+where
+    T: FromStr,
+    T::Err: Debug,
+{
+    text.parse().expect("valid identifier")
+}
+
+fn share_map(shares: &[(&str, u32)]) -> ShareMap {
+    shares.iter().map(|(it, share)| (id(it), TrafficShare::percent(*share))).collect()
+}
+
+fn plan(deadline_s: u64) -> TrafficPlan {
+    TrafficPlan {
+        id: id("move"),
+        target: share_map(&[("new", 100)]),
+        deadline: WallTime(deadline_s * 1_000),
+        cap: TrafficShare::percent(20),
+    }
+}
+
+/// Planner with fakes of its surroundings: one second and one report of all hosts at a time.
+struct Bench {
+    planner: RolloutPlanner,
+    judge: EvidenceJudge,
+    totals: BTreeMap<SampleKey, OutcomeCounts>,
+    state: Option<RolloutState>,
+    trips: TripSet,
+    is_fresh: bool,
+    limits: PlannerLimits,
+    second: u64,
+    history: Vec<TrafficShare>,
+}
+
+impl Bench {
+    fn new(deadline_s: u64, routes: &[&str]) -> Self {
+        let planner = RolloutPlanner::new(&plan(deadline_s), &share_map(&[("old", 100)]));
+        let routes: Vec<RouteId> = routes.iter().map(|it| id(it)).collect();
+        Self {
+            judge: EvidenceJudge::new(planner.traffic(), &routes),
+            planner,
+            totals: BTreeMap::new(),
+            state: None,
+            trips: TripSet::default(),
+            is_fresh: true,
+            limits: PlannerLimits::default(),
+            second: 0,
+            history: Vec::new(),
+        }
+    }
+
+    /// Counts `requests` on `route`, of which every `failing`-th of the new version fails.
+    fn count(&mut self, route: &str, requests: u64, failing: u64) {
+        let moved = u64::from(self.state.as_ref().map_or(0, |it| it.moved.0));
+        // Spreads the small share of the new version evenly over the seconds.
+        let part = |it: u64| it * requests * moved / 1_000_000;
+        let new = part(self.second + 1) - part(self.second);
+        let old = requests - new.min(requests);
+        for (version, count) in [("new", new), ("old", old)] {
+            let key = (id(version), id(route));
+            let entry = self.totals.entry(key).or_default();
+            let total = entry.total() + count;
+            if version == "new" {
+                entry.failed = total.checked_div(failing).unwrap_or(0).max(entry.failed);
+            }
+            entry.succeeded = total - entry.failed;
+        }
+    }
+
+    fn decide(&self) -> PlannerAction {
+        self.planner.decide(&PlannerInput {
+            state: self.state.as_ref(),
+            judge: &self.judge,
+            is_fresh: self.is_fresh,
+            trips: &self.trips,
+            token: FencingToken(1),
+            limits: self.limits,
+            now: WallTime(self.second * 1_000),
+        })
+    }
+
+    fn step(&mut self) {
+        self.second += 1;
+        let now = MonoTime(self.second * 1_000_000);
+        if let Some(state) = &self.state {
+            self.judge.enter_step(state.step, now);
+        }
+        self.judge.absorb(&self.totals, now);
+        if let PlannerAction::Write { state, .. } = self.decide() {
+            self.history.push(state.moved);
+            self.state = Some(state);
+        }
+    }
+
+    fn run(&mut self, seconds: u64, traffic: &[(&str, u64, u64)]) {
+        for _ in 0..seconds {
+            for (route, requests, failing) in traffic {
+                self.count(route, *requests, *failing);
+            }
+            self.step();
+        }
+    }
+
+    fn verdict(&self) -> (RolloutVerdict, String) {
+        let state = self.state.as_ref().expect("a state");
+        (state.verdict, state.reason.clone().unwrap_or_default())
+    }
+}
+
+/// Guards against steps above the cap or the warm-up factor, and against a good version that misses its deadline.
+#[test]
+fn good_version_completes() {
+    let mut bench = Bench::new(900, &["reports"]);
+    bench.run(500, &[("reports", 200, 0)]);
+    assert_eq!(bench.verdict(), (RolloutVerdict::Done, String::new()));
+    let percent: Vec<_> = bench.history.iter().map(ToString::to_string).collect();
+    assert_eq!(percent, ["0%", "1%", "3%", "9%", "27%", "47%", "67%", "87%", "100%", "100%"]);
+    let text = serde_json::to_string(&bench.state).unwrap();
+    assert_eq!(serde_json::from_str::<Option<RolloutState>>(&text).unwrap(), bench.state);
+}
+
+/// Guards against a limit of the caller that is exceeded.
+#[test]
+fn limit_bounds_steps() {
+    let mut bench = Bench::new(3_600, &["reports"]);
+    bench.limits.step_limit = Some(TrafficShare::percent(5));
+    bench.run(1_000, &[("reports", 200, 0)]);
+    assert_eq!(bench.verdict().0, RolloutVerdict::Done);
+    assert!(
+        bench.history.windows(2).all(|it| it[1].saturating_sub(it[0]) <= TrafficShare::percent(5))
+    );
+}
+
+/// Guards against a version that passes although it fails on one route only, or turns bad after the full share.
+#[test]
+fn bad_version_is_reverted() {
+    let mut bench = Bench::new(900, &["reports", "bookings"]);
+    bench.run(600, &[("reports", 200, 0), ("bookings", 50, 4)]);
+    let (verdict, reason) = bench.verdict();
+    assert_eq!(verdict, RolloutVerdict::Reverted);
+    assert!(reason.contains("route bookings"), "{reason}");
+    assert!(bench.history.iter().all(|it| *it <= TrafficShare::percent(1)));
+
+    let mut bench = Bench::new(900, &["reports"]);
+    bench.run(600, &[("reports", 200, 0)]);
+    assert_eq!(bench.verdict().0, RolloutVerdict::Done);
+    bench.run(10, &[("reports", 200, 5)]);
+    assert_eq!(bench.verdict().0, RolloutVerdict::Reverted);
+    let shares = bench.state.unwrap().shares;
+    assert_eq!(shares[&id::<VersionId>("old")], TrafficShare::WHOLE);
+}
+
+/// Guards against a route without traffic that holds a good version for ever.
+#[test]
+fn silent_route_does_not_hold() {
+    let mut bench = Bench::new(900, &["reports", "bookings"]);
+    bench.run(900, &[("reports", 200, 0)]);
+    let expected = "too little traffic on: bookings".to_owned();
+    assert_eq!(bench.verdict(), (RolloutVerdict::Done, expected));
+}
+
+/// Guards against a route with little traffic whose few failures are taken for too little evidence.
+#[test]
+fn quiet_route_that_fails_is_reverted() {
+    let mut bench = Bench::new(900, &["reports", "bookings"]);
+    for _ in 0..90 {
+        bench.run(9, &[("reports", 200, 0)]);
+        bench.run(1, &[("reports", 200, 0), ("bookings", 2, 1)]);
+    }
+    let (verdict, reason) = bench.verdict();
+    assert_eq!(verdict, RolloutVerdict::Reverted, "{reason}");
+    assert!(reason.contains("bookings"), "{reason}");
+}
+
+/// Guards against a version that passes because requests of a route never reach it.
+#[test]
+fn unexercised_route_is_reverted_in_time() {
+    let mut bench = Bench::new(900, &["reports", "bookings"]);
+    for _ in 0..900 {
+        let key = (id("old"), id("bookings"));
+        bench.totals.entry(key).or_default().succeeded += 50;
+        bench.run(1, &[("reports", 200, 0)]);
+    }
+    let (verdict, reason) = bench.verdict();
+    assert_eq!(verdict, RolloutVerdict::Reverted);
+    assert!(reason.contains("the new one none"), "{reason}");
+    assert!(bench.state.unwrap().stepped_at < WallTime(890_000));
+}
+
+/// Guards against shares that rise on missing measurements, and a move that is not reverted before its deadline.
+#[test]
+fn stale_evidence_holds_then_reverts() {
+    let mut bench = Bench::new(300, &["reports"]);
+    bench.run(60, &[("reports", 200, 0)]);
+    let moved = bench.state.as_ref().unwrap().moved;
+    bench.is_fresh = false;
+    bench.run(60, &[("reports", 200, 0)]);
+    assert_eq!(bench.state.as_ref().unwrap().moved, moved);
+    bench.run(180, &[("reports", 200, 0)]);
+    let (verdict, reason) = bench.verdict();
+    assert_eq!(verdict, RolloutVerdict::Reverted);
+    assert!(reason.contains("stale"), "{reason}");
+}
+
+/// Guards against a planner whose role was taken over and that decides nevertheless.
+#[test]
+fn lower_token_does_not_write() {
+    let mut bench = Bench::new(900, &["reports"]);
+    bench.run(3, &[("reports", 200, 0)]);
+    bench.state.as_mut().unwrap().token = FencingToken(2);
+    assert!(matches!(bench.decide(), PlannerAction::Hold { .. }));
+}
+
+/// Guards against a trip or deadline that a share on its way overrides, and against a host that jumps to a late share.
+#[test]
+fn view_obeys_trip_deadline_and_cap() {
+    let (plan, base) = (plan(100), share_map(&[("old", 100)]));
+    let mut view = RolloutView::new(&plan, &base);
+    let mut notice = ShareNotice {
+        plan: plan.id.clone(),
+        token: FencingToken(3),
+        step: 7,
+        shares: share_map(&[("old", 40), ("new", 60)]),
+        verdict: RolloutVerdict::Running,
+        reason: None,
+    };
+    let (mut trips, new): (_, VersionId) = (TripSet::default(), id("new"));
+    for (second, percent) in
+        [(0, 20), (1, 20), (5, 40), (6, 40), (10, 60), (99, 60), (100, 0), (99, 0)]
+    {
+        view.merge(&notice, WallTime(second * 1_000));
+        let shares = view.shares(&trips, WallTime(second * 1_000));
+        let share = shares.get(&new).copied().unwrap_or_default();
+        assert_eq!(share, TrafficShare::percent(percent), "second {second}");
+    }
+    // An older decision, even if it says that the move is done, changes nothing.
+    notice.verdict = RolloutVerdict::Done;
+    notice.token = FencingToken(2);
+    view.merge(&notice, WallTime(101_000));
+    assert_eq!(view.newest().unwrap().verdict, RolloutVerdict::Running);
+    notice.token = FencingToken(4);
+    view.merge(&notice, WallTime(102_000));
+    assert_eq!(view.choose(&trips, WallTime(102_000), 0), Some(new.clone()));
+    let trip = TripNotice {
+        plan: plan.id.clone(),
+        version: new,
+        host: id("a"),
+        reason: "failed".to_owned(),
+    };
+    trips.merge(&trip);
+    assert_eq!(view.choose(&trips, WallTime(103_000), 0), Some(id("old")));
+}
+
+/// Guards against planned drains that take more of a service away at once than the cap, or all of it.
+#[test]
+fn drains_stay_under_cap() {
+    let server = |idx: u32| DrainServer {
+        id: id(&format!("server-{idx}")),
+        slots: SlotCount(3 + idx % 3),
+        leaving: idx < 5,
+        weight: TrafficShare::WHOLE,
+    };
+    let mut servers: Vec<_> = (0..12).map(server).collect();
+    let cap = TrafficShare::percent(7);
+    let mut steps = 0;
+    while servers.iter().any(|it| it.leaving && it.weight > TrafficShare::NONE) {
+        let step = next_drain(&servers, cap);
+        assert!(step.moved <= cap && !step.weights.is_empty());
+        for server in &mut servers {
+            if let Some(weight) = step.weights.get(&server.id) {
+                assert!(server.leaving && *weight < server.weight);
+                server.weight = *weight;
+            }
+        }
+        steps += 1;
+    }
+    // 19 of 48 slots in parts of 7%.
+    assert_eq!(steps, 6);
+    servers.iter_mut().for_each(|it| it.leaving = true);
+    assert_eq!(next_drain(&servers, cap).weights.len(), 0);
+}
