--- a/crates/sapphireknot/src/rollout/evidence.rs
+++ b/crates/sapphireknot/src/rollout/evidence.rs
@@ -21,7 +21,7 @@
     pub succeeded: u64,
     /// Failed.
     pub failed: u64,
-    /// Complete, but slower than the old version's 95th percentile.
+    /// Complete, but slower than the old version's 95th percentile, or than three times it while the old version is idle.
     pub slow: u64,
 }
 
--- a/crates/sapphireknot/src/rollout/trip.rs
+++ b/crates/sapphireknot/src/rollout/trip.rs
@@ -19,14 +19,15 @@
 pub const TRIP_ALARM_RATE: f64 = 0.001;
 /// Failure rate against which a failure is weighed.
 const FAILING_RATE: f64 = 0.75;
-/// Slow rate against which a slow response is weighed.
-const SLOW_RATE: f64 = 0.9;
+/// Rate of very slow responses against which one is weighed.
+const SLOW_RATE: f64 = 0.75;
 /// Excess over the old version's failure rate that is tolerated.
 const FAILED_SLACK: f64 = 0.01;
-/// Excess over the old version's slow rate that is tolerated.
+/// Excess over the old version's rate of very slow responses that is tolerated.
 const SLOW_SLACK: f64 = 0.05;
-/// The same once the old version is idle: a peak of load slows it too, but does not show.
-const IDLE_SLOW_SLACK: f64 = 0.45;
+/// Multiple of the 95th percentile from which a response is very slow. A host trips on very slow responses only: at a
+/// large share it sees the old version too rarely to tell a peak of load from a slow version.
+const VERY_SLOW: u64 = 3;
 /// Outcomes of a new version without one of the old after which the old one is taken to be idle.
 const IDLE_SAMPLES: u32 = 50;
 /// Outcomes of the old version that the short memory holds; short enough to follow a fault that both versions share.
@@ -187,7 +188,9 @@
             return;
         };
         let key = (version.clone(), route.clone());
-        let is_slow = succeeded && rates.threshold.is_slow(latency_us);
+        let is_very_slow = succeeded && rates.threshold.is_slow(latency_us / VERY_SLOW);
+        let is_idle = !is_old && rates.new_since_old >= IDLE_SAMPLES;
+        let is_slow = is_very_slow || succeeded && !is_idle && rates.threshold.is_slow(latency_us);
         let counts = self.counts.entry(key.clone()).or_default();
         counts.failed += u64::from(!succeeded);
         counts.slow += u64::from(is_slow);
@@ -196,7 +199,7 @@
             rates.new_since_old = 0;
             rates.failed.absorb(!succeeded);
             if succeeded {
-                rates.slow.absorb(is_slow);
+                rates.slow.absorb(is_very_slow);
                 rates.threshold.absorb(latency_us);
             }
             return;
@@ -205,9 +208,7 @@
         let [failed, slow] = self.detectors.entry(key).or_default();
         failed.absorb(weigh(!succeeded, FAILING_RATE, rates.failed.limit(FAILED_SLACK)));
         if succeeded {
-            let is_idle = rates.new_since_old >= IDLE_SAMPLES;
-            let slack = if is_idle { IDLE_SLOW_SLACK } else { SLOW_SLACK };
-            slow.absorb(weigh(is_slow, SLOW_RATE, rates.slow.limit(slack)));
+            slow.absorb(weigh(is_very_slow, SLOW_RATE, rates.slow.limit(SLOW_SLACK)));
         }
         let name = if failed.rejects(self.alpha) { "failed" } else { "slow" };
         if self.tripped.is_none() && (failed.rejects(self.alpha) || slow.rejects(self.alpha)) {
