--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -3,7 +3,18 @@
 //! The decisions are in the library `sapphireknot`; this crate drives them. Actors own the control state, and requests
 //! read the snapshots in [`context`].
 
+pub mod buffers;
 pub mod clock;
 pub mod constants;
 pub mod context;
+pub mod control;
+pub mod daemon;
+pub mod front;
+pub mod logging;
+pub mod operator;
+pub mod options;
+pub mod peer;
 pub mod settings;
+mod spans;
+pub mod telemetry;
+pub mod upstream;
