rollout: measure against two baselines

How many good versions complete, how many bad ones are taken back and what they cost was unknown.

Ruled out: a simulator of the whole system; the decisions are driven directly, with hosts, requests and control faults as small fakes.

--- /dev/null
+++ b/crates/sapphireknot-standin/examples/measure/rollout.rs
@@ -0,0 +1,145 @@
+//! Good and bad versions under the rollout planner and two baselines.
+
+mod baseline;
+mod cases;
+mod world;
+
+use std::{
+    io::{self, Write},
+    thread,
+};
+
+use clap::{ArgMatches, Command};
+use serde::Serialize;
+
+use self::{
+    cases::{RolloutCase, all_cases},
+    world::{RunResult, SteeringMethod, run_case},
+};
+
+/// Runs at the same time.
+const THREADS: usize = 3;
+
+/// Results of one case under one method.
+#[derive(Debug, Serialize)]
+struct CaseSummary {
+    case: &'static str,
+    is_good: bool,
+    method: &'static str,
+    runs: usize,
+    completed: usize,
+    taken_back: usize,
+    harmed_mean: f64,
+    harmed_max: u64,
+    share_after_2s_mean: Option<f64>,
+    share_after_2s_max: Option<f64>,
+    seconds_mean: f64,
+    /// Reasons of good versions that were taken back and of bad ones that were not.
+    wrong_reasons: Vec<String>,
+}
+
+/// The subcommand.
+pub(crate) fn command() -> Command {
+    Command::new("rollout").about("Moves of traffic to good and bad versions")
+}
+
+/// Runs all cases.
+pub(crate) fn run(matches: &ArgMatches) -> io::Result<()> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let (runs, seed) = (number("runs"), number("seed"));
+    let mut summaries = Vec::new();
+    for case in all_cases() {
+        for method in SteeringMethod::ALL {
+            summaries.push(summarise(&case, method, &run_all(&case, method, seed, runs)));
+        }
+    }
+    let mut out = io::stdout().lock();
+    if matches.get_one::<String>("output").is_some_and(|it| it == "json") {
+        serde_json::to_writer_pretty(&mut out, &summaries)?;
+        return writeln!(out);
+    }
+    write_table(&mut out, &summaries)
+}
+
+fn run_all(case: &RolloutCase, method: SteeringMethod, seed: u64, runs: u64) -> Vec<RunResult> {
+    let seeds: Vec<_> = (seed..seed + runs).collect();
+    let chunk = seeds.len().div_ceil(THREADS).max(1);
+    thread::scope(|scope| {
+        let start = |part: &'_ [u64]| {
+            let part = part.to_vec();
+            scope.spawn(move || {
+                part.into_iter().map(|it| run_case(case, method, it)).collect::<Vec<_>>()
+            })
+        };
+        let handles: Vec<_> = seeds.chunks(chunk).map(start).collect();
+        handles.into_iter().flat_map(|it| it.join().expect("a run ends")).collect()
+    })
+}
+
+fn summarise(case: &RolloutCase, method: SteeringMethod, results: &[RunResult]) -> CaseSummary {
+    let mean = |sum: f64, count: usize| sum / count.max(1) as f64;
+    let shares: Vec<f64> = results.iter().filter_map(|it| it.share_after_2s).collect();
+    let wrong = results.iter().filter(|it| it.is_taken_back == case.is_good());
+    let has_shares = !shares.is_empty();
+    CaseSummary {
+        case: case.name,
+        is_good: case.is_good(),
+        method: method.name(),
+        runs: results.len(),
+        completed: results.iter().filter(|it| it.is_completed).count(),
+        taken_back: results.iter().filter(|it| it.is_taken_back).count(),
+        harmed_mean: mean(results.iter().map(|it| it.harmed as f64).sum(), results.len()),
+        harmed_max: results.iter().map(|it| it.harmed).max().unwrap_or_default(),
+        share_after_2s_mean: has_shares.then(|| mean(shares.iter().sum(), shares.len())),
+        share_after_2s_max: has_shares.then(|| shares.iter().copied().fold(0.0, f64::max)),
+        seconds_mean: mean(results.iter().map(|it| it.seconds as f64).sum(), results.len()),
+        wrong_reasons: wrong.filter_map(|it| it.reason.clone()).collect(),
+    }
+}
+
+fn write_table<W>(out: &mut W, summaries: &[CaseSummary]) -> io::Result<()>
+where
+    W: Write,
+{
+    writeln!(
+        out,
+        "| case | method | runs | completed | taken back | harmed mean | harmed max | share after 2 s mean | max | verdict after |"
+    )?;
+    writeln!(out, "|---|---|---|---|---|---|---|---|---|---|")?;
+    let percent =
+        |it: Option<f64>| it.map_or("-".to_owned(), |that| format!("{:.1}%", 100.0 * that));
+    for it in summaries {
+        writeln!(
+            out,
+            "| {} | {} | {} | {} | {} | {:.0} | {} | {} | {} | {:.0} s |",
+            it.case,
+            it.method,
+            it.runs,
+            it.completed,
+            it.taken_back,
+            it.harmed_mean,
+            it.harmed_max,
+            percent(it.share_after_2s_mean),
+            percent(it.share_after_2s_max),
+            it.seconds_mean
+        )?;
+    }
+    for method in SteeringMethod::ALL {
+        let of = |is_good: bool| {
+            summaries.iter().filter(move |it| it.method == method.name() && it.is_good == is_good)
+        };
+        let runs = |is_good| of(is_good).map(|it| it.runs).sum::<usize>();
+        let completed = of(true).map(|it| it.completed).sum::<usize>();
+        let taken_back = of(false).map(|it| it.taken_back).sum::<usize>();
+        let harmed = of(false).map(|it| it.harmed_mean * it.runs as f64).sum::<f64>()
+            / runs(false).max(1) as f64;
+        writeln!(
+            out,
+            "{}: good completed {completed} of {}, bad taken back {taken_back} of {}, harmed per bad version {harmed:.0}",
+            method.name(),
+            runs(true),
+            runs(false)
+        )?;
+    }
+    Ok(())
+}
