--- a/crates/sapphireknot-standin/examples/measure/main.rs
+++ b/crates/sapphireknot-standin/examples/measure/main.rs
@@ -4,6 +4,7 @@
 
 mod quota;
 mod report;
+mod rollout;
 
 use std::io;
 
@@ -30,6 +31,7 @@
         .about("Measures decisions against baselines")
         .subcommand_required(true)
         .subcommand(quota::command().args(options()))
+        .subcommand(rollout::command().args(options()))
         .subcommand(all)
 }
 
@@ -47,6 +49,9 @@
 fn main() -> io::Result<()> {
     let matches = command().get_matches();
     let Some((name, matches)) = matches.subcommand() else { return Ok(()) };
+    if matches!(name, "rollout" | "all") {
+        rollout::run(matches)?;
+    }
     let reports = measure(name, matches);
     let is_json = matches.get_one::<String>("output").is_some_and(|it| it == "json");
     report::write(&reports, is_json, &mut io::stdout().lock())
--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod roles;
+pub mod rollout;
 pub mod routes;
 pub mod time;
 pub mod units;
