sapphireknotd, quota: admit by escrowed share over all hosts

Cause: the daemon split each rate equally over the live hosts by what it saw of the members, so hosts that disagreed could together exceed the rate, and an organisation whose callers favour one host got a twelfth of it.

Change: a quota actor puts the limits into force, claims share on `quota/<shard>` by compare-and-swap, and borrows and gives back over the calls Borrow and GiveBack. Spill is rationed by the same ledger. The session actor keeps the two leases apart, creates a host record only where none is, and moves a record to a longer lease without it ever being absent. A majority of the store's region that reports an outage extends the surplus. A host that leaves lends nothing; it releases its grants and lets the leases run out if share is still lent.

The tests of the request path hold the whole of every quota in the ledger instead.

Ruled out: claims by demand while a live member holds nothing (hosts under overload took all that a restarted host should get); reading the leases of live members (one read for each holder and claim).

Open: a host restarted under overload got no share within 11 s.

--- a/crates/sapphireknot/src/quota/shared.rs
+++ b/crates/sapphireknot/src/quota/shared.rs
@@ -81,6 +81,12 @@
         self.ledgers().for_each(|mut it| it.extend_surplus(now, until));
     }
 
+    /// When the holder of a lease stops using its grants.
+    pub fn lease_deadline(&self, kind: LeaseKind) -> MonoTime {
+        // All parts have the same terms.
+        Self::lock(&self.shards[0]).lease_deadline(kind)
+    }
+
     /// Lends unused share.
     pub fn lend(&self, now: MonoTime, call: &BorrowCall) -> BorrowAnswer {
         self.ledger(&call.resource).lend(now, call)
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -25,7 +25,7 @@
     time::MonoTime,
 };
 
-use crate::{claims::RequestClaims, clock::HostClock, settings::HostSettings};
+use crate::{claims::RequestClaims, clock::HostClock, quota::HostQuotas, settings::HostSettings};
 
 /// This host as others see it.
 #[derive(Debug, Clone)]
@@ -192,6 +192,8 @@
     pub drain: tokio::sync::watch::Sender<DrainStage>,
     /// Admission. Owner: quota actor.
     pub quota: Arc<dyn QuotaGate>,
+    /// Shares and tokens of this host. Owner: quota actor.
+    pub quotas: Arc<HostQuotas>,
     /// Versions. Owner: rollout actor.
     pub versions: Arc<dyn VersionRouter>,
     /// Spill to other regions. Owner: quota actor.
--- a/crates/sapphireknotd/src/control.rs
+++ b/crates/sapphireknotd/src/control.rs
@@ -7,13 +7,14 @@
 mod head_reader;
 mod member_actor;
 mod notes;
+mod quota_actor;
 mod session_actor;
 mod shared;
 mod store;
 
 use std::{sync::Arc, time::Duration};
 
-use ractor::{Actor, ActorRef, SpawnErr};
+use ractor::{Actor, ActorRef, SpawnErr, rpc::CallResult};
 use sapphireknot_platform::{GrpcHosts, GrpcStore};
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
@@ -22,12 +23,14 @@
 use self::{
     config_actor::{ConfigActor, ConfigArguments},
     member_actor::{MemberActor, MemberArguments},
-    session_actor::SessionActor,
+    quota_actor::{QuotaActor, QuotaArguments},
+    session_actor::{SessionActor, SessionArguments},
 };
 pub use self::{
     config_actor::{ConfigMessage, LoadedConfig, PeerEvidence},
     member_actor::MemberMessage,
     notes::{NoteRecord, NoteWriter, SubmitOutcome},
+    quota_actor::QuotaMessage,
     session_actor::{HolderRecord, SessionMessage},
     shared::{ControlShared, EncodedConfig, HEAD_KEY, PlatformClients, ReadError, read_record},
     store::{ObservedStore, StoreObservation},
@@ -71,6 +74,7 @@
 pub struct ControlHandle {
     members: ActorRef<MemberMessage>,
     session: ActorRef<SessionMessage>,
+    quota: ActorRef<QuotaMessage>,
     config: ActorRef<ConfigMessage>,
     stopped: watch::Sender<bool>,
     servers: Vec<JoinHandle<()>>,
@@ -118,7 +122,12 @@
         .await
         .map_err(|source| ControlError::Spawn { actor: "configuration", source })?;
     send(&members, MemberMessage::Connected(config.clone()));
-    let (session, _) = Actor::spawn(None, SessionActor, shared.clone())
+    let arguments = QuotaArguments { shared: shared.clone(), peers: peers.clone() };
+    let (quota, _) = Actor::spawn(None, QuotaActor, arguments)
+        .await
+        .map_err(|source| ControlError::Spawn { actor: "quota", source })?;
+    let arguments = SessionArguments { shared: shared.clone(), quota: quota.clone() };
+    let (session, _) = Actor::spawn(None, SessionActor, arguments)
         .await
         .map_err(|source| ControlError::Spawn { actor: "session", source })?;
 
@@ -141,7 +150,7 @@
         tokio::spawn(member_actor::follow_drain(shared, members.clone())),
     ];
     let servers = vec![peer_task, operator_task];
-    Ok(ControlHandle { members, session, config, stopped, servers, tasks })
+    Ok(ControlHandle { members, session, quota, config, stopped, servers, tasks })
 }
 
 async fn wait_stop(mut stopped: watch::Receiver<bool>) {
@@ -152,7 +161,16 @@
 impl ControlHandle {
     /// Gives back roles and leases, tells peers that the host has left, and ends.
     pub async fn stop(self) {
-        if let Err(err) = self.session.call(SessionMessage::End, Some(END_LIMIT)).await {
+        let is_lent = match self.quota.call(QuotaMessage::Stop, Some(END_LIMIT)).await {
+            Ok(CallResult::Success(is_lent)) => is_lent,
+            // Unreleased grants must not be revoked while parts of them may be lent.
+            result => {
+                log::warn!("release quotas: {result:?}");
+                true
+            }
+        };
+        let end = |port| SessionMessage::End { is_lent, port };
+        if let Err(err) = self.session.call(end, Some(END_LIMIT)).await {
             log::warn!("end the session with the store: {err}");
         }
         send(&self.members, MemberMessage::Drain(DrainStage::Ended));
@@ -167,6 +185,7 @@
             task.abort();
         }
         self.session.stop(None);
+        self.quota.stop(None);
         self.config.stop(None);
         self.members.stop(None);
     }
@@ -176,7 +195,12 @@
         for task in self.tasks.into_iter().chain(self.servers) {
             task.abort();
         }
-        for actor in [self.session.get_cell(), self.config.get_cell(), self.members.get_cell()] {
+        for actor in [
+            self.session.get_cell(),
+            self.quota.get_cell(),
+            self.config.get_cell(),
+            self.members.get_cell(),
+        ] {
             actor.kill();
         }
     }
--- a/crates/sapphireknotd/src/control/config_actor.rs
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -255,6 +255,9 @@
         let now = context.clock.now();
         let live = live_hosts(&context.members.load(), context);
         context.fresh_until.set(self.freshness.fresh_until(now, &live));
+        if let Some(until) = self.freshness.down_until(now, &live) {
+            context.quotas.ledger().extend_surplus(now, until);
+        }
         shared.proof.set(self.freshness.proof().unwrap_or_default());
     }
 }
--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -307,7 +307,9 @@
     /// A report counts for 2 s and is up to 1 s old when it is told, so that it has to be asked for every half second.
     fn ask_reporters(&mut self, myself: &ActorRef<MemberMessage>) {
         let context = self.shared.context.clone();
-        let freshness = context.settings.timing.key_freshness.0;
+        // The reports also decide whether surplus is kept, so they are needed before the short lease lapses.
+        let timing = &context.settings.timing;
+        let freshness = timing.key_freshness.0.min(timing.short_lease.0);
         let now = context.clock.now();
         let age = self.shared.proof().map_or(Duration::MAX, |it| now.since(it));
         let count = if age < freshness * 2 / 5 {
--- /dev/null
+++ b/crates/sapphireknotd/src/control/quota_actor/claims.rs
@@ -0,0 +1,297 @@
+//! Claims of share in the store, and their release.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use ractor::ActorRef;
+use sapphireknot::{
+    ids::{HostId, IncarnationId},
+    quota::{
+        ClaimNeed, GrantShares, LeaseKind, LeaseView, QuotaRecord, ResourceId, claim, release,
+        shard_key,
+    },
+    time::MonoTime,
+    units::TrafficShare,
+};
+use sapphireknot_platform::{KeyValueStore, StoreRevision, SwapOutcome, SwapWrite};
+
+use super::{QuotaMessage, QuotaState};
+use crate::control::{ControlShared, HolderRecord, ReadError, read_record, send};
+
+/// Records among which resources are spread. All hosts must use the same number.
+const SHARDS: u32 = 8;
+/// Time after the start at which a host claims first. A host that knows no other one yet would claim the whole.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Interval of claims while something is lacking; shorter than the longest gap that a reclaim allows.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(700);
+/// Attempts to release a record that others write at the same time.
+const RELEASE_ATTEMPTS: u32 = 5;
+/// Shortest time for which the store has to answer before a grant is reclaimed. It exceeds the 3 s for which a holder may
+/// believe that the store is down.
+const LEAST_GRACE: Duration = Duration::from_secs(5);
+
+/// What the actor knows of its claims.
+#[derive(Debug)]
+pub(super) struct ClaimState {
+    next: MonoTime,
+    is_running: bool,
+    /// Runs of other hosts with grants, of the records as they were read last.
+    holders: HashMap<String, Vec<(HostId, IncarnationId)>>,
+}
+
+impl ClaimState {
+    pub(super) fn new(now: MonoTime) -> Self {
+        Self { next: now.after(SETTLE_TIME), is_running: false, holders: HashMap::new() }
+    }
+
+    /// Brings the next claim forward, but not before the first one.
+    pub(super) fn hasten(&mut self) {
+        if !self.holders.is_empty() {
+            self.next = MonoTime::default();
+        }
+    }
+}
+
+/// What a claim of some records brought.
+#[derive(Debug)]
+pub struct ClaimResult {
+    holders: HashMap<String, Vec<(HostId, IncarnationId)>>,
+}
+
+/// What a host wants of a resource.
+struct ShareNeed {
+    /// Its equal part.
+    part: ClaimNeed,
+    /// Its equal part, or what its demand needs if that is more.
+    demand: ClaimNeed,
+}
+
+impl ShareNeed {
+    /// What may be claimed. While a member has nothing yet, such as a host that was just restarted, demand beyond the
+    /// equal part would leave it nothing, because a grant is never reduced.
+    fn allowed(&self, record: &QuotaRecord, present: &[(HostId, IncarnationId)]) -> ClaimNeed {
+        let resource = &self.part.resource;
+        let has_share = |run: &(HostId, IncarnationId)| {
+            record.shares(resource, &run.0, run.1) != GrantShares::default()
+        };
+        if present.iter().all(has_share) { self.demand.clone() } else { self.part.clone() }
+    }
+}
+
+/// Claim of the resources in one record.
+struct ShardClaim {
+    key: String,
+    needs: Vec<ShareNeed>,
+    /// Runs that are members; their leases need not be read.
+    present: Vec<(HostId, IncarnationId)>,
+}
+
+impl QuotaState {
+    /// Claims in each record in which this host lacks share or another holder is gone.
+    pub(super) fn claim_due(&mut self, myself: &ActorRef<QuotaMessage>) {
+        let now = self.now();
+        if self.claims.is_running || now < self.claims.next {
+            return;
+        }
+        self.claims.next = now.after(CLAIM_INTERVAL);
+        let shards = self.shards_to_claim(now);
+        if shards.is_empty() {
+            return;
+        }
+        self.claims.is_running = true;
+        let (shared, myself) = (self.shared.clone(), myself.clone());
+        tokio::spawn(async move {
+            let mut holders = HashMap::new();
+            for shard in shards {
+                match claim_shard(&shared, &shard).await {
+                    Ok(found) => {
+                        holders.insert(shard.key, found);
+                    }
+                    Err(err) => log::debug!("claim share in {}: {err}", shard.key),
+                }
+            }
+            send(&myself, QuotaMessage::Claimed(ClaimResult { holders }));
+        });
+    }
+
+    pub(super) fn take_claim(&mut self, result: ClaimResult) {
+        self.claims.is_running = false;
+        self.claims.holders.extend(result.holders);
+    }
+
+    fn shards_to_claim(&self, now: MonoTime) -> Vec<ShardClaim> {
+        let hosts = self.counted_hosts();
+        let mut shards: HashMap<String, (Vec<ShareNeed>, bool)> = HashMap::new();
+        for resource in &self.resources {
+            let Some(need) = self.claim_need(resource, hosts, now) else { continue };
+            let Some(view) = self.quotas.view(resource) else { continue };
+            let is_lacking = LeaseKind::ALL
+                .iter()
+                .any(|&kind| need.demand.wanted.get(kind) > view.granted[kind as usize]);
+            let (needs, lacks) = shards.entry(shard_key(resource, SHARDS)).or_default();
+            needs.push(need);
+            *lacks |= is_lacking;
+        }
+        let present: Vec<_> = self
+            .members
+            .iter()
+            .filter(|it| it.state.is_live())
+            .map(|it| (it.id.clone(), it.incarnation))
+            .collect();
+        let mut claims = Vec::new();
+        for (key, (needs, is_lacking)) in shards {
+            let holders = self.claims.holders.get(&key);
+            let is_left = holders.is_some_and(|it| it.iter().any(|run| !present.contains(run)));
+            if is_lacking || is_left {
+                claims.push(ShardClaim { key, needs, present: present.clone() });
+            }
+        }
+        claims
+    }
+
+    /// What this host wants of a resource under the leases that it has.
+    fn claim_need(&self, resource: &ResourceId, hosts: u32, now: MonoTime) -> Option<ShareNeed> {
+        let ledger = self.quotas.ledger().ledger(resource);
+        let usable = |kind, share| match now < ledger.lease_deadline(kind) {
+            true => share,
+            false => TrafficShare::NONE,
+        };
+        let need = |needed| {
+            let mut need = ClaimNeed::fair(resource.clone(), hosts, needed);
+            need.wanted = GrantShares {
+                floor: usable(LeaseKind::Floor, need.wanted.floor),
+                surplus: usable(LeaseKind::Surplus, need.wanted.surplus),
+            };
+            need
+        };
+        let needed = ledger.view(resource)?.needed;
+        Some(ShareNeed { part: need(TrafficShare::NONE), demand: need(needed) })
+    }
+
+    /// Returns borrowed share and releases the grants; true if some of them are lent and stay in the store.
+    pub(super) async fn stop(&mut self) -> bool {
+        self.is_stopped = true;
+        self.return_all().await;
+        let mut keys: Vec<_> = self.resources.iter().map(|it| shard_key(it, SHARDS)).collect();
+        keys.extend(self.claims.holders.keys().cloned());
+        keys.sort();
+        keys.dedup();
+        for key in keys {
+            if let Err(err) = release_shard(&self.shared, &key).await {
+                log::warn!("release share in {key}: {err}");
+            }
+        }
+        let lent = self.resources.iter().map(|it| lent_shares(&self.shared, it).total());
+        lent.sum::<u64>() > 0
+    }
+}
+
+fn lent_shares(shared: &ControlShared, resource: &ResourceId) -> GrantShares {
+    let mut ledger = shared.context.quotas.ledger().ledger(resource);
+    ledger.settle(shared.context.clock.now());
+    ledger.lent_shares(resource)
+}
+
+async fn read_shard(
+    shared: &ControlShared,
+    key: &str,
+) -> Result<(QuotaRecord, StoreRevision), ReadError> {
+    let Some(entry) = shared.store.get(key).await? else {
+        return Ok((QuotaRecord::default(), StoreRevision::ABSENT));
+    };
+    let record = QuotaRecord::decode(&entry.value)
+        .map_err(|err| ReadError::Record { key: key.to_owned(), reason: err.to_string() })?;
+    Ok((record, entry.revision))
+}
+
+/// Replaces a record; false if it changed since it was read.
+async fn write_shard(
+    shared: &ControlShared,
+    key: &str,
+    expected: StoreRevision,
+    record: &QuotaRecord,
+) -> Result<bool, ReadError> {
+    let value = record
+        .encode()
+        .map_err(|err| ReadError::Record { key: key.to_owned(), reason: err.to_string() })?;
+    let write = SwapWrite { key: key.to_owned(), expected, value: Some(value), lease: None };
+    let outcome = shared.store.compare_and_swap(write).await?;
+    Ok(matches!(outcome, SwapOutcome::Swapped(_)))
+}
+
+/// Reads a record and the leases of holders that are gone, decides and writes. Returns the other holders.
+async fn claim_shard(
+    shared: &Arc<ControlShared>,
+    shard: &ShardClaim,
+) -> Result<Vec<(HostId, IncarnationId)>, ReadError> {
+    let context = &shared.context;
+    let identity = &context.identity;
+    let began = context.clock.now();
+    let (record, revision) = read_shard(shared, &shard.key).await?;
+    // Leases are read after the record; see the rules of the library's claims.
+    let leases = read_leases(shared, &record, &shard.present).await?;
+    let grace = context.settings.timing.short_lease.0.max(LEAST_GRACE);
+    let leases = leases.filter(|_| shared.store.may_reclaim(began, grace));
+    let needs: Vec<_> = shard.needs.iter().map(|it| it.allowed(&record, &shard.present)).collect();
+    let claimed = claim(&record, leases.as_ref(), &identity.id, identity.incarnation, &needs);
+    // A write is needed even if nothing changes for this host in the record: its shares count only after a write that
+    // was begun under the current leases.
+    let is_installed = |need: &ClaimNeed| {
+        let shares = claimed.shares(&need.resource, &identity.id, identity.incarnation);
+        let view = context.quotas.ledger().ledger(&need.resource).view(&need.resource);
+        view.is_some_and(|it| LeaseKind::ALL.map(|kind| shares.get(kind)) == it.granted)
+    };
+    let is_same = claimed == record && needs.iter().all(is_installed);
+    if !is_same && write_shard(shared, &shard.key, revision, &claimed).await? {
+        for need in &needs {
+            let resource = &need.resource;
+            let shares = claimed.shares(resource, &identity.id, identity.incarnation);
+            let now = context.clock.now();
+            context.quotas.ledger().ledger(resource).install_claim(now, resource, began, shares);
+        }
+    }
+    let others = claimed
+        .holders()
+        .into_iter()
+        .filter(|it| it.0 != &identity.id || it.1 != identity.incarnation);
+    Ok(others.map(|it| (it.0.clone(), it.1)).collect())
+}
+
+/// Leases of the holders of a record; `None` if all of them are members. Members' leases are not read but taken as
+/// alive.
+async fn read_leases(
+    shared: &ControlShared,
+    record: &QuotaRecord,
+    present: &[(HostId, IncarnationId)],
+) -> Result<Option<LeaseView>, ReadError> {
+    let mut view = LeaseView::default();
+    let mut is_complete = true;
+    for (host, incarnation) in record.holders() {
+        let run = (host.clone(), incarnation);
+        let is_present = present.contains(&run);
+        is_complete &= is_present;
+        for (kind, name) in [(LeaseKind::Floor, "long"), (LeaseKind::Surplus, "short")] {
+            if is_present {
+                view.add(run.0.clone(), kind, incarnation);
+                continue;
+            }
+            if let Some(entry) = shared.store.get(&format!("host/{host}/{name}")).await? {
+                let holder: HolderRecord = read_record(&entry)?;
+                view.add(run.0.clone(), kind, holder.incarnation);
+            }
+        }
+    }
+    Ok((!is_complete).then_some(view))
+}
+
+async fn release_shard(shared: &Arc<ControlShared>, key: &str) -> Result<(), ReadError> {
+    let identity = &shared.context.identity;
+    for _ in 0..RELEASE_ATTEMPTS {
+        let (record, revision) = read_shard(shared, key).await?;
+        let lent = |resource: &ResourceId| lent_shares(shared, resource);
+        let released = release(&record, &identity.id, identity.incarnation, lent);
+        if released == record || write_shard(shared, key, revision, &released).await? {
+            return Ok(());
+        }
+    }
+    Err(ReadError::Record { key: key.to_owned(), reason: "it kept changing".to_owned() })
+}
--- a/crates/sapphireknotd/src/control/session_actor.rs
+++ b/crates/sapphireknotd/src/control/session_actor.rs
@@ -1,6 +1,6 @@
 //! Session of this host with the store.
 //!
-//! The actor holds a short and a long lease, renews both with one call, and takes a watch role while fewer than two
+//! The actor holds a short and a long lease, renews both with one call, tells the quota ledger of them, and takes a watch role while fewer than two
 //! hosts of the data centre hold one. It stops using a lease a drift margin before its end, counted from before the
 //! renewal was sent. Its calls are sequential, since each rests on the result of the one before.
 
@@ -9,7 +9,8 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use sapphireknot::{
     ids::{FencingToken, HostId, IncarnationId},
-    roles::{HeldLease, HeldRoles},
+    quota::LeaseKind,
+    roles::{DRIFT_DIVISOR, HeldLease, HeldRoles},
     time::MonoTime,
 };
 use sapphireknot_platform::{
@@ -17,7 +18,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::shared::{ActorResult, ControlShared, ReadError, read_record};
+use super::{
+    quota_actor::QuotaMessage,
+    shared::{ActorResult, ControlShared, ReadError, read_record, send},
+};
 
 /// Watch roles of a data centre.
 const WATCH_ROLES: u32 = 2;
@@ -43,25 +47,43 @@
     /// A renewal is due.
     RenewalDue,
     /// Give up all roles and leases.
-    End(RpcReplyPort<()>),
+    End {
+        /// Whether share of this host is lent: then the leases run out instead of being revoked, because the borrowers
+        /// use the grants until their subleases end.
+        is_lent: bool,
+        /// Told when it is done.
+        port: RpcReplyPort<()>,
+    },
 }
 
 /// Session actor.
 pub(super) struct SessionActor;
 
-/// Leases as the store knows them.
+/// What the actor needs.
+pub(super) struct SessionArguments {
+    /// Shared state.
+    pub shared: Arc<ControlShared>,
+    /// Quota actor.
+    pub quota: ActorRef<QuotaMessage>,
+}
+
+/// Lease as the store knows it.
 #[derive(Debug, Clone, Copy)]
-struct LeasePair {
-    short: LeaseId,
-    /// Time for which the short lease was granted; renewals keep it.
-    short_ttl: Duration,
-    long: LeaseId,
+struct StoreLease {
+    id: LeaseId,
+    /// Time for which the lease was granted; renewals keep it.
+    ttl: Duration,
+    /// Before the latest call that the store answered with the lease alive.
+    renewed: MonoTime,
+    /// Whether the record of this host is attached to the lease. Grants may be claimed only then.
+    has_record: bool,
 }
 
 /// State of the actor.
 pub(super) struct SessionState {
     shared: Arc<ControlShared>,
-    leases: Option<LeasePair>,
+    quota: ActorRef<QuotaMessage>,
+    leases: [Option<StoreLease>; 2],
     short: HeldLease,
     roles: HeldRoles,
     is_ended: bool,
@@ -71,17 +93,19 @@
 impl Actor for SessionActor {
     type Msg = SessionMessage;
     type State = SessionState;
-    type Arguments = Arc<ControlShared>;
+    type Arguments = SessionArguments;
 
     async fn pre_start(
         &self,
         myself: ActorRef<SessionMessage>,
-        shared: Arc<ControlShared>,
+        arguments: SessionArguments,
     ) -> Result<SessionState, ActorProcessingErr> {
         myself.cast(SessionMessage::RenewalDue)?;
+        let SessionArguments { shared, quota } = arguments;
         Ok(SessionState {
             shared,
-            leases: None,
+            quota,
+            leases: [None; 2],
             short: HeldLease::default(),
             roles: HeldRoles::default(),
             is_ended: false,
@@ -103,8 +127,8 @@
                 state.publish();
                 myself.send_after(state.interval(), || SessionMessage::RenewalDue);
             }
-            SessionMessage::End(port) => {
-                state.end().await;
+            SessionMessage::End { is_lent, port } => {
+                state.end(is_lent).await;
                 if port.send(()).is_err() {
                     log::debug!("the caller no longer waits for the end of the session");
                 }
@@ -122,9 +146,12 @@
         MIN_INTERVAL.max(Duration::from_secs(1) * hosts / MAX_RENEWAL_RATE)
     }
 
-    fn short_ttl(&self) -> Duration {
-        let configured = self.shared.context.settings.timing.short_lease.0;
-        configured.max(self.interval() * LEASE_INTERVALS)
+    fn ttl(&self, kind: LeaseKind) -> Duration {
+        let timing = &self.shared.context.settings.timing;
+        match kind {
+            LeaseKind::Floor => timing.long_lease.0,
+            LeaseKind::Surplus => timing.short_lease.0.max(self.interval() * LEASE_INTERVALS),
+        }
     }
 
     fn now(&self) -> MonoTime {
@@ -136,50 +163,125 @@
         HolderRecord { host: identity.id.clone(), incarnation: identity.incarnation }
     }
 
+    fn short_lease(&self) -> Option<StoreLease> {
+        self.leases[LeaseKind::Surplus as usize]
+    }
+
     async fn renew(&mut self) -> Result<(), ReadError> {
-        let Some(leases) = self.leases else { return self.begin().await };
-        if leases.short_ttl * 2 < self.short_ttl() {
-            // The fleet grew, and with it the interval; this lease covers too few renewals.
-            self.revoke().await;
-            return self.begin().await;
-        }
-        let sent = self.now();
-        let alive = self.shared.store.renew_leases(&[leases.short, leases.long]).await?;
-        if !alive.contains(&leases.short) || !alive.contains(&leases.long) {
-            // The store deleted what was attached to the lease that ended.
-            self.forget();
-            return self.begin().await;
+        self.renew_leases().await?;
+        for kind in LeaseKind::ALL {
+            let wanted = self.ttl(kind);
+            // If the fleet grew, and with it the interval, a lease covers too few renewals. It is replaced without being
+            // revoked: the record of this host must not be absent while its grants are in use.
+            if self.leases[kind as usize].is_none_or(|it| it.ttl * 2 < wanted) {
+                self.grant(kind, wanted).await?;
+            }
+            if self.leases[kind as usize].is_some_and(|it| !it.has_record) {
+                self.write_record(kind).await?;
+            }
         }
-        self.short.record_renewal(sent, leases.short_ttl);
         self.take_watch().await
     }
 
-    /// Grants new leases and writes the records of this host.
-    async fn begin(&mut self) -> Result<(), ReadError> {
+    async fn renew_leases(&mut self) -> Result<(), ReadError> {
+        let ids: Vec<_> = self.leases.iter().flatten().map(|it| it.id).collect();
+        if ids.is_empty() {
+            return Ok(());
+        }
         let sent = self.now();
-        let store = self.shared.store.clone();
-        let short_ttl = self.short_ttl();
-        let short = store.grant_lease(short_ttl).await?;
-        let long = store.grant_lease(self.shared.context.settings.timing.long_lease.0).await?;
-        let id = &self.shared.context.identity.id;
-        self.put(&format!("host/{id}/short"), short).await?;
-        self.put(&format!("host/{id}/long"), long).await?;
-        self.leases = Some(LeasePair { short, short_ttl, long });
-        self.short.record_renewal(sent, short_ttl);
-        self.take_watch().await
+        let alive = self.shared.store.renew_leases(&ids).await?;
+        let now = self.now();
+        let ledger = self.shared.context.quotas.ledger();
+        for kind in LeaseKind::ALL {
+            let Some(lease) = &mut self.leases[kind as usize] else { continue };
+            if alive.contains(&lease.id) {
+                lease.renewed = sent;
+                if lease.has_record {
+                    ledger.renew_lease(now, kind, sent, lease.ttl);
+                }
+                if kind == LeaseKind::Surplus {
+                    self.short.record_renewal(sent, lease.ttl);
+                }
+            } else {
+                // The store deleted what was attached to the lease.
+                log::info!(kind:? = kind; "a lease ended");
+                ledger.end_lease(now, kind);
+                self.leases[kind as usize] = None;
+                if kind == LeaseKind::Surplus {
+                    self.short.end();
+                    self.roles.clear();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn grant(&mut self, kind: LeaseKind, ttl: Duration) -> Result<(), ReadError> {
+        let renewed = self.now();
+        let id = self.shared.store.grant_lease(ttl).await?;
+        if kind == LeaseKind::Surplus {
+            // Roles are attached to the lease before, which runs out.
+            self.roles.clear();
+            self.short.record_renewal(renewed, ttl);
+        }
+        self.leases[kind as usize] = Some(StoreLease { id, ttl, renewed, has_record: false });
+        Ok(())
     }
 
-    /// Writes this host's record over an earlier one of the same host.
-    async fn put(&self, key: &str, lease: LeaseId) -> Result<(), ReadError> {
-        let entry = self.shared.store.get(key).await?;
-        let expected = entry.map(|it| it.revision).unwrap_or(StoreRevision::ABSENT);
-        match self.swap(key, expected, lease).await? {
-            SwapOutcome::Swapped(_) => Ok(()),
-            SwapOutcome::Conflict(_) | SwapOutcome::LeaseEnded => {
-                let reason = "it changed while it was written".to_owned();
-                Err(ReadError::Record { key: key.to_owned(), reason })
+    /// Attaches the record of this host to a lease. A record of an earlier run stays until its lease ends, because it
+    /// protects the grants of that run.
+    async fn write_record(&mut self, kind: LeaseKind) -> Result<(), ReadError> {
+        let Some(lease) = self.leases[kind as usize] else { return Ok(()) };
+        let name = match kind {
+            LeaseKind::Floor => "long",
+            LeaseKind::Surplus => "short",
+        };
+        let key = format!("host/{}/{name}", self.shared.context.identity.id);
+        let began = self.now();
+        let entry = self.shared.store.get(&key).await?;
+        let expected = match &entry {
+            None => StoreRevision::ABSENT,
+            Some(entry) => {
+                let holder: HolderRecord = read_record(entry)?;
+                if holder != self.holder() {
+                    log::debug!("the record {key} is that of run {}", holder.incarnation);
+                    return Ok(());
+                }
+                entry.revision
+            }
+        };
+        let is_attached = entry.as_ref().is_some_and(|it| it.lease == Some(lease.id));
+        if !is_attached {
+            match self.swap(&key, expected, lease.id).await? {
+                SwapOutcome::Swapped(_) => {}
+                SwapOutcome::Conflict(_) | SwapOutcome::LeaseEnded => return Ok(()),
             }
         }
+        self.start_lease(kind, began, lease, entry.is_none());
+        Ok(())
+    }
+
+    /// Tells the ledger of a lease whose record a call sent at `began` wrote or found.
+    fn start_lease(
+        &mut self,
+        kind: LeaseKind,
+        began: MonoTime,
+        mut lease: StoreLease,
+        is_created: bool,
+    ) {
+        lease.has_record = true;
+        self.leases[kind as usize] = Some(lease);
+        let ledger = self.shared.context.quotas.ledger();
+        let now = self.now();
+        let is_held = now < ledger.lease_deadline(kind);
+        if is_held && !is_created {
+            // The record moved from the lease before and was never absent.
+            return ledger.renew_lease(now, kind, lease.renewed, lease.ttl);
+        }
+        // The term of the ledger counts from `began`; the margin is that of the whole lease.
+        let used = began.since(lease.renewed) * DRIFT_DIVISOR / (DRIFT_DIVISOR - 1);
+        ledger.start_lease(now, kind, began, lease.ttl.saturating_sub(used));
+        send(&self.quota, QuotaMessage::LeaseStarted(kind));
     }
 
     async fn swap(
@@ -197,7 +299,7 @@
 
     /// Takes a free watch role of the data centre, unless this host holds one.
     async fn take_watch(&mut self) -> Result<(), ReadError> {
-        let Some(leases) = self.leases else { return Ok(()) };
+        let Some(lease) = self.short_lease() else { return Ok(()) };
         if !self.roles.names().is_empty() {
             return Ok(());
         }
@@ -207,14 +309,14 @@
             if let Some(entry) = self.shared.store.get(&key).await? {
                 // The answer to an earlier write may have been lost.
                 let holder: HolderRecord = read_record(&entry)?;
-                if holder == self.holder() && entry.lease == Some(leases.short) {
+                if holder == self.holder() && entry.lease == Some(lease.id) {
                     self.roles.take(key, FencingToken(entry.revision.0));
                     return Ok(());
                 }
                 continue;
             }
             if let SwapOutcome::Swapped(revision) =
-                self.swap(&key, StoreRevision::ABSENT, leases.short).await?
+                self.swap(&key, StoreRevision::ABSENT, lease.id).await?
             {
                 log::info!(role:% = key; "role taken");
                 self.roles.take(key, FencingToken(revision.0));
@@ -224,34 +326,46 @@
         Ok(())
     }
 
-    fn forget(&mut self) {
-        self.leases = None;
-        self.short.end();
-        self.roles.clear();
-    }
-
     fn publish(&self) {
         let is_holder = !self.roles.names().is_empty();
         let until = if is_holder { self.short.usable_until() } else { MonoTime::default() };
         self.shared.watch_until.set(until);
     }
 
-    async fn end(&mut self) {
+    /// Stops using roles and leases and ends them in the store, unless grants are lent.
+    async fn end(&mut self, is_lent: bool) {
         self.is_ended = true;
-        self.revoke().await;
-    }
-
-    /// Stops using roles and leases and ends them in the store.
-    async fn revoke(&mut self) {
-        let leases = self.leases;
-        self.forget();
+        let leases = std::mem::take(&mut self.leases);
+        let roles = self.roles.names();
+        self.short.end();
+        self.roles.clear();
         self.publish();
-        let Some(leases) = leases else { return };
-        for lease in [leases.short, leases.long] {
-            let result: Result<(), StoreError> = self.shared.store.revoke_lease(lease).await;
+        if is_lent {
+            log::info!("share is lent; the leases run out");
+            for role in roles {
+                if let Err(err) = self.delete(&role).await {
+                    log::warn!("give up the role {role}: {err}");
+                }
+            }
+            return;
+        }
+        for lease in leases.into_iter().flatten() {
+            let result: Result<(), StoreError> = self.shared.store.revoke_lease(lease.id).await;
             if let Err(err) = result {
                 log::warn!("end the session with the store: {err}");
             }
         }
     }
+
+    /// Deletes the record of a role if this host holds it.
+    async fn delete(&self, key: &str) -> Result<(), ReadError> {
+        let Some(entry) = self.shared.store.get(key).await? else { return Ok(()) };
+        let holder: HolderRecord = read_record(&entry)?;
+        if holder == self.holder() {
+            let expected = entry.revision;
+            let write = SwapWrite { key: key.to_owned(), expected, value: None, lease: None };
+            self.shared.store.compare_and_swap(write).await?;
+        }
+        Ok(())
+    }
 }
--- a/crates/sapphireknotd/src/control/store.rs
+++ b/crates/sapphireknotd/src/control/store.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use opentelemetry::trace::{Span, Status};
 use parking_lot::Mutex;
-use sapphireknot::time::MonoTime;
+use sapphireknot::{quota::ReclaimWatch, time::MonoTime};
 use sapphireknot_platform::{
     KeyValueStore, LeaseId, StoreError, StoreRevision, StoredEntry, SwapOutcome, SwapWrite,
 };
@@ -25,6 +25,7 @@
 struct CallRecord {
     last_answer: Option<MonoTime>,
     last_failure: Option<MonoTime>,
+    reclaim: ReclaimWatch,
 }
 
 /// Store that records whether it answers.
@@ -49,6 +50,11 @@
         }
     }
 
+    /// Whether a read that began at `began` may be used to reclaim grants of ended leases.
+    pub fn may_reclaim(&self, began: MonoTime, grace: Duration) -> bool {
+        self.record.lock().reclaim.may_reclaim(began, grace)
+    }
+
     /// Runs one call in a span of its own and records whether it was answered.
     async fn observe<F, T>(&self, step: &'static str, call: F) -> Result<T, StoreError>
     where
@@ -69,6 +75,10 @@
     fn record<T>(&self, began: MonoTime, result: &Result<T, StoreError>) {
         let now = self.clock.now();
         let mut record = self.record.lock();
+        match result {
+            Ok(_) | Err(StoreError::Refused { .. }) => record.reclaim.record_answer(began),
+            Err(StoreError::Unanswered { .. }) => record.reclaim.record_failure(),
+        }
         match result {
             Ok(_) | Err(StoreError::Refused { .. }) => {
                 record.last_answer = Some(now);
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -27,14 +27,11 @@
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
     control::{self, ControlError, ControlHandle, ControlListeners},
     front::FrontServer,
+    quota::HostQuotas,
     settings::{HostSettings, ListenSettings},
     telemetry::{self, TelemetryError},
     upstream::{
-        baseline::{ConfiguredRouter, EqualSplitGate},
-        connections::ConnectionPool,
-        pool::RegionalPool,
-        probes,
-        spill::EqualSplitSpill,
+        baseline::ConfiguredRouter, connections::ConnectionPool, pool::RegionalPool, probes,
     },
 };
 
@@ -140,6 +137,7 @@
     let context = Arc::new_cyclic(|context: &Weak<HostContext>| {
         let servers = Arc::new(RegionalPool::new(context.clone()));
         pool = Some(servers.clone());
+        let quotas = Arc::new(HostQuotas::new(&identity, clock));
         HostContext {
             settings,
             clock,
@@ -148,10 +146,11 @@
             fresh_until: SharedDeadline::default(),
             members: ArcSwap::default(),
             drain: watch::Sender::new(DrainStage::Serving),
-            quota: Arc::new(EqualSplitGate::new(context.clone())),
+            quota: quotas.clone(),
+            spill: quotas.clone(),
+            quotas,
             versions: Arc::new(ConfiguredRouter::new(context.clone())),
             claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
-            spill: Arc::new(EqualSplitSpill::new(context.clone())),
             servers,
         }
     });
--- a/crates/sapphireknotd/src/operator/status.rs
+++ b/crates/sapphireknotd/src/operator/status.rs
@@ -5,13 +5,17 @@
 use sapphireknot::{
     config::{EntityPath, EntityValue, NoteItem},
     ids::{ConfigGeneration, HostId, NoteId, PlanId, ServiceId},
-    operator::{HostStatus, ItemState, ItemStatus, MemberStatus, NoteStatus},
+    operator::{HostStatus, ItemState, ItemStatus, MemberStatus, NoteStatus, QuotaStatus},
+    quota::ResourceId,
 };
 use sapphireknot_platform::KeyValueStore;
 use serde::Deserialize;
 
 use super::server::OperatorServer;
-use crate::control::{ReadError, read_record};
+use crate::{
+    context::HostContext,
+    control::{ReadError, read_record},
+};
 
 /// What a note needs of the record `rollout/<service>`.
 #[derive(Debug, Clone, Deserialize)]
@@ -107,6 +111,18 @@
     }
 }
 
+/// Share of each organisation that this host may use now.
+fn quotas(context: &HostContext) -> Vec<QuotaStatus> {
+    let config = context.config.load();
+    let organisations = config.iter().flat_map(|it| &it.document.organisations);
+    organisations
+        .filter_map(|it| {
+            let view = context.quotas.view(&ResourceId::Organisation(it.id.clone()))?;
+            Some(QuotaStatus { organisation: it.id.clone(), share: view.active })
+        })
+        .collect()
+}
+
 /// The state of this host.
 pub(super) fn host_status(server: &OperatorServer) -> HostStatus {
     let shared = &server.shared;
@@ -129,7 +145,7 @@
         fresh: context.clock.now() < context.fresh_until.get(),
         store_up: shared.store.observation().is_some_and(|it| !it.is_down),
         members,
-        quotas: Vec::new(),
+        quotas: quotas(context),
         rollouts: Vec::new(),
     }
 }
--- a/crates/sapphireknotd/src/peer.rs
+++ b/crates/sapphireknotd/src/peer.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod client;
 pub mod convert;
+mod quotas;
 mod server;
 
 pub use self::{
--- a/crates/sapphireknotd/src/peer/client.rs
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -112,11 +112,11 @@
         channel
     }
 
-    fn client(&self, peer: SocketAddr) -> PeerClient<Channel> {
+    pub(super) fn client(&self, peer: SocketAddr) -> PeerClient<Channel> {
         PeerClient::new(self.channel(peer)).max_decoding_message_size(MAX_MESSAGE_BYTES)
     }
 
-    async fn call<F, T>(
+    pub(super) async fn call<F, T>(
         &self,
         step: &'static str,
         peer: SocketAddr,
--- /dev/null
+++ b/crates/sapphireknotd/src/peer/quotas.rs
@@ -0,0 +1,111 @@
+//! Transfers of quota as messages between hosts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use sapphireknot::{
+    ids::{HostId, IncarnationId, TransferId},
+    quota::{BorrowAnswer, BorrowCall, GiveBackCall},
+    units::{TokenCount, TrafficShare},
+};
+use sapphireknot_wire::peer::{BorrowReply, BorrowRequest, GiveBackRequest};
+
+use super::{
+    client::{PeerClients, PeerError},
+    convert::{ConvertError, parse},
+};
+
+fn transfer_from_wire(bytes: &[u8]) -> Result<TransferId, ConvertError> {
+    let bytes = bytes
+        .try_into()
+        .map_err(|_| ConvertError { field: "transfer", reason: "not 16 bytes".to_owned() })?;
+    Ok(TransferId(u128::from_be_bytes(bytes)))
+}
+
+fn borrow_to_wire(call: &BorrowCall) -> BorrowRequest {
+    BorrowRequest {
+        borrower: call.borrower.to_string(),
+        incarnation: call.incarnation.0,
+        transfer: call.transfer.0.to_be_bytes().to_vec(),
+        resource: call.resource.to_string(),
+        wanted_share_ppm: call.share.0,
+        wanted_tokens: call.tokens.0,
+    }
+}
+
+pub(super) fn borrow_from_wire(request: &BorrowRequest) -> Result<BorrowCall, ConvertError> {
+    Ok(BorrowCall {
+        borrower: parse("borrower", &request.borrower)?,
+        incarnation: IncarnationId(request.incarnation),
+        transfer: transfer_from_wire(&request.transfer)?,
+        resource: parse("resource", &request.resource)?,
+        share: TrafficShare(request.wanted_share_ppm),
+        tokens: TokenCount(request.wanted_tokens),
+    })
+}
+
+pub(super) fn answer_to_wire(answer: BorrowAnswer) -> BorrowReply {
+    BorrowReply {
+        granted: answer != BorrowAnswer::REFUSED,
+        share_ppm: answer.share.0,
+        tokens: answer.tokens.0,
+        // Rounded down, so that the borrower stops no later than the lender expects.
+        remaining_us: u64::try_from(answer.remaining.as_micros()).unwrap_or(u64::MAX),
+    }
+}
+
+fn answer_from_wire(reply: &BorrowReply) -> BorrowAnswer {
+    if !reply.granted {
+        return BorrowAnswer::REFUSED;
+    }
+    BorrowAnswer {
+        share: TrafficShare(reply.share_ppm),
+        tokens: TokenCount(reply.tokens),
+        remaining: Duration::from_micros(reply.remaining_us),
+    }
+}
+
+/// Reads a call that returns share to this host, `lender`.
+pub(super) fn give_back_from_wire(
+    request: &GiveBackRequest,
+    lender: &HostId,
+) -> Result<GiveBackCall, ConvertError> {
+    Ok(GiveBackCall {
+        borrower: parse("borrower", &request.borrower)?,
+        incarnation: IncarnationId(request.incarnation),
+        lender: lender.clone(),
+        transfer: transfer_from_wire(&request.transfer)?,
+        tokens: TokenCount(request.tokens),
+    })
+}
+
+impl PeerClients {
+    /// Asks `peer` for share; `limit` is how long the answer is awaited.
+    pub(crate) async fn borrow(
+        &self,
+        peer: SocketAddr,
+        call: &BorrowCall,
+        limit: Duration,
+    ) -> Result<BorrowAnswer, PeerError> {
+        let mut client = self.client(peer);
+        let calling = client.borrow(borrow_to_wire(call));
+        let reply = self.call("peer borrow", peer, limit, calling).await?;
+        Ok(answer_from_wire(&reply))
+    }
+
+    /// Returns borrowed share to `peer`.
+    pub(crate) async fn give_back(
+        &self,
+        peer: SocketAddr,
+        call: &GiveBackCall,
+        limit: Duration,
+    ) -> Result<bool, PeerError> {
+        let mut client = self.client(peer);
+        let calling = client.give_back(GiveBackRequest {
+            borrower: call.borrower.to_string(),
+            incarnation: call.incarnation.0,
+            transfer: call.transfer.0.to_be_bytes().to_vec(),
+            tokens: call.tokens.0,
+        });
+        Ok(self.call("peer give back", peer, limit, calling).await?.accepted)
+    }
+}
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use ractor::{ActorRef, rpc::CallResult};
+use sapphireknot::quota::BorrowAnswer;
 use sapphireknot_wire::peer::{
     BorrowReply, BorrowRequest, ClaimRequestReply, ClaimRequestRequest, ExchangeReply,
     ExchangeRequest, FetchConfigReply, FetchConfigRequest, FetchEvidenceReply,
@@ -17,8 +18,12 @@
     claims::{claim_from_wire, claim_reply_to_wire},
     client::{MAX_MESSAGE_BYTES, PeerClients},
     convert::gossip_from_wire,
+    quotas::{answer_to_wire, borrow_from_wire, give_back_from_wire},
+};
+use crate::{
+    context::DrainStage,
+    control::{ControlShared, MemberMessage},
 };
-use crate::control::{ControlShared, MemberMessage};
 
 /// Server of the calls between hosts.
 pub struct PeerServer {
@@ -103,15 +108,31 @@
         Ok(Response::new(reply))
     }
 
-    async fn borrow(&self, _: Request<BorrowRequest>) -> Result<Response<BorrowReply>, Status> {
-        Err(Status::unimplemented("this host lends no quota"))
+    async fn borrow(
+        &self,
+        request: Request<BorrowRequest>,
+    ) -> Result<Response<BorrowReply>, Status> {
+        let call = borrow_from_wire(request.get_ref())
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let context = &self.shared.context;
+        // A host that leaves lends nothing, so that all is back by the time at which it releases its grants.
+        let is_serving = *context.drain.borrow() == DrainStage::Serving;
+        let answer = match is_serving {
+            true => context.quotas.ledger().lend(context.clock.now(), &call),
+            false => BorrowAnswer::REFUSED,
+        };
+        Ok(Response::new(answer_to_wire(answer)))
     }
 
     async fn give_back(
         &self,
-        _: Request<GiveBackRequest>,
+        request: Request<GiveBackRequest>,
     ) -> Result<Response<GiveBackReply>, Status> {
-        Err(Status::unimplemented("this host lends no quota"))
+        let context = &self.shared.context;
+        let call = give_back_from_wire(request.get_ref(), &context.identity.id)
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let accepted = context.quotas.ledger().take_back(context.clock.now(), &call);
+        Ok(Response::new(GiveBackReply { accepted }))
     }
 
     async fn fetch_evidence(
--- a/crates/sapphireknotd/src/upstream.rs
+++ b/crates/sapphireknotd/src/upstream.rs
@@ -4,6 +4,5 @@
 pub mod connections;
 pub mod pool;
 pub mod probes;
-pub mod spill;
 
 mod service;
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -25,6 +25,7 @@
         ServerPool, ServerTicket, SpillGate, VersionRouter, VersionSample,
     },
     control::{self, ControlHandle, ControlListeners, PlatformClients},
+    quota::HostQuotas,
     settings::HostSettings,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -151,6 +152,7 @@
         peer_address: address,
         operator_address: operator.local_addr().unwrap(),
     };
+    let quotas = Arc::new(HostQuotas::new(&identity, clock));
     let nothing = Arc::new(Nothing);
     let context = Arc::new(HostContext {
         settings,
@@ -164,6 +166,7 @@
         versions: nothing.clone(),
         claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
         spill: nothing.clone(),
+        quotas,
         servers: nothing,
     });
     (context, ControlListeners { peer, operator })
--- a/crates/sapphireknotd/tests/request_path/support.rs
+++ b/crates/sapphireknotd/tests/request_path/support.rs
@@ -24,8 +24,13 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use sapphireknot::{
-    config::load_document, ids::ConfigGeneration, installed::InstalledConfig, keys::KeyDigest,
+    config::{ConfigDocument, load_document},
+    ids::ConfigGeneration,
+    installed::InstalledConfig,
+    keys::KeyDigest,
+    quota::{GrantShares, LeaseKind, QuotaLimits, ResourceId},
     time::MonoTime,
+    units::{RequestRate, TrafficShare},
 };
 use sapphireknotd::{
     clock::HostClock,
@@ -215,10 +220,45 @@
     /// Installs a configuration.
     pub(crate) fn install(&self, generation: u64, text: &str) {
         let document = load_document(text).unwrap();
+        self.hold_quotas(&document);
         let config = InstalledConfig::new(ConfigGeneration(generation), document);
         self.context.config.store(Some(Arc::new(config)));
     }
 
+    /// Holds the whole of every quota with full buckets, as a host without a store does not.
+    fn hold_quotas(&self, document: &ConfigDocument) {
+        let organisations = document.organisations.iter().map(|it| {
+            let limits = QuotaLimits { rate: it.rate, burst: it.burst };
+            (ResourceId::Organisation(it.id.clone()), limits)
+        });
+        let spills = document.services.iter().flat_map(|service| {
+            service.spill.iter().map(|it| {
+                let (service, region) = (service.id.clone(), it.into.clone());
+                let limits = QuotaLimits { rate: it.rate, burst: it.burst };
+                (ResourceId::Spill { service, region }, limits)
+            })
+        });
+        let (origin, now) = (MonoTime(1), self.context.clock.now());
+        let quotas = &self.context.quotas;
+        if quotas.ledger().lease_deadline(LeaseKind::Floor) < now {
+            let lease = Duration::from_secs(3_600);
+            quotas.ledger().start_lease(origin, LeaseKind::Floor, origin, lease);
+        }
+        for (resource, limits) in organisations.chain(spills) {
+            let mut ledger = quotas.ledger().ledger(&resource);
+            if ledger.view(&resource).is_some() {
+                ledger.set_limits(now, &resource, limits);
+                continue;
+            }
+            // New share has no tokens; a rate that fills the bucket within this clock's first second gives them.
+            let fast = QuotaLimits { rate: RequestRate::per_second(1_000_000), ..limits };
+            ledger.set_limits(origin, &resource, fast);
+            let shares = GrantShares { floor: TrafficShare::WHOLE, ..GrantShares::default() };
+            ledger.install_claim(origin, &resource, origin, shares);
+            ledger.set_limits(now, &resource, limits);
+        }
+    }
+
     pub(crate) async fn connect(&self) -> TestCaller {
         TestCaller(TcpStream::connect(self.address).await.unwrap())
     }
