sapphireknotd, front: pass on when a shedding backend server has room

A refusal after sheds dropped the Retry-After of the backend server. It is passed on between one and ten seconds; longer times are cut, since another server may have room earlier. Sheds stay within the retry budget, and late answers of attempts that were given up reach no other request; both are tested.

--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -34,6 +34,8 @@
 const RETRY_JITTER: Duration = Duration::from_millis(10);
 /// Time after which a full service may be asked again.
 const ROOM_RETRY: Duration = Duration::from_secs(1);
+/// Longest such time that a backend server may ask for.
+const MAX_ROOM_RETRY: Duration = Duration::from_secs(10);
 
 /// Request that passed the gate.
 #[derive(Debug)]
@@ -56,7 +58,17 @@
     /// Response for the caller.
     Passed(Response<Bytes>),
     /// No response to pass on, unless no retry follows and `fallback` holds one.
-    Ended { end: AttemptEnd, reason: RefusalReason, fallback: Option<Response<Bytes>> },
+    Ended(AttemptFailure),
+}
+
+/// Attempt without a response to pass on.
+struct AttemptFailure {
+    end: AttemptEnd,
+    reason: RefusalReason,
+    /// What the caller gets if no retry follows.
+    fallback: Option<Response<Bytes>>,
+    /// When the backend server may have room again.
+    retry_at: Option<MonoTime>,
 }
 
 impl FrontServer {
@@ -90,16 +102,18 @@
             // A key may have been withdrawn during the body, an earlier attempt or the wait for a slot.
             self.check_again(request).map_err(|err| after_attempts(&policy, err))?;
             let server = ticket.server().clone();
-            let (end, reason, fallback) = match self.attempt(request, ticket, span).await {
+            let ended = match self.attempt(request, ticket, span).await {
                 AttemptResult::Passed(response) => return Ok(response),
-                AttemptResult::Ended { end, reason, fallback } => (end, reason, fallback),
+                AttemptResult::Ended(failure) => failure,
             };
+            let AttemptFailure { end, reason, fallback, retry_at } = ended;
             let verdict = policy.after(end, &mut self.budget.lock());
             failure = Some((reason, fallback));
             let tried = if end == AttemptEnd::Shed { &mut shedding } else { &mut broken };
             tried.push(server);
             if verdict != RetryVerdict::Again {
-                return give_up(&policy, failure, RequestRefusal::not_run(reason));
+                let refusal = RequestRefusal { retry_at, ..RequestRefusal::not_run(reason) };
+                return give_up(&policy, failure, refusal);
             }
             if end == AttemptEnd::MaybeRan {
                 let part = rand::rng().random_range(0.0..1.0);
@@ -161,7 +175,7 @@
         let exchange = self.connections.exchange(peer, outgoing, max_bytes);
         let until = self.context.clock.instant(request.deadline);
         let (outcome, result) = match timeout_at(until, exchange).await {
-            Ok(Ok(response)) => judge(request, response),
+            Ok(Ok(response)) => judge(request, response, self.context.clock.now()),
             Ok(Err(err)) => {
                 log::warn!(request = request.request_id, server:% = ticket.server(), error:% = err; "attempt failed");
                 let end = match err {
@@ -221,26 +235,48 @@
 }
 
 fn ended(end: AttemptEnd, reason: RefusalReason) -> AttemptResult {
-    AttemptResult::Ended { end, reason, fallback: None }
+    AttemptResult::Ended(AttemptFailure { end, reason, fallback: None, retry_at: None })
 }
 
 /// What a complete response means.
-fn judge(request: &AdmittedRequest, response: Response<Bytes>) -> (AttemptOutcome, AttemptResult) {
+fn judge(
+    request: &AdmittedRequest,
+    response: Response<Bytes>,
+    now: MonoTime,
+) -> (AttemptOutcome, AttemptResult) {
     let status = response.status().as_u16();
     let ran = response.headers().get(REQUEST_RAN).map(HeaderValue::as_bytes);
     if status == 503 && ran == Some(b"no") {
-        return (AttemptOutcome::Shed, ended(AttemptEnd::Shed, RefusalReason::NoRoom));
+        let failure = AttemptFailure {
+            end: AttemptEnd::Shed,
+            reason: RefusalReason::NoRoom,
+            fallback: None,
+            retry_at: Some(now.after(retry_after(response.headers()))),
+        };
+        return (AttemptOutcome::Shed, AttemptResult::Ended(failure));
     }
     if request.matched.route().idempotent && matches!(status, 502..=504) {
-        let reason = RefusalReason::UpstreamFailed;
-        let end = AttemptEnd::MaybeRan;
-        let result = AttemptResult::Ended { end, reason, fallback: Some(response) };
-        return (AttemptOutcome::Failed, result);
+        let failure = AttemptFailure {
+            end: AttemptEnd::MaybeRan,
+            reason: RefusalReason::UpstreamFailed,
+            fallback: Some(response),
+            retry_at: None,
+        };
+        return (AttemptOutcome::Failed, AttemptResult::Ended(failure));
     }
     let outcome = if status >= 500 { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded };
     (outcome, AttemptResult::Passed(response))
 }
 
+/// Time after which a backend server that shed wants to be asked again.
+///
+/// Another server may have room earlier, so that a long time is not passed on.
+fn retry_after(headers: &HeaderMap) -> Duration {
+    let text = headers.get(header::RETRY_AFTER).and_then(|it| it.to_str().ok());
+    let seconds = text.and_then(|it| it.parse().ok()).map(Duration::from_secs);
+    seconds.unwrap_or(ROOM_RETRY).clamp(ROOM_RETRY, MAX_ROOM_RETRY)
+}
+
 /// A refusal that tells whether an earlier attempt may have run.
 fn after_attempts(policy: &RetryPolicy, refusal: RequestRefusal) -> RequestRefusal {
     let ran = if policy.may_have_run() { RunState::Unknown } else { RunState::NotRun };
--- a/crates/sapphireknotd/tests/request_path/request_retries.rs
+++ b/crates/sapphireknotd/tests/request_path/request_retries.rs
@@ -2,7 +2,11 @@
 
 use std::net::SocketAddr;
 
-use crate::support::{BackendMode, TestBackend, TestHost, document_text};
+use crate::{
+    server_choice::start_backend,
+    support::{BackendMode, TestBackend, TestHost, document_text},
+};
+use sapphireknot_standin::{backend::BackendFaults, fault::FaultRule};
 use tokio::net::TcpListener;
 
 /// An address at which nobody listens.
@@ -39,6 +43,48 @@
     assert_eq!(response.refusal().2, "not-run");
 }
 
+/// Guards against a caller that is not told when a shedding backend server wants to be asked again, and against retries
+/// of shed requests beyond the budget.
+#[tokio::test]
+async fn passes_on_retry_time_of_shedding_server() {
+    let backend = TestBackend::start(BackendMode::Shed).await;
+    let host = TestHost::start(&[backend.address]).await;
+    let calls = (0..20).map(|_| host.call("POST", "/desk/pay", "x"));
+    for response in futures_util::future::join_all(calls).await {
+        assert_eq!(response.refusal(), (503, "no-room", "not-run"));
+        assert_eq!(response.header("retry-after"), Some("3"));
+    }
+    // Twenty requests, ten retries that a host starts with, and a tenth of twenty.
+    assert!(backend.seen.lock().len() <= 32, "{}", backend.seen.lock().len());
+    assert_eq!(backend.total_runs(), 0);
+}
+
+/// Guards against the late answer of an attempt that was given up and that reaches another request.
+#[tokio::test]
+async fn late_answers_reach_nobody() {
+    let backend = start_backend(8, 1_000);
+    let faults =
+        BackendFaults { late: FaultRule::share(0.4), late_ms: 130, ..BackendFaults::default() };
+    backend.state().set_faults(faults);
+    let host = TestHost::start(&[backend.addresses().backend]).await;
+    let rounds = (0..4).map(|_| async {
+        let mut late = 0;
+        for _ in 0..10 {
+            let response = host.call("POST", "/desk/brief", "x").await;
+            if response.status == 200 {
+                let body: serde_json::Value = serde_json::from_str(&response.body).unwrap();
+                assert_eq!(body["request_id"].as_str(), response.header("x-request-id"));
+            } else {
+                assert_eq!(response.refusal(), (504, "deadline", "unknown"));
+                late += 1;
+            }
+        }
+        late
+    });
+    let late: usize = futures_util::future::join_all(rounds).await.into_iter().sum();
+    assert!((1..40).contains(&late), "{late}");
+}
+
 /// Guards against a partial response that looks complete, and against idempotent requests that are not retried.
 #[tokio::test]
 async fn retries_idempotent_request_after_broken_response() {
--- a/crates/sapphireknotd/tests/request_path/support.rs
+++ b/crates/sapphireknotd/tests/request_path/support.rs
@@ -150,7 +150,8 @@
         let mut mode = *self.mode.lock();
         let response = Response::builder().header("x-request-id", &id);
         if mode == BackendMode::Shed {
-            let response = response.status(503).header("x-request-ran", "no");
+            let response =
+                response.status(503).header("x-request-ran", "no").header("retry-after", "3");
             return Ok(response.body(full(Bytes::new())).unwrap());
         }
         *self.runs.lock().entry(id).or_default() += 1;
