--- a/crates/sapphireknot-standin/src/backend/state.rs
+++ b/crates/sapphireknot-standin/src/backend/state.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Properties.
+    pub fn plan(&self) -> &BackendPlan {
+        &self.plan
+    }
+
     /// Replaces the faults; times of defects count from now.
     pub fn set_faults(&self, faults: BackendFaults) {
         let frozen = self.true_load();
