picker: count requests that a load report may have missed

Cause: a report reset the count of requests sent since, also of those sent between its probe and its answer, so hosts raced for slots that were taken. Change: starts are remembered, and those after the probe are added to the reported load. The new test fails without the change: room 3 for 0.

--- a/crates/sapphireknot-standin/examples/measure/picking/bench.rs
+++ b/crates/sapphireknot-standin/examples/measure/picking/bench.rs
@@ -253,7 +253,7 @@
             match self.pickers[host].pick(&criteria, self.now, &mut self.rng) {
                 Ok(id) => {
                     self.waiting[host].pop_front();
-                    self.pickers[host].start(&id);
+                    self.pickers[host].start(&id, self.now);
                     let server = self.ids.iter().position(|it| *it == id).unwrap_or(0);
                     self.requests[request].sent = self.now;
                     self.requests[request].attempts += 1;
--- a/crates/sapphireknot/src/picker.rs
+++ b/crates/sapphireknot/src/picker.rs
@@ -104,9 +104,9 @@
     }
 
     /// Counts a request that is sent to `server`.
-    pub fn start(&mut self, server: &ServerId) {
+    pub fn start(&mut self, server: &ServerId, now: MonoTime) {
         if let Some(track) = self.servers.get_mut(server) {
-            track.start();
+            track.start(now);
         }
     }
 
--- a/crates/sapphireknot/src/picker/server.rs
+++ b/crates/sapphireknot/src/picker/server.rs
@@ -1,6 +1,6 @@
 //! What one host knows of one backend server.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use super::{LoadReport, PickCandidate, PickCriteria, ServerOutcome};
 use crate::{
@@ -26,6 +26,8 @@
 const DISTRUST_PAUSE: Duration = Duration::from_secs(5);
 /// Doublings of that time at most.
 const MAX_DISTRUST_DOUBLINGS: u32 = 4;
+/// Starts that are remembered; more than a server has slots.
+const MAX_RECENT_STARTS: usize = 32;
 /// Weight of a new sample in the average latency, as a divisor.
 const LATENCY_WEIGHT: u64 = 8;
 
@@ -50,10 +52,12 @@
     spec: ServerSpec,
     in_flight: u32,
     report: Option<LoadReport>,
-    /// Requests sent after the last report's probe.
+    /// Requests sent after the last report's probe; they may be missing in the report.
     started_since: u32,
     /// Requests ended after the last report's probe.
     ended_since: u32,
+    /// When the last requests were sent, oldest first.
+    recent_starts: VecDeque<MonoTime>,
     latency_us: u64,
     full_until: MonoTime,
     sheds: u32,
@@ -110,6 +114,7 @@
             report: None,
             started_since: 0,
             ended_since: 0,
+            recent_starts: VecDeque::new(),
             latency_us: 0,
             full_until: MonoTime(0),
             sheds: 0,
@@ -137,12 +142,19 @@
         let is_newer = self.report.is_none_or(|old| report.asked_at > old.asked_at);
         if is_newer {
             self.report = Some(report);
-            self.started_since = 0;
+            // The server may have answered before these requests arrived.
+            let is_later = |it: &&MonoTime| **it >= report.asked_at;
+            let later = self.recent_starts.iter().rev().take_while(is_later).count();
+            self.started_since = u32::try_from(later).unwrap_or(u32::MAX);
             self.ended_since = 0;
         }
     }
 
-    pub(super) fn start(&mut self) {
+    pub(super) fn start(&mut self, now: MonoTime) {
+        if self.recent_starts.len() >= MAX_RECENT_STARTS {
+            self.recent_starts.pop_front();
+        }
+        self.recent_starts.push_back(now);
         self.in_flight += 1;
         self.started_since += 1;
     }
--- a/crates/sapphireknot/tests/server_picking.rs
+++ b/crates/sapphireknot/tests/server_picking.rs
@@ -45,7 +45,7 @@
     }
 
     fn run_one(&mut self, index: usize, outcome: ServerOutcome, now: MonoTime) {
-        self.picker.start(&server(index));
+        self.picker.start(&server(index), now);
         self.picker.finish(&server(index), outcome, 1_000, now);
     }
 }
@@ -88,12 +88,28 @@
             fixture.report(index, START, 0, false);
         }
         let id = fixture.pick(START).expect("room is left");
-        fixture.picker.start(&id);
+        fixture.picker.start(&id, START);
     }
     assert_eq!(fixture.pick(START), Err(PickMiss::NoRoom));
     assert!(fixture.picker.servers().all(|it| it.in_flight() == 4));
 }
 
+/// Guards against a report that hides requests sent after its probe, which a server may not have seen yet.
+#[test]
+fn overtaken_report() {
+    let mut fixture = PickFixture::new(1);
+    let sent = START.after(Duration::from_micros(200));
+    for _ in 0..3 {
+        fixture.picker.start(&server(0), sent);
+    }
+    fixture.report(0, START, 1, false);
+    let room =
+        |fixture: &PickFixture| fixture.picker.server(&server(0)).map(|it| it.free_room(sent));
+    assert_eq!(room(&fixture), Some(0));
+    fixture.report(0, sent.after(Duration::from_micros(1)), 3, false);
+    assert_eq!(room(&fixture), Some(1));
+}
+
 /// Guards against a server that attracts all requests by reporting that it is idle while it sheds them.
 #[test]
 fn lying_server() {
--- a/crates/sapphireknotd/src/upstream/service.rs
+++ b/crates/sapphireknotd/src/upstream/service.rs
@@ -140,7 +140,7 @@
             let (QueueItem::Ready(waiting), Some((server, address))) = (item, chosen) else {
                 continue;
             };
-            picker.start(&server);
+            picker.start(&server, now);
             let ticket = PoolTicket::new(self, context, server, address, waiting.version);
             untaken.extend(waiting.sender.send(ticket).err());
         }
