control: repeat the report of an outage until a newer proof

Cause: after an outage of the store longer than the freshness, a host of the store's region reported "up" as soon as any call was answered, such as the renewal of its leases. Its proof was still that of before the outage, so the hosts that heard it lost the majority of reports and had no proof: keyed requests were refused as stale for up to half a second. The same happened on a host that was one generation behind and did not count the proof that came with the report.

Ruled out: keeping an earlier "down" report on the receiver after an "up" one, since half of the region could then not end the majority.

Change: a host reports its last failure, with its age, until its proof is newer; the report still ends after 2 s by itself. The end of an outage counts only from a peer of which the proof counts too.

--- a/crates/sapphireknotd/src/control/config_actor.rs
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -199,7 +199,9 @@
         {
             self.freshness.record_reply(sent, age);
         }
+        // Of a peer that is ahead, neither the proof nor the end of an outage counts before its generation is in force here.
         if let Some((is_down, age)) = evidence.report
+            && (is_down || evidence.generation <= installed)
             && evidence.peer.region == self.shared().context.settings.platform.store_region
         {
             self.freshness.record_report(evidence.peer.id, is_down, sent, age);
@@ -234,7 +236,7 @@
         let now = shared.context.clock.now();
         self.freshness.forget_reports(now);
         let identity = &shared.context.identity;
-        if let Some(seen) = shared.store.observation()
+        if let Some(seen) = shared.store.report(self.freshness.proof())
             && identity.region == shared.context.settings.platform.store_region
         {
             let age = now.since(seen.observed);
--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -218,7 +218,7 @@
             store: self
                 .shared
                 .store
-                .observation()
+                .report(proof)
                 .map(|it| StoreReport { down: it.is_down, age_us: micros(now.since(it.observed)) }),
             ..Gossip::default()
         }
--- a/crates/sapphireknotd/src/control/store.rs
+++ b/crates/sapphireknotd/src/control/store.rs
@@ -25,6 +25,8 @@
 struct CallRecord {
     last_answer: Option<MonoTime>,
     last_failure: Option<MonoTime>,
+    /// Like `last_failure`, but kept when a later call is answered.
+    failed_once: Option<MonoTime>,
 }
 
 /// Store that records whether it answers.
@@ -49,6 +51,21 @@
         }
     }
 
+    /// What this host reports of the store when its latest proof began at `proof`.
+    ///
+    /// After an outage the proof is old, and the reports alone keep keys in use. Until a newer proof is there the last
+    /// report is repeated with its age, so that it ends by itself and no host loses the reports before it has the proof.
+    pub fn report(&self, proof: Option<MonoTime>) -> Option<StoreObservation> {
+        let seen = self.observation()?;
+        let failed = self.record.lock().failed_once;
+        match failed {
+            Some(observed) if !seen.is_down && proof < Some(observed) => {
+                Some(StoreObservation { is_down: true, observed })
+            }
+            _ => Some(seen),
+        }
+    }
+
     /// Runs one call in a span of its own and records whether it was answered.
     async fn observe<F, T>(&self, step: &'static str, call: F) -> Result<T, StoreError>
     where
@@ -77,6 +94,7 @@
             // A call that was answered meanwhile shows that the store is up.
             Err(StoreError::Unanswered { .. }) if record.last_answer < Some(began) => {
                 record.last_failure = Some(now);
+                record.failed_once = Some(now);
             }
             Err(StoreError::Unanswered { .. }) => {}
         }
