standin: prove invariants under failure on separate processes

Cause: only three end-to-end tests ran, none of which provoked a failure besides a planned stop.

BookingLoad sends bookings with keys of their own and find_breaches compares what each caller was told with the journals. GenerationSampler asks all hosts for their generation all the time. Callers that follow look-ups can be given the addresses of restarted hosts.

--- a/crates/sapphireknot-standin/src/backend.rs
+++ b/crates/sapphireknot-standin/src/backend.rs
@@ -12,5 +12,5 @@
 pub use self::{
     plan::{BackendFaults, BackendPlan, DefectEffect, LoadFault, LoadReport, VersionDefect},
     server::{BackendAddresses, BackendServer},
-    state::{BackendState, RequestRecord, RunCounts},
+    state::{BackendState, RequestRecord, RunCounts, RunRecord},
 };
--- a/crates/sapphireknot-standin/src/backend/handler.rs
+++ b/crates/sapphireknot-standin/src/backend/handler.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode, request::Parts};
 use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::BoxBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::json;
@@ -13,6 +13,8 @@
 
 /// Largest content of a request, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Bytes of a request's content that its response repeats.
+const MAX_ECHO_BYTES: usize = 256;
 /// Wait of a request without a deadline of its own.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
@@ -30,6 +32,7 @@
     let deadline = Instant::now() + time_left(request.headers());
     let (parts, body) = request.into_parts();
     state.record_arrival(&parts);
+    let presence = GaugeGuard::presence(&state);
     if state.strike(|it| &mut it.reset_before) {
         return Err(io::ErrorKind::ConnectionReset.into());
     }
@@ -45,24 +48,26 @@
         }
     };
     let guard = GaugeGuard::request(&state);
-    state.record_begin(&parts.headers);
+    state.record_begin(&parts.headers)?;
     let (time, fails) = state.outcome(parts.uri.path());
     let end = Instant::now() + time;
     sleep_until(end.min(deadline)).await;
-    drop((guard, slot));
+    drop((guard, slot, presence));
     if deadline < end {
-        return Ok(plain_response(StatusCode::GATEWAY_TIMEOUT, &parts.headers, Bytes::new()));
+        let content = response_content(&state, &parts, &body);
+        return Ok(plain_response(StatusCode::GATEWAY_TIMEOUT, &parts.headers, content));
     }
     state.record_end();
-    finish(&state, &parts.headers, &body, fails).await
+    finish(&state, &parts, &body, fails).await
 }
 
 async fn finish(
     state: &BackendState,
-    headers: &HeaderMap,
+    parts: &Parts,
     body: &Bytes,
     fails: bool,
 ) -> io::Result<Response<BackendBody>> {
+    let headers = &parts.headers;
     if state.strike(|it| &mut it.reset_after) {
         return Err(io::ErrorKind::ConnectionReset.into());
     }
@@ -70,13 +75,7 @@
         sleep(state.late_by()).await;
     }
     let status = if fails { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
-    let content = json!({
-        "server": state.plan.name,
-        "request_id": header_text(headers, "x-request-id"),
-        "received_bytes": body.len(),
-        "padding": "x".repeat(state.plan.padding_bytes),
-    });
-    let content = Bytes::from(content.to_string());
+    let content = response_content(state, parts, body);
     let mut response = if state.strike(|it| &mut it.truncated) {
         truncated_response(status, headers, content)
     } else {
@@ -88,6 +87,21 @@
     Ok(response)
 }
 
+/// What tells whose response it is.
+fn response_content(state: &BackendState, parts: &Parts, body: &Bytes) -> Bytes {
+    let echo = String::from_utf8_lossy(&body[..body.len().min(MAX_ECHO_BYTES)]);
+    let content = json!({
+        "server": state.plan.name,
+        "request_id": header_text(&parts.headers, "x-request-id"),
+        "target": parts.uri.to_string(),
+        "key": header_text(&parts.headers, "idempotency-key"),
+        "echo": echo,
+        "received_bytes": body.len(),
+        "padding": "x".repeat(state.plan.padding_bytes),
+    });
+    content.to_string().into()
+}
+
 fn time_left(headers: &HeaderMap) -> Duration {
     let millis = header_text(headers, "x-deadline-ms").and_then(|it| it.parse().ok());
     millis.map_or(MAX_DEADLINE, Duration::from_millis).min(MAX_DEADLINE)
--- a/crates/sapphireknot-standin/src/backend/plan.rs
+++ b/crates/sapphireknot-standin/src/backend/plan.rs
@@ -1,6 +1,6 @@
 //! Properties of a backend server and its faults.
 
-use std::time::Duration;
+use std::{path::PathBuf, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +28,8 @@
     pub cold_factor: f64,
     /// Bytes by which the content of a response is extended.
     pub padding_bytes: usize,
+    /// File to which each run is appended before it begins, so that runs can be counted after the server was killed.
+    pub journal: Option<PathBuf>,
 }
 
 impl Default for BackendPlan {
@@ -42,6 +44,7 @@
             cold_ms: 0,
             cold_factor: 1.0,
             padding_bytes: 0,
+            journal: None,
         }
     }
 }
--- a/crates/sapphireknot-standin/src/backend/server.rs
+++ b/crates/sapphireknot-standin/src/backend/server.rs
@@ -44,7 +44,7 @@
 impl BackendServer {
     /// Serves requests at `listen` and control calls at `control`.
     pub fn start(plan: BackendPlan, listen: SocketAddr, control: SocketAddr) -> io::Result<Self> {
-        let state = Arc::new(BackendState::new(plan));
+        let state = Arc::new(BackendState::new(plan)?);
         let runtime = ServiceRuntime::start()?;
         let backend = runtime.listen(listen, |listener| serve(listener, state.clone()))?;
         let panel = Arc::new(BackendPanel(state.clone()));
--- a/crates/sapphireknot-standin/src/backend/state.rs
+++ b/crates/sapphireknot-standin/src/backend/state.rs
@@ -2,6 +2,8 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    fs::{File, OpenOptions},
+    io::{self, Write},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -44,6 +46,17 @@
     pub by_request: BTreeMap<String, u32>,
     /// Runs by idempotency key.
     pub by_key: BTreeMap<String, u32>,
+    /// Most requests that ran or waited for a slot at the same time.
+    pub peak: u32,
+}
+
+/// Line of a journal: a request that began to run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Request id.
+    pub request_id: Option<String>,
+    /// Idempotency key.
+    pub key: Option<String>,
 }
 
 /// Reads a header as text.
@@ -66,29 +79,35 @@
     pub(super) dice: SeededDice,
     started: Mutex<Instant>,
     in_flight: AtomicU32,
+    present: AtomicU32,
     connections: AtomicU32,
     leaving: AtomicBool,
     faults: Mutex<FaultState>,
     counts: Mutex<RunCounts>,
     records: Mutex<VecDeque<RequestRecord>>,
+    journal: Option<Mutex<File>>,
 }
 
 impl BackendState {
-    pub(super) fn new(plan: BackendPlan) -> Self {
+    pub(super) fn new(plan: BackendPlan) -> io::Result<Self> {
+        let open = |path| OpenOptions::new().create(true).append(true).open(path);
+        let journal = plan.journal.as_ref().map(open).transpose()?;
         let now = Instant::now();
         let frozen = LoadReport::default();
-        Self {
+        Ok(Self {
             slots: Semaphore::new(plan.slots as usize),
             dice: SeededDice::new(plan.seed),
             started: Mutex::new(now),
             in_flight: AtomicU32::new(0),
+            present: AtomicU32::new(0),
             connections: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             faults: Mutex::new(FaultState { faults: BackendFaults::default(), since: now, frozen }),
             counts: Mutex::default(),
             records: Mutex::default(),
+            journal: journal.map(Mutex::new),
             plan,
-        }
+        })
     }
 
     /// Replaces the faults; times of defects count from now.
@@ -191,15 +210,24 @@
         records.push_back(record);
     }
 
-    pub(super) fn record_begin(&self, headers: &HeaderMap) {
+    /// Records a run; an error means that the journal could not be written and the request must not run.
+    pub(super) fn record_begin(&self, headers: &HeaderMap) -> io::Result<()> {
+        let text = |name| header_text(headers, name).map(str::to_owned);
+        let record = RunRecord { request_id: text("x-request-id"), key: text("idempotency-key") };
+        if let Some(journal) = &self.journal {
+            let mut line = serde_json::to_vec(&record)?;
+            line.push(b'\n');
+            journal.lock().write_all(&line)?;
+        }
         let mut counts = self.counts.lock();
         counts.begun += 1;
-        if let Some(id) = header_text(headers, "x-request-id") {
-            *counts.by_request.entry(id.to_owned()).or_default() += 1;
+        if let Some(id) = record.request_id {
+            *counts.by_request.entry(id).or_default() += 1;
         }
-        if let Some(key) = header_text(headers, "idempotency-key") {
-            *counts.by_key.entry(key.to_owned()).or_default() += 1;
+        if let Some(key) = record.key {
+            *counts.by_key.entry(key).or_default() += 1;
         }
+        Ok(())
     }
 
     pub(super) fn record_end(&self) {
@@ -223,6 +251,15 @@
         Self::enter(state, |it| &it.in_flight)
     }
 
+    /// Counts a request from its arrival, whether it runs or waits.
+    pub(super) fn presence(state: &Arc<BackendState>) -> Self {
+        let guard = Self::enter(state, |it| &it.present);
+        let mut counts = state.counts.lock();
+        counts.peak = counts.peak.max(state.present.load(Ordering::Acquire));
+        drop(counts);
+        guard
+    }
+
     pub(super) fn connection(state: &Arc<BackendState>) -> Self {
         Self::enter(state, |it| &it.connections)
     }
--- a/crates/sapphireknot-standin/src/fixture.rs
+++ b/crates/sapphireknot-standin/src/fixture.rs
@@ -6,6 +6,8 @@
 
 mod bed;
 mod binaries;
+mod bookings;
+mod generations;
 mod platform;
 mod process;
 mod relay;
@@ -22,6 +24,8 @@
 pub use self::{
     bed::{BedPlan, HostProcess, RegionPlan, TestBed},
     binaries::{BinaryKind, BinarySet},
+    bookings::{BookingAnswer, BookingLoad, BookingOutcome, find_breaches},
+    generations::GenerationSampler,
     platform::{BackendProcess, PlatformProcess},
     process::{ChildProcess, CommandOutput, ProcessSignal},
     relay::{CutTable, TcpRelay},
--- a/crates/sapphireknot-standin/src/load/caller.rs
+++ b/crates/sapphireknot-standin/src/load/caller.rs
@@ -46,6 +46,7 @@
 #[derive(Debug)]
 pub struct LookupCaller {
     plan: CallerPlan,
+    entries: Mutex<Vec<SocketAddr>>,
     caller: HttpCaller,
     cache: Mutex<Option<CachedLookup>>,
 }
@@ -53,7 +54,13 @@
 impl LookupCaller {
     /// A caller without a look-up yet; each request ends after `time_limit`.
     pub fn new(plan: CallerPlan, time_limit: Duration) -> Self {
-        Self { plan, caller: HttpCaller::new(time_limit), cache: Mutex::default() }
+        let entries = Mutex::new(plan.entries.clone());
+        Self { plan, entries, caller: HttpCaller::new(time_limit), cache: Mutex::default() }
+    }
+
+    /// Replaces the hosts that are asked for look-ups; a cached look-up stays.
+    pub fn replace_entries(&self, entries: Vec<SocketAddr>) {
+        *self.entries.lock() = entries;
     }
 
     /// Sends a request to the first host of the look-up that accepts a connection.
@@ -75,14 +82,15 @@
 
     async fn hosts(&self) -> Result<Vec<SocketAddr>, ClientError> {
         if self.plan.direct {
-            return Ok(self.plan.entries.clone());
+            return Ok(self.entries.lock().clone());
         }
         let cached = self.cache.lock().clone();
         if let Some(lookup) = cached.filter(|it| Instant::now() < it.deadline) {
             return Ok(lookup.hosts);
         }
         let mut last = None;
-        for &entry in &self.plan.entries {
+        let entries = self.entries.lock().clone();
+        for entry in entries {
             match self.look_up(entry).await {
                 Ok(lookup) => {
                     let hosts = lookup.hosts.clone();
@@ -113,7 +121,7 @@
     }
 
     fn no_host(&self) -> ClientError {
-        let peer = self.plan.entries.first().copied();
+        let peer = self.entries.lock().first().copied();
         let peer = peer.unwrap_or_else(|| SocketAddr::new(self.plan.client, 0));
         ClientError { step: "look up", peer, reason: "no host is listed".to_owned() }
     }
--- a/crates/sapphireknot-standin/tests/end_to_end/main.rs
+++ b/crates/sapphireknot-standin/tests/end_to_end/main.rs
@@ -1,3 +1,24 @@
 //! End-to-end tests on separate processes: hosts, store, host list, backend servers and the command line.
 
+#[cfg(test)]
+mod backend_failures;
+#[cfg(test)]
+mod fault_pairs;
+#[cfg(test)]
+mod host_failures;
+#[cfg(test)]
+mod host_rollover;
+#[cfg(test)]
+mod key_withdrawal;
+#[cfg(test)]
+mod operator_race;
+#[cfg(test)]
 mod request_served;
+#[cfg(test)]
+mod server_drain;
+#[cfg(test)]
+mod service_flood;
+#[cfg(test)]
+mod store_outage;
+#[cfg(test)]
+mod support;
--- /dev/null
+++ b/crates/sapphireknot-standin/tests/end_to_end/store_outage.rs
@@ -0,0 +1,97 @@
+//! The store is out of service.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use sapphireknot_standin::{
+    fixture::{GenerationSampler, ProcessSignal, ServiceBed, ServicePlan, wait_until},
+    store::StoreFaults,
+};
+
+use crate::support::{
+    LIMIT, expect_not_run, expect_served_for, has_generation, silent_store, wait_served,
+    withdraw_key,
+};
+
+/// Guards against an operator who is told a guess about a change, requests that are refused while the store is down, and a
+/// generation that falls.
+#[tokio::test]
+async fn change_over_outage() {
+    let bed = ServiceBed::start(ServicePlan::small(1)).await.unwrap();
+    let sampler = GenerationSampler::start(&bed.bed);
+    bed.set_store_faults(&silent_store()).await.unwrap();
+    let note = withdraw_key("beta");
+    let served = expect_served_for(&bed, &[0, 1, 2], Duration::from_secs(8));
+    let (output, ()) = tokio::join!(bed.apply(1, &note, &["--timeout", "15s"]), served);
+    let output = output.unwrap();
+    assert_eq!(output.code, Some(4), "{}{}", output.stdout, output.stderr);
+    assert!(output.stdout.starts_with("resolving: "), "{}", output.stdout);
+    let status = ["status", "withdraw-beta"];
+    let output = bed.bed.run_command(Some(0), &status, LIMIT).await.unwrap();
+    assert_eq!((output.code, output.stdout.as_str()), (Some(3), ""), "{}", output.stderr);
+
+    bed.set_store_faults(&StoreFaults::default()).await.unwrap();
+    let output = bed.apply(0, &note, &["--wait", "15s"]).await.unwrap();
+    output.expect_code(0).unwrap();
+    for index in 0..3 {
+        bed.bed.wait_status(index, "generation 2", LIMIT, has_generation(2)).await.unwrap();
+        expect_not_run(&bed.fetch(index, "beta").await.unwrap(), "key-rejected");
+    }
+    assert!(sampler.samples() > 100);
+    assert_eq!(sampler.falls(), Vec::<String>::new());
+}
+
+/// Guards against a host that starts during an outage and serves without a configuration, never gets one, or installs an
+/// older one than it had.
+#[tokio::test]
+async fn restart_from_peer() {
+    let mut bed = ServiceBed::start(ServicePlan::small(1)).await.unwrap();
+    let sampler = GenerationSampler::start(&bed.bed);
+    let output = bed.apply(1, &withdraw_key("beta"), &["--wait", "10s"]).await.unwrap();
+    output.expect_code(0).unwrap();
+    bed.set_store_faults(&silent_store()).await.unwrap();
+    bed.bed.cut(&[2], &[0, 1]);
+    bed.bed.signal_host(2, ProcessSignal::Kill).unwrap();
+    bed.bed.restart_host(2).await.unwrap();
+    sampler.follow(&bed.bed);
+    for _ in 0..10 {
+        expect_not_run(&bed.fetch(2, "acme").await.unwrap(), "not-ready");
+    }
+    bed.bed.heal(&[2], &[0, 1]);
+    wait_served(&bed, 2, "acme").await;
+    expect_not_run(&bed.fetch(2, "beta").await.unwrap(), "key-rejected");
+    assert_eq!(bed.bed.status(2).await.unwrap().generation.unwrap().0, 2);
+
+    for index in [0, 1] {
+        bed.bed.restart_host(index).await.unwrap();
+        sampler.follow(&bed.bed);
+        wait_served(&bed, index, "acme").await;
+    }
+    bed.set_store_faults(&StoreFaults::default()).await.unwrap();
+    for index in 0..3 {
+        let condition = "the store answers";
+        bed.bed.wait_status(index, condition, LIMIT, |it| it.store_up && it.fresh).await.unwrap();
+    }
+    assert!(sampler.samples() > 100);
+    assert_eq!(sampler.falls(), Vec::<String>::new());
+}
+
+/// Guards against a store whose process is frozen, instead of silent, and against an answer after the thaw that revives an
+/// older generation.
+#[tokio::test]
+async fn frozen_store() {
+    let bed = ServiceBed::start(ServicePlan::small(1)).await.unwrap();
+    let sampler = GenerationSampler::start(&bed.bed);
+    bed.bed.store().process.signal(ProcessSignal::Freeze).unwrap();
+    expect_served_for(&bed, &[0, 1, 2], Duration::from_secs(7)).await;
+    bed.bed.store().process.signal(ProcessSignal::Thaw).unwrap();
+    let output = bed.apply(0, &withdraw_key("beta"), &["--wait", "15s"]).await.unwrap();
+    output.expect_code(0).unwrap();
+    wait_until("the key is rejected", LIMIT, async || {
+        let reply = bed.fetch(2, "beta").await.ok()?;
+        (reply.status == StatusCode::UNAUTHORIZED).then_some(())
+    })
+    .await
+    .unwrap();
+    assert_eq!(sampler.falls(), Vec::<String>::new());
+}
