--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -22,6 +22,7 @@
     headers::{DEADLINE, ORGANISATION, REQUEST_RAN},
 };
 use crate::{
+    claims::RequestClaim,
     context::{AttemptOutcome, PickQuery, PickRefusal, ServerTicket, VersionSample},
     telemetry::{self, HopSpan},
     upstream::connections::{ExchangeError, REQUEST_ID},
@@ -46,6 +47,8 @@
     pub(super) body: Bytes,
     pub(super) request_id: String,
     pub(super) deadline: MonoTime,
+    /// Idempotency key that is held for this request.
+    pub(super) claim: Option<RequestClaim>,
 }
 
 /// How an attempt ended.
@@ -65,11 +68,17 @@
     ) -> Result<Response<Bytes>, RequestRefusal> {
         let route = request.matched.route();
         let mut policy = RetryPolicy::new(route.idempotent, MAX_ATTEMPTS);
-        let mut excluded: Vec<ServerId> = Vec::new();
+        let (mut broken, mut shedding): (Vec<ServerId>, Vec<ServerId>) = Default::default();
         let mut failure: Option<(RefusalReason, Option<Response<Bytes>>)> = None;
         self.budget.lock().deposit();
         loop {
-            let ticket = match self.pick(request, &excluded).await {
+            let excluded = [broken.as_slice(), &shedding].concat();
+            let mut picked = self.pick(request, &excluded).await;
+            if matches!(&picked, Err(it) if it.reason == RefusalReason::NoServer) {
+                // Servers that shed may have room again; no other one is left.
+                picked = self.pick(request, &broken).await;
+            }
+            let ticket = match picked {
                 Ok(ticket) => ticket,
                 Err(refusal) => {
                     if failure.is_some() {
@@ -80,13 +89,15 @@
             };
             // A key may have been withdrawn during the body, an earlier attempt or the wait for a slot.
             self.check_again(request).map_err(|err| after_attempts(&policy, err))?;
-            excluded.push(ticket.server().clone());
+            let server = ticket.server().clone();
             let (end, reason, fallback) = match self.attempt(request, ticket, span).await {
                 AttemptResult::Passed(response) => return Ok(response),
                 AttemptResult::Ended { end, reason, fallback } => (end, reason, fallback),
             };
             let verdict = policy.after(end, &mut self.budget.lock());
             failure = Some((reason, fallback));
+            let tried = if end == AttemptEnd::Shed { &mut shedding } else { &mut broken };
+            tried.push(server);
             if verdict != RetryVerdict::Again {
                 return give_up(&policy, failure, RequestRefusal::not_run(reason));
             }
@@ -144,6 +155,9 @@
         let peer = ticket.address();
         let outgoing = self.outgoing(request, ticket.as_ref(), &span);
         let max_bytes = self.context.settings.limits.max_response_bytes;
+        if let Some(claim) = &request.claim {
+            claim.record_sent();
+        }
         let exchange = self.connections.exchange(peer, outgoing, max_bytes);
         let until = self.context.clock.instant(request.deadline);
         let (outcome, result) = match timeout_at(until, exchange).await {
