--- a/crates/sapphireknot-standin/examples/measure/main.rs
+++ b/crates/sapphireknot-standin/examples/measure/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `cargo run --release -p sapphireknot-standin --example measure -- quota`
 
+mod picking;
 mod quota;
 mod report;
 mod rollout;
@@ -30,6 +31,7 @@
     Command::new("measure")
         .about("Measures decisions against baselines")
         .subcommand_required(true)
+        .subcommand(picking::command().args(options()))
         .subcommand(quota::command().args(options()))
         .subcommand(rollout::command().args(options()))
         .subcommand(all)
@@ -52,6 +54,9 @@
     if matches!(name, "rollout" | "all") {
         rollout::run(matches)?;
     }
+    if matches!(name, "picking" | "all") {
+        picking::run(matches)?;
+    }
     let reports = measure(name, matches);
     let is_json = matches.get_one::<String>("output").is_some_and(|it| it == "json");
     report::write(&reports, is_json, &mut io::stdout().lock())
