--- a/crates/sapphireknot-standin/src/backend/handler.rs
+++ b/crates/sapphireknot-standin/src/backend/handler.rs
@@ -48,7 +48,7 @@
         }
     };
     let guard = GaugeGuard::request(&state);
-    state.record_begin(&parts.headers)?;
+    state.record_begin(&parts)?;
     let (time, fails) = state.outcome(parts.uri.path());
     let end = Instant::now() + time;
     sleep_until(end.min(deadline)).await;
--- a/crates/sapphireknot-standin/src/backend/state.rs
+++ b/crates/sapphireknot-standin/src/backend/state.rs
@@ -57,6 +57,8 @@
     pub request_id: Option<String>,
     /// Idempotency key.
     pub key: Option<String>,
+    /// Path with query.
+    pub target: String,
 }
 
 /// Reads a header as text.
@@ -216,9 +218,10 @@
     }
 
     /// Records a run; an error means that the journal could not be written and the request must not run.
-    pub(super) fn record_begin(&self, headers: &HeaderMap) -> io::Result<()> {
-        let text = |name| header_text(headers, name).map(str::to_owned);
-        let record = RunRecord { request_id: text("x-request-id"), key: text("idempotency-key") };
+    pub(super) fn record_begin(&self, parts: &Parts) -> io::Result<()> {
+        let text = |name| header_text(&parts.headers, name).map(str::to_owned);
+        let (request_id, key) = (text("x-request-id"), text("idempotency-key"));
+        let record = RunRecord { request_id, key, target: parts.uri.to_string() };
         if let Some(journal) = &self.journal {
             let mut line = serde_json::to_vec(&record)?;
             line.push(b'\n');
