--- a/crates/sapphireknot-standin/tests/end_to_end/main.rs
+++ b/crates/sapphireknot-standin/tests/end_to_end/main.rs
@@ -13,6 +13,8 @@
 #[cfg(test)]
 mod operator_race;
 #[cfg(test)]
+mod quota_bounds;
+#[cfg(test)]
 mod request_served;
 #[cfg(test)]
 mod server_drain;
