--- /dev/null
+++ b/crates/sapphireknot-standin/tests/end_to_end/version_bed.rs
@@ -0,0 +1,137 @@
+//! Bed with two versions of a service, and what tests of moves read of it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use http::{Method, StatusCode};
+use sapphireknot::{
+    operator::{ItemState, NoteStatus, RolloutStatus},
+    time::WallTime,
+};
+use sapphireknot_standin::{
+    backend::{BackendFaults, BackendPlan, VersionDefect},
+    client::HttpCall,
+    fixture::{ServerPlace, ServiceBed, ServicePlan, wait_until},
+    load::{CallerPlan, LoadPlan, LoadSummary, LookupCaller},
+};
+use serde_json::json;
+
+/// Requests per second over all hosts.
+const RATE: f64 = 300.0;
+
+/// Three hosts with a backend server of each version in each region, and short times of a rollout.
+pub(crate) async fn start_bed() -> ServiceBed {
+    let mut plan = ServicePlan::small(1);
+    // Service times well above the scheduling delays of a busy machine, which would look like a slow version.
+    for place in &mut plan.servers {
+        (place.plan.base_us, place.plan.mean_us) = (4_000, 4_000);
+    }
+    for place in plan.servers.clone() {
+        let name = place.plan.name.replace("-s1", "-s2");
+        let plan_2 = BackendPlan { name, ..place.plan };
+        plan.servers.push(ServerPlace { version: "v2".to_owned(), plan: plan_2, ..place });
+    }
+    plan.bed.timing = json!({
+        "gossip_interval": "250ms", "rollout_step": "500ms", "rollout_settle": "200ms",
+        "rollout_spare": "1s", "evidence_interval": "250ms", "evidence_age": "1s",
+    })
+    .as_object()
+    .unwrap()
+    .clone();
+    ServiceBed::start(plan).await.unwrap()
+}
+
+/// Adds the plan `p1`, or replaces the plan by one with another `id`. Moves everything to `v2` within `span` in steps of at most 40%.
+pub(crate) async fn apply_plan(bed: &ServiceBed, id: &str, span: Duration) {
+    let action = if id == "p1" { "add" } else { "change" };
+    let deadline = WallTime::from(SystemTime::now() + span);
+    let note = format!(
+        "{{id: note-{id}, items: [{{{action}: {{traffic: {{service: reports, plan: \
+         {{id: {id}, target: {{v2: 100%}}, deadline: '{deadline}', cap: 40%}}}}}}}}]}}"
+    );
+    bed.apply(0, &note, &[]).await.unwrap().expect_code(0).unwrap();
+}
+
+/// Sends requests of two routes to all hosts.
+pub(crate) fn start_load(bed: &ServiceBed, span: Duration) -> tokio::task::JoinHandle<LoadSummary> {
+    let caller = |index: usize| CallerPlan {
+        client: [127, 0, 0, 1].into(),
+        organisation: "acme".to_owned(),
+        key: Some("acme-key".to_owned()),
+        entries: vec![bed.bed.hosts()[index].caller_address()],
+        direct: true,
+    };
+    let limit = Duration::from_secs(3);
+    let callers: Vec<_> = (0..bed.bed.hosts().len())
+        .map(|it| Arc::new(LookupCaller::new(caller(it), limit)))
+        .collect();
+    let mix = (0..callers.len()).flat_map(|it| {
+        [(2, it, HttpCall::get("/reports/items/1")), (1, it, HttpCall::get("/reports/public/1"))]
+    });
+    let plan = LoadPlan { rate: RATE, span, seed: 7, mix: mix.collect() };
+    tokio::spawn(async move { plan.run(&callers).await })
+}
+
+/// Replaces the defects of the servers of `v2`; their times count from now.
+pub(crate) async fn set_defects(bed: &ServiceBed, defects: Vec<VersionDefect>) {
+    let faults = BackendFaults { defects, ..BackendFaults::default() };
+    for backend in &bed.bed.backends()[3..] {
+        let control = backend.addresses.control;
+        bed.bed.caller().write_control(control, Method::PUT, "/faults", &faults).await.unwrap();
+    }
+}
+
+/// Requests that began on the servers of `v1` and of `v2`.
+pub(crate) async fn version_counts(bed: &ServiceBed) -> (u64, u64) {
+    let counts = bed.counts().await.unwrap();
+    (counts[..3].iter().map(|it| it.begun).sum(), counts[3..].iter().map(|it| it.begun).sum())
+}
+
+async fn note_status(bed: &ServiceBed, id: &str) -> Option<NoteStatus> {
+    let token = format!("Bearer {}", bed.bed.operator_token());
+    let call = HttpCall::get(format!("/v1/notes/note-{id}")).header("authorization", token);
+    let address = bed.bed.hosts()[1].operator_address();
+    let reply = bed.bed.caller().send(address, call).await.ok()?;
+    (reply.status == StatusCode::OK).then(|| serde_json::from_slice(&reply.body).ok()).flatten()
+}
+
+/// Waits until the item of the plan has `state`, and returns its reason.
+pub(crate) async fn wait_item(
+    bed: &ServiceBed,
+    id: &str,
+    state: ItemState,
+    limit: Duration,
+) -> String {
+    let condition = format!("item {state:?}");
+    let item = wait_until(&condition, limit, async || {
+        let item = note_status(bed, id).await?.items.into_iter().next()?;
+        (item.state == state).then_some(item)
+    });
+    item.await.unwrap().reason.unwrap_or_default()
+}
+
+/// Share of `v2` in a host's status.
+pub(crate) fn new_share(rollout: &RolloutStatus) -> f64 {
+    let share = rollout.shares.iter().find(|(id, _)| id.as_str() == "v2");
+    share.map_or(0.0, |it| f64::from(it.1.0) / 1e6)
+}
+
+/// Samples the share of `v2` on every host until all have `last`; returns the samples of each host.
+pub(crate) async fn sample_shares(bed: &ServiceBed, last: f64, limit: Duration) -> Vec<Vec<f64>> {
+    let mut samples = vec![Vec::new(); bed.bed.hosts().len()];
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        for (index, shares) in samples.iter_mut().enumerate() {
+            let status = bed.bed.status(index).await;
+            shares.extend(status.iter().flat_map(|it| &it.rollouts).map(new_share));
+        }
+        if samples.iter().all(|it| it.last().is_some_and(|it| (it - last).abs() < 1e-9)) {
+            return samples;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let status = bed.bed.status(0).await.map(|it| it.rollouts);
+    panic!("share {last} not reached: {status:?} {samples:?}");
+}
--- a/crates/sapphireknot/src/roles.rs
+++ b/crates/sapphireknot/src/roles.rs
@@ -46,6 +46,11 @@
         self.tokens.insert(role, token);
     }
 
+    /// Gives up one role.
+    pub fn release(&mut self, role: &str) {
+        self.tokens.remove(role);
+    }
+
     /// Gives up all roles.
     pub fn clear(&mut self) {
         self.tokens.clear();
--- a/crates/sapphireknot/src/rollout.rs
+++ b/crates/sapphireknot/src/rollout.rs
@@ -13,6 +13,7 @@
 pub mod judge;
 pub mod planner;
 pub mod state;
+pub mod timing;
 pub mod trip;
 pub mod view;
 
@@ -23,6 +24,7 @@
     judge::{EvidenceJudge, RouteStanding},
     planner::{PlannerAction, PlannerInput, PlannerLimits, RolloutPlanner},
     state::{RolloutState, RolloutVerdict, ShareMap, TrafficMove},
+    timing::RolloutTiming,
     trip::{LocalTrip, SlowThreshold, TripNotice, TripSet},
     view::{RolloutView, ShareNotice},
 };
--- a/crates/sapphireknot/src/rollout/judge.rs
+++ b/crates/sapphireknot/src/rollout/judge.rs
@@ -10,7 +10,7 @@
 use crate::{
     ids::{RouteId, VersionId},
     rollout::{
-        OutcomeCounts, RateSample, SampleKey, TrafficMove,
+        OutcomeCounts, RateSample, RolloutTiming, SampleKey, TrafficMove,
         betting::{BettingDetector, HypothesisSide, block_factor, rate_factor},
     },
     time::MonoTime,
@@ -26,8 +26,6 @@
 const SILENT_SAMPLES: f64 = 3.0;
 /// Excess tolerated once the old version is idle and its rate may be out of date.
 const IDLE_GAP: f64 = 0.05;
-/// Time in which hosts take up a step; outcomes in it may belong to the step before.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Outcomes of the new version without one of the old after which the old version is taken to be idle.
 const IDLE_SAMPLES: u64 = 20;
 
@@ -117,6 +115,7 @@
     settled_at: Option<MonoTime>,
     splits: BTreeMap<VersionId, (u64, u64)>,
     rejection: Option<(VersionId, String)>,
+    settle_time: Duration,
 }
 
 impl EvidenceJudge {
@@ -132,14 +131,20 @@
             settled_at: None,
             splits: BTreeMap::new(),
             rejection: None,
+            settle_time: RolloutTiming::default().settle_time,
         }
     }
 
+    /// The same judge with other times.
+    pub fn with_timing(self, timing: RolloutTiming) -> Self {
+        Self { settle_time: timing.settle_time, ..self }
+    }
+
     /// Starts the passing tests of `step`, unless that is the current step.
     pub fn enter_step(&mut self, step: u64, now: MonoTime) {
         if self.step != step {
             self.step = step;
-            self.settled_at = Some(now.after(SETTLE_TIME));
+            self.settled_at = Some(now.after(self.settle_time));
         }
     }
 
--- a/crates/sapphireknot/src/rollout/planner.rs
+++ b/crates/sapphireknot/src/rollout/planner.rs
@@ -11,7 +11,8 @@
     config::TrafficPlan,
     ids::FencingToken,
     rollout::{
-        EvidenceJudge, RolloutState, RolloutVerdict, RouteStanding, ShareMap, TrafficMove, TripSet,
+        EvidenceJudge, RolloutState, RolloutTiming, RolloutVerdict, RouteStanding, ShareMap,
+        TrafficMove, TripSet,
     },
     time::WallTime,
     units::TrafficShare,
@@ -19,14 +20,10 @@
 
 /// Largest first step.
 pub const FIRST_SHARE: TrafficShare = TrafficShare::percent(1);
-/// Shortest time between steps; hosts learn shares by gossip in this time.
-pub const STEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Age at which the reports of a host are stale; two gossip intervals.
 pub const REPORT_AGE: Duration = Duration::from_secs(2);
 /// Longest time from a decision to its write, so that a pause in between does not raise a share on old evidence.
 const SEND_TIME: Duration = Duration::from_secs(1);
-/// Shortest time left when the target is reached.
-const SPARE_TIME: Duration = Duration::from_secs(10);
 /// Parts of the whole time of which the last is spared.
 const SPARE_PARTS: u32 = 10;
 
@@ -88,12 +85,19 @@
 pub struct RolloutPlanner {
     plan: TrafficPlan,
     traffic: TrafficMove,
+    timing: RolloutTiming,
 }
 
 impl RolloutPlanner {
     /// A planner of `plan`, which starts from the shares `base`.
     pub fn new(plan: &TrafficPlan, base: &ShareMap) -> Self {
-        Self { plan: plan.clone(), traffic: TrafficMove::new(plan, base) }
+        let timing = RolloutTiming::default();
+        Self { plan: plan.clone(), traffic: TrafficMove::new(plan, base), timing }
+    }
+
+    /// The same planner with other times.
+    pub fn with_timing(self, timing: RolloutTiming) -> Self {
+        Self { timing, ..self }
     }
 
     /// The move that is planned.
@@ -132,7 +136,9 @@
         }
         let steps = self.steps_left(state.moved, input.limits);
         let finish = self.finish_by(state.started_at);
-        let Some(steps) = steps.filter(|it| input.now.after(STEP_INTERVAL * *it) <= finish) else {
+        let Some(steps) =
+            steps.filter(|it| input.now.after(self.timing.step_interval * *it) <= finish)
+        else {
             let reason = match self.blocking(input, state, 1) {
                 Some(cause) => format!("target not reachable before the deadline: {cause}"),
                 None => "target not reachable before the deadline".to_owned(),
@@ -222,7 +228,7 @@
         if input.judge.step() != state.step {
             return Some("no evidence of this step yet".to_owned());
         }
-        if input.now < state.stepped_at.after(STEP_INTERVAL) {
+        if input.now < state.stepped_at.after(self.timing.step_interval) {
             return Some("hosts are taking up the last step".to_owned());
         }
         if state.moved < self.traffic.whole()
@@ -255,7 +261,8 @@
     }
 
     fn finish_by(&self, started_at: WallTime) -> WallTime {
-        let spare = (started_at.until(self.plan.deadline) / SPARE_PARTS).max(SPARE_TIME);
+        let spare =
+            (started_at.until(self.plan.deadline) / SPARE_PARTS).max(self.timing.spare_time);
         let millis = u64::try_from(spare.as_millis()).unwrap_or(u64::MAX);
         WallTime(self.plan.deadline.0.saturating_sub(millis))
     }
--- a/crates/sapphireknot/src/rollout/view.rs
+++ b/crates/sapphireknot/src/rollout/view.rs
@@ -3,12 +3,12 @@
 //! The view merges what peers and the store tell. The newest state by token and step wins; a trip or the deadline of an
 //! unfinished move overrides it. A host that missed steps, or has just started, catches up in capped steps.
 
+use std::time::Duration;
+
 use crate::{
     config::TrafficPlan,
     ids::{FencingToken, PlanId, VersionId},
-    rollout::{
-        RolloutState, RolloutVerdict, ShareMap, TrafficMove, TripSet, planner::STEP_INTERVAL,
-    },
+    rollout::{RolloutState, RolloutTiming, RolloutVerdict, ShareMap, TrafficMove, TripSet},
     time::WallTime,
     units::TrafficShare,
 };
@@ -52,6 +52,7 @@
     applied: TrafficShare,
     next_rise: WallTime,
     is_expired: bool,
+    step_interval: Duration,
 }
 
 impl RolloutView {
@@ -64,9 +65,15 @@
             applied: TrafficShare::NONE,
             next_rise: WallTime(0),
             is_expired: false,
+            step_interval: RolloutTiming::default().step_interval,
         }
     }
 
+    /// The same view with other times.
+    pub fn with_timing(self, timing: RolloutTiming) -> Self {
+        Self { step_interval: timing.step_interval, ..self }
+    }
+
     /// Takes a decision unless it is of another plan or not newer than the one held.
     pub fn merge(&mut self, notice: &ShareNotice, now: WallTime) {
         let held = self.newest.as_ref().map(|it| (it.token, it.step));
@@ -85,7 +92,7 @@
             self.applied = wanted;
         } else if now >= self.next_rise {
             self.applied = wanted.min(self.applied.saturating_add(self.plan.cap));
-            self.next_rise = now.after(STEP_INTERVAL);
+            self.next_rise = now.after(self.step_interval);
         }
     }
 
@@ -113,6 +120,16 @@
         shares
     }
 
+    /// Whether the deadline has passed on this host; stays so if the clock is set back.
+    pub fn is_expired(&self) -> bool {
+        self.is_expired
+    }
+
+    /// The move.
+    pub fn traffic(&self) -> &TrafficMove {
+        &self.traffic
+    }
+
     /// Version for one request; `draw` is uniform in `0..1_000_000`.
     pub fn choose(&self, trips: &TripSet, now: WallTime, draw: u32) -> Option<VersionId> {
         let mut bound = 0;
--- a/crates/sapphireknot/tests/rollout_fuzz/world.rs
+++ b/crates/sapphireknot/tests/rollout_fuzz/world.rs
@@ -11,8 +11,7 @@
     rollout::{
         EvidenceJudge, EvidenceLedger, LocalTrip, OutcomeCounts, PlannerAction, PlannerInput,
         PlannerLimits, RolloutPlanner, RolloutState, RolloutVerdict, RolloutView, SampleKey,
-        ShareMap, ShareNotice, TripNotice, TripSet,
-        planner::{REPORT_AGE, STEP_INTERVAL},
+        ShareMap, ShareNotice, TripNotice, TripSet, planner::REPORT_AGE, timing::STEP_INTERVAL,
     },
     time::{MonoTime, WallTime},
     units::TrafficShare,
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -35,6 +35,16 @@
 pub const STORE_TIMEOUT: ClockSpan = ClockSpan::from_millis(500);
 /// Longest wait of one watch of the store.
 pub const WATCH_WAIT: ClockSpan = ClockSpan::from_secs(10);
+/// Shortest time between steps of a rollout.
+pub const ROLLOUT_STEP: ClockSpan = ClockSpan::from_secs(5);
+/// Time in which hosts take up a step of a rollout.
+pub const ROLLOUT_SETTLE: ClockSpan = ClockSpan::from_secs(2);
+/// Shortest time left when a rollout reaches its target.
+pub const ROLLOUT_SPARE: ClockSpan = ClockSpan::from_secs(10);
+/// Interval at which the planner of a rollout asks hosts for evidence.
+pub const EVIDENCE_INTERVAL: ClockSpan = ClockSpan::from_secs(1);
+/// Age at which evidence is stale; two intervals.
+pub const EVIDENCE_AGE: ClockSpan = ClockSpan::from_secs(2);
 /// Lease of surplus quota and of roles.
 pub const SHORT_LEASE: ClockSpan = ClockSpan::from_secs(5);
 /// Lease of the quota that a host keeps during a partition.
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -25,7 +25,9 @@
     time::MonoTime,
 };
 
-use crate::{claims::RequestClaims, clock::HostClock, settings::HostSettings};
+use crate::{
+    claims::RequestClaims, clock::HostClock, rollout::RolloutTable, settings::HostSettings,
+};
 
 /// This host as others see it.
 #[derive(Debug, Clone)]
@@ -194,6 +196,8 @@
     pub quota: Arc<dyn QuotaGate>,
     /// Versions. Owner: rollout actor.
     pub versions: Arc<dyn VersionRouter>,
+    /// Rollouts. Owner: rollout actor.
+    pub rollouts: Arc<RolloutTable>,
     /// Spill to other regions. Owner: quota actor.
     pub spill: Arc<dyn SpillGate>,
     /// Idempotency keys.
--- a/crates/sapphireknotd/src/control.rs
+++ b/crates/sapphireknotd/src/control.rs
@@ -7,6 +7,8 @@
 mod head_reader;
 mod member_actor;
 mod notes;
+mod planned_service;
+mod rollout_actor;
 mod session_actor;
 mod shared;
 mod store;
@@ -22,14 +24,19 @@
 use self::{
     config_actor::{ConfigActor, ConfigArguments},
     member_actor::{MemberActor, MemberArguments},
+    rollout_actor::{RolloutActor, RolloutArguments},
     session_actor::SessionActor,
 };
 pub use self::{
     config_actor::{ConfigMessage, LoadedConfig, PeerEvidence},
     member_actor::MemberMessage,
     notes::{NoteRecord, NoteWriter, SubmitOutcome},
+    rollout_actor::{GatheredRound, RolloutMessage},
     session_actor::{HolderRecord, SessionMessage},
-    shared::{ControlShared, EncodedConfig, HEAD_KEY, PlatformClients, ReadError, read_record},
+    shared::{
+        ControlShared, EncodedConfig, HEAD_KEY, PlannerRoles, PlatformClients, ReadError,
+        read_record,
+    },
     store::{ObservedStore, StoreObservation},
 };
 use crate::{
@@ -72,6 +79,7 @@
     members: ActorRef<MemberMessage>,
     session: ActorRef<SessionMessage>,
     config: ActorRef<ConfigMessage>,
+    rollout: ActorRef<RolloutMessage>,
     stopped: watch::Sender<bool>,
     servers: Vec<JoinHandle<()>>,
     tasks: Vec<JoinHandle<()>>,
@@ -106,6 +114,7 @@
         encoded: Default::default(),
         proof: SharedDeadline::default(),
         watch_until: SharedDeadline::default(),
+        planners: Default::default(),
     });
     shared.context.claims.connect(peers.clone());
     let arguments = MemberArguments { shared: shared.clone(), peers: peers.clone() };
@@ -122,6 +131,11 @@
         .await
         .map_err(|source| ControlError::Spawn { actor: "session", source })?;
 
+    let arguments =
+        RolloutArguments { shared: shared.clone(), peers: peers.clone(), members: members.clone() };
+    let (rollout, _) = Actor::spawn(None, RolloutActor, arguments)
+        .await
+        .map_err(|source| ControlError::Spawn { actor: "rollout", source })?;
     let (stopped, _) = watch::channel(false);
     let server = PeerServer::new(shared.clone(), peers, members.clone());
     let peer_stop = wait_stop(stopped.subscribe());
@@ -138,10 +152,11 @@
         tokio::spawn(head_reader::read_heads(shared.clone(), config.clone())),
         tokio::spawn(head_reader::watch_head(shared.clone(), config.clone())),
         tokio::spawn(member_actor::list_hosts(shared.clone(), members.clone())),
+        tokio::spawn(rollout_actor::follow_trips(shared.clone(), rollout.clone())),
         tokio::spawn(member_actor::follow_drain(shared, members.clone())),
     ];
     let servers = vec![peer_task, operator_task];
-    Ok(ControlHandle { members, session, config, stopped, servers, tasks })
+    Ok(ControlHandle { members, session, config, rollout, stopped, servers, tasks })
 }
 
 async fn wait_stop(mut stopped: watch::Receiver<bool>) {
@@ -168,6 +183,7 @@
         }
         self.session.stop(None);
         self.config.stop(None);
+        self.rollout.stop(None);
         self.members.stop(None);
     }
 
@@ -176,7 +192,13 @@
         for task in self.tasks.into_iter().chain(self.servers) {
             task.abort();
         }
-        for actor in [self.session.get_cell(), self.config.get_cell(), self.members.get_cell()] {
+        let cells = [
+            self.session.get_cell(),
+            self.config.get_cell(),
+            self.members.get_cell(),
+            self.rollout.get_cell(),
+        ];
+        for actor in cells {
             actor.kill();
         }
     }
--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::join_all;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use sapphireknot::{
     ids::{ConfigGeneration, HostId, IncarnationId},
     membership::{
@@ -27,6 +27,7 @@
     peer::{
         PeerClients,
         convert::{GossipView, gossip_from_wire, member_to_wire},
+        news_to_wire,
     },
 };
 
@@ -38,6 +39,8 @@
 const ALONE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a host that is gone is forgotten.
 const RETENTION: Duration = Duration::from_secs(600);
+/// Hosts that are told of news at once; twelve hosts know them after three exchanges.
+const ANNOUNCED_PEERS: usize = 3;
 /// Hosts of the store's region that are asked at each interval while proofs are overdue.
 const MAX_REPORTERS: usize = 16;
 
@@ -61,6 +64,8 @@
     },
     /// The platform listed hosts.
     Listed(Vec<ListedHost>),
+    /// News of rollouts are to be told at once.
+    Announce,
     /// A generation is in force on this host.
     Installed(ConfigGeneration),
     /// The configuration actor runs.
@@ -159,6 +164,7 @@
             MemberMessage::Installed(generation) => {
                 state.apply(&myself, MemberEvent::Installed(generation));
             }
+            MemberMessage::Announce => state.announce(&myself),
             MemberMessage::Connected(config) => state.config = Some(config),
             MemberMessage::ProbeDue => {
                 state.apply(&myself, MemberEvent::ProbeDue);
@@ -198,10 +204,23 @@
     }
 
     fn apply_heard(&mut self, myself: &ActorRef<MemberMessage>, view: GossipView) {
-        let GossipView { sender, members, .. } = view;
+        let GossipView { sender, members, news, .. } = view;
+        if self.shared.context.rollouts.merge(&news) {
+            self.announce(myself);
+        }
         self.apply(myself, MemberEvent::Heard { sender: Box::new(sender), members });
     }
 
+    /// Exchanges gossip with a few hosts of all regions; each of them does so in turn if it learns something new.
+    fn announce(&mut self, myself: &ActorRef<MemberMessage>) {
+        let own = self.table.own().id.clone();
+        let members = self.table.members();
+        let others = members.into_iter().filter(|it| it.state.is_live() && it.id != own);
+        for peer in others.sample(&mut self.rng, ANNOUNCED_PEERS) {
+            self.exchange(myself, peer.peer_address, Some(&peer.id), None);
+        }
+    }
+
     fn make_gossip(&mut self, peer: Option<&HostId>) -> Gossip {
         let records = self.table.updates_for(peer, &mut self.rng);
         let sent = records.iter().map(|it| it.id.clone()).collect();
@@ -210,7 +229,10 @@
         // Read before the generation, so that the generation is at least the one that the proof showed.
         let proof = self.shared.proof();
         let micros = |age: Duration| u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        let (rollouts, trips) = news_to_wire(&self.shared.context.rollouts.news());
         Gossip {
+            rollouts,
+            trips,
             sender: Some(member_to_wire(self.table.own())),
             members: records.iter().map(member_to_wire).collect(),
             generation: self.shared.generation().0,
--- /dev/null
+++ b/crates/sapphireknotd/src/control/rollout_actor.rs
@@ -0,0 +1,372 @@
+//! Rollouts.
+//!
+//! The actor moves the shares of this host on time, tells peers of trips at once, and plans the services whose planner
+//! role this host holds. A round of planning reads the state from the store and the counts of all live hosts, decides,
+//! and writes the decision by compare-and-swap. Hosts are told of a state only after the store confirmed it or a read
+//! returned it; after any other answer the next round reads the state again.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use futures_util::future::join_all;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use sapphireknot::{
+    ids::{FencingToken, HostId, PlanId, ServiceId},
+    membership::MemberRecord,
+    rollout::{PlannerAction, RolloutState, ShareNotice},
+    time::{MonoTime, WallTime},
+};
+use sapphireknot_platform::{KeyValueStore, StoreRevision, StoredEntry, SwapOutcome, SwapWrite};
+
+use super::{
+    member_actor::MemberMessage,
+    planned_service::{EvidenceRound, PlannedService},
+    shared::{ActorResult, ControlShared, ReadError, read_record, send},
+};
+use crate::{
+    peer::{PeerClients, PeerCounts},
+    rollout::RolloutNews,
+};
+
+/// Interval at which shares and deadlines are looked at.
+const TICK: Duration = Duration::from_millis(100);
+/// Exchanges of gossip after which a host that heard nothing of a plan reads the store.
+const UNHEARD_EXCHANGES: u32 = 3;
+
+/// Message to the rollout actor.
+#[derive(Debug)]
+pub enum RolloutMessage {
+    /// Time has passed.
+    Tick,
+    /// A version tripped on this host.
+    Tripped,
+    /// The next round of planning is due.
+    PlanDue,
+    /// State and counts for a round were gathered.
+    Gathered(Box<GatheredRound>),
+    /// A write ended.
+    Written {
+        /// Service.
+        service: ServiceId,
+        /// The state, if the store confirmed it.
+        state: Option<Box<RolloutState>>,
+    },
+    /// The store was read for a service of which nothing was heard.
+    Read {
+        /// Service.
+        service: ServiceId,
+        /// What was read.
+        state: Result<Option<RolloutState>, ReadError>,
+    },
+}
+
+/// What a round of planning rests on.
+#[derive(Debug)]
+pub struct GatheredRound {
+    service: ServiceId,
+    plan: PlanId,
+    token: FencingToken,
+    /// Revision and state in the store.
+    stored: Result<(StoreRevision, Option<RolloutState>), ReadError>,
+    /// Counts of hosts with the time before they were asked.
+    counts: Vec<(HostId, MonoTime, PeerCounts)>,
+    live: Vec<HostId>,
+}
+
+/// Rollout actor.
+pub(super) struct RolloutActor;
+
+/// What the actor needs.
+pub(super) struct RolloutArguments {
+    /// Shared state.
+    pub shared: Arc<ControlShared>,
+    /// Clients of peers.
+    pub peers: Arc<PeerClients>,
+    /// Member actor.
+    pub members: ActorRef<MemberMessage>,
+}
+
+/// State of the actor.
+pub(super) struct RolloutActorState {
+    arguments: RolloutArguments,
+    planned: BTreeMap<ServiceId, PlannedService>,
+    /// Services with a round or a write under way.
+    busy: BTreeSet<ServiceId>,
+    /// Services that are being read.
+    reading: BTreeSet<ServiceId>,
+}
+
+#[ractor::async_trait]
+impl Actor for RolloutActor {
+    type Msg = RolloutMessage;
+    type State = RolloutActorState;
+    type Arguments = RolloutArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<RolloutMessage>,
+        arguments: RolloutArguments,
+    ) -> Result<RolloutActorState, ActorProcessingErr> {
+        let interval = arguments.shared.context.settings.timing.evidence_interval.0;
+        myself.send_interval(TICK, || RolloutMessage::Tick);
+        myself.send_interval(interval, || RolloutMessage::PlanDue);
+        Ok(RolloutActorState {
+            arguments,
+            planned: BTreeMap::new(),
+            busy: BTreeSet::new(),
+            reading: BTreeSet::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<RolloutMessage>,
+        message: RolloutMessage,
+        state: &mut RolloutActorState,
+    ) -> ActorResult {
+        match message {
+            RolloutMessage::Tick => {
+                state.shared().context.rollouts.advance();
+                state.read_unheard(&myself);
+            }
+            RolloutMessage::Tripped => send(&state.arguments.members, MemberMessage::Announce),
+            RolloutMessage::PlanDue => state.begin_rounds(&myself),
+            RolloutMessage::Gathered(round) => state.decide(&myself, *round),
+            RolloutMessage::Written { service, state: written } => {
+                state.busy.remove(&service);
+                if let Some(written) = written {
+                    state.tell(&service, &written);
+                }
+            }
+            RolloutMessage::Read { service, state: read } => {
+                state.reading.remove(&service);
+                match read {
+                    Ok(Some(read)) => state.tell(&service, &read),
+                    Ok(None) => {}
+                    Err(err) => log::debug!("read the rollout of {service}: {err}"),
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl RolloutActorState {
+    fn shared(&self) -> &Arc<ControlShared> {
+        &self.arguments.shared
+    }
+
+    /// Uses a state that the store holds, and tells peers if it is news.
+    fn tell(&self, service: &ServiceId, state: &RolloutState) {
+        let notices = vec![(service.clone(), ShareNotice::from(state))];
+        let news = RolloutNews { notices, trips: Vec::new() };
+        if self.shared().context.rollouts.merge(&news) {
+            send(&self.arguments.members, MemberMessage::Announce);
+        }
+    }
+
+    /// Reads the state of plans of which no peer has told, such as after a start of all hosts.
+    fn read_unheard(&mut self, myself: &ActorRef<RolloutMessage>) {
+        let context = &self.arguments.shared.context;
+        let span = context.settings.timing.gossip_interval.0 * UNHEARD_EXCHANGES;
+        for service in context.rollouts.unheard(span) {
+            if !self.reading.insert(service.clone()) {
+                continue;
+            }
+            let (shared, myself) = (self.shared().clone(), myself.clone());
+            tokio::spawn(async move {
+                let state = read_state(&shared, &service).await.map(|it| it.1);
+                // The pause bounds the reads of a host while no planner has begun.
+                tokio::time::sleep(span).await;
+                send(&myself, RolloutMessage::Read { service, state });
+            });
+        }
+    }
+
+    fn begin_rounds(&mut self, myself: &ActorRef<RolloutMessage>) {
+        let shared = self.shared().clone();
+        let now = shared.context.clock.now();
+        let roles = shared.planners.load();
+        let config = shared.context.config.load_full();
+        let Some(config) = config else { return };
+        self.planned.retain(|id, _| roles.token(id, now).is_some());
+        for (service, token) in &roles.tokens {
+            let entry = config.routes.service(service).filter(|it| it.traffic.is_some());
+            let Some(entry) = entry.filter(|_| now < roles.usable_until) else { continue };
+            if self.busy.contains(service) {
+                continue;
+            }
+            let Some(plan) = &entry.traffic else { continue };
+            let timing = shared.context.settings.timing.rollout();
+            let is_same =
+                self.planned.get(service).is_some_and(|it| it.is_for(entry, plan, *token));
+            if !is_same {
+                let planned = PlannedService::new(entry, plan, *token, timing);
+                self.planned.insert(service.clone(), planned);
+            }
+            self.busy.insert(service.clone());
+            let (peers, myself) = (self.arguments.peers.clone(), myself.clone());
+            let (shared, service) = (shared.clone(), service.clone());
+            let (plan, token) = (plan.id.clone(), *token);
+            tokio::spawn(async move {
+                let round = gather(&shared, &peers, service, plan, token).await;
+                send(&myself, RolloutMessage::Gathered(Box::new(round)));
+            });
+        }
+    }
+
+    fn decide(&mut self, myself: &ActorRef<RolloutMessage>, round: GatheredRound) {
+        let GatheredRound { service, plan, token, stored, counts, live } = round;
+        let shared = self.shared().clone();
+        let context = &shared.context;
+        self.busy.remove(&service);
+        let planned =
+            self.planned.get_mut(&service).filter(|it| it.plan().id == plan && it.token() == token);
+        let Some(planned) = planned else { return };
+        let (now, wall) = (context.clock.now(), context.clock.wall());
+        let max_age = context.settings.timing.evidence_age.0;
+        let (revision, state) = match stored {
+            Ok((revision, state)) => (Some(revision), state),
+            Err(err) => {
+                log::debug!("read the rollout of {service}: {err}");
+                (None, None)
+            }
+        };
+        let trips = context.rollouts.trips(&service);
+        let round = EvidenceRound { counts, live, now };
+        planned.absorb(state.as_ref().filter(|_| revision.is_some()), round);
+        let rejection = planned.rejection_notice(&context.identity.id);
+        let action =
+            revision.map(|it| (it, planned.decide(state.as_ref(), &trips, max_age, now, wall)));
+        if let Some(state) = &state {
+            self.tell(&service, state);
+        }
+        let Some((revision, action)) = action else {
+            // Without the store a rejection is told as a trip, so that the version is taken back everywhere.
+            if let Some(trip) = rejection {
+                let news = RolloutNews { notices: Vec::new(), trips: vec![(service, trip)] };
+                if context.rollouts.merge(&news) {
+                    send(&self.arguments.members, MemberMessage::Announce);
+                }
+            }
+            return;
+        };
+        match action {
+            PlannerAction::Hold { reason } => {
+                context.rollouts.set_hold(&service, &plan, Some(reason));
+            }
+            PlannerAction::Write { state, send_before, .. } => {
+                context.rollouts.set_hold(&service, &plan, None);
+                self.busy.insert(service.clone());
+                let myself = myself.clone();
+                tokio::spawn(async move {
+                    let written = write(&shared, &service, revision, &state, send_before).await;
+                    let state = written.then(|| Box::new(state));
+                    send(&myself, RolloutMessage::Written { service, state });
+                });
+            }
+        }
+    }
+}
+
+fn state_key(service: &ServiceId) -> String {
+    format!("rollout/{service}")
+}
+
+async fn read_state(
+    shared: &ControlShared,
+    service: &ServiceId,
+) -> Result<(StoreRevision, Option<RolloutState>), ReadError> {
+    let entry: Option<StoredEntry> = shared.store.get(&state_key(service)).await?;
+    match entry {
+        Some(entry) => Ok((entry.revision, Some(read_record(&entry)?))),
+        None => Ok((StoreRevision::ABSENT, None)),
+    }
+}
+
+/// Reads the state and asks all live hosts for their counts.
+async fn gather(
+    shared: &ControlShared,
+    peers: &PeerClients,
+    service: ServiceId,
+    plan: PlanId,
+    token: FencingToken,
+) -> GatheredRound {
+    let context = &shared.context;
+    let members = context.members.load_full();
+    let live: Vec<&MemberRecord> = members.iter().filter(|it| it.state.is_live()).collect();
+    let asked = context.clock.now();
+    let others = live.iter().filter(|it| it.id != context.identity.id);
+    let asks = others.map(|peer| {
+        let (service, plan) = (&service, &plan);
+        async move {
+            match peers.fetch_evidence(peer.peer_address, service, plan).await {
+                Ok(counts) => Some((peer.id.clone(), asked, counts)),
+                Err(err) => {
+                    log::debug!("evidence of host {}: {err}", peer.id);
+                    None
+                }
+            }
+        }
+    });
+    let (stored, answers) = tokio::join!(read_state(shared, &service), join_all(asks));
+    let mut counts: Vec<_> = answers.into_iter().flatten().collect();
+    if let Some(own) = context.rollouts.evidence(&service, &plan) {
+        let incarnation = context.identity.incarnation;
+        let own = PeerCounts { incarnation, counts: own.counts, is_tripped: own.is_tripped };
+        counts.push((context.identity.id.clone(), asked, own));
+    }
+    let live = live.into_iter().map(|it| it.id.clone()).collect();
+    GatheredRound { service, plan, token, stored, counts, live }
+}
+
+/// Writes a state over the revision that the decision saw; the answer is whether the store confirmed it.
+async fn write(
+    shared: &ControlShared,
+    service: &ServiceId,
+    expected: StoreRevision,
+    state: &RolloutState,
+    send_before: WallTime,
+) -> bool {
+    let clock = shared.context.clock;
+    let value = match serde_json::to_vec(state) {
+        Ok(value) => value,
+        Err(err) => {
+            log::error!("encode the rollout of {service}: {err}");
+            return false;
+        }
+    };
+    let write = SwapWrite { key: state_key(service), expected, value: Some(value), lease: None };
+    // Checked last, so that a pause before this point cannot let an old decision through.
+    let held = shared.planners.load().token(service, clock.now());
+    if held != Some(state.token) || clock.wall() >= send_before {
+        log::info!(service:%; "a decision was too old to write");
+        return false;
+    }
+    match shared.store.compare_and_swap(write).await {
+        Ok(SwapOutcome::Swapped(_)) => {
+            let RolloutState { plan, step, moved, verdict, reason, .. } = state;
+            log::info!(service:%, plan:%, step, moved:%, verdict:?, reason:?; "rollout step");
+            true
+        }
+        Ok(SwapOutcome::Conflict(_) | SwapOutcome::LeaseEnded) => {
+            log::info!(service:%; "another planner wrote first");
+            false
+        }
+        Err(err) => {
+            log::warn!("write the rollout of {service}: {err}");
+            false
+        }
+    }
+}
+
+/// Passes trips of this host on, for as long as the task runs.
+pub(super) async fn follow_trips(shared: Arc<ControlShared>, actor: ActorRef<RolloutMessage>) {
+    loop {
+        shared.context.rollouts.wait_trip().await;
+        send(&actor, RolloutMessage::Tripped);
+    }
+}
--- a/crates/sapphireknotd/src/control/session_actor.rs
+++ b/crates/sapphireknotd/src/control/session_actor.rs
@@ -1,14 +1,15 @@
 //! Session of this host with the store.
 //!
 //! The actor holds a short and a long lease, renews both with one call, and takes a watch role while fewer than two
-//! hosts of the data centre hold one. It stops using a lease a drift margin before its end, counted from before the
+//! hosts of the data centre hold one. Holders of a watch role also take the planner role of services with a traffic
+//! plan, so that the reads of free roles do not grow with the fleet. It stops using a lease a drift margin before its end, counted from before the
 //! renewal was sent. Its calls are sequential, since each rests on the result of the one before.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use sapphireknot::{
-    ids::{FencingToken, HostId, IncarnationId},
+    ids::{FencingToken, HostId, IncarnationId, ServiceId},
     roles::{HeldLease, HeldRoles},
     time::MonoTime,
 };
@@ -17,8 +18,12 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::shared::{ActorResult, ControlShared, ReadError, read_record};
+use super::shared::{ActorResult, ControlShared, PlannerRoles, ReadError, read_record};
 
+/// Start of the names of planner roles; the service follows.
+const PLANNER_PREFIX: &str = "role/planner/";
+/// Start of the names of watch roles.
+const WATCH_PREFIX: &str = "role/watch/";
 /// Watch roles of a data centre.
 const WATCH_ROLES: u32 = 2;
 /// Renewals of all hosts together stay under this many a second.
@@ -151,7 +156,7 @@
             return self.begin().await;
         }
         self.short.record_renewal(sent, leases.short_ttl);
-        self.take_watch().await
+        self.take_roles().await
     }
 
     /// Grants new leases and writes the records of this host.
@@ -166,7 +171,12 @@
         self.put(&format!("host/{id}/long"), long).await?;
         self.leases = Some(LeasePair { short, short_ttl, long });
         self.short.record_renewal(sent, short_ttl);
-        self.take_watch().await
+        self.take_roles().await
+    }
+
+    async fn take_roles(&mut self) -> Result<(), ReadError> {
+        self.take_watch().await?;
+        self.take_planners().await
     }
 
     /// Writes this host's record over an earlier one of the same host.
@@ -198,32 +208,72 @@
     /// Takes a free watch role of the data centre, unless this host holds one.
     async fn take_watch(&mut self) -> Result<(), ReadError> {
         let Some(leases) = self.leases else { return Ok(()) };
-        if !self.roles.names().is_empty() {
+        if self.holds_watch() {
             return Ok(());
         }
         let datacentre = self.shared.context.identity.datacentre.clone();
         for idx in 0..WATCH_ROLES {
-            let key = format!("role/watch/{datacentre}/{idx}");
-            if let Some(entry) = self.shared.store.get(&key).await? {
-                // The answer to an earlier write may have been lost.
-                let holder: HolderRecord = read_record(&entry)?;
-                if holder == self.holder() && entry.lease == Some(leases.short) {
-                    self.roles.take(key, FencingToken(entry.revision.0));
-                    return Ok(());
-                }
-                continue;
-            }
-            if let SwapOutcome::Swapped(revision) =
-                self.swap(&key, StoreRevision::ABSENT, leases.short).await?
-            {
-                log::info!(role:% = key; "role taken");
-                self.roles.take(key, FencingToken(revision.0));
+            let key = format!("{WATCH_PREFIX}{datacentre}/{idx}");
+            if self.take_role(key, leases.short).await? {
                 return Ok(());
             }
         }
         Ok(())
     }
 
+    /// Takes free planner roles and gives back those of services without a plan.
+    async fn take_planners(&mut self) -> Result<(), ReadError> {
+        let Some(leases) = self.leases else { return Ok(()) };
+        let config = self.shared.context.config.load_full();
+        let services = config.iter().flat_map(|it| &it.document.services);
+        let planned = services.filter(|it| it.traffic.is_some());
+        let keys: Vec<_> = planned.map(|it| format!("{PLANNER_PREFIX}{}", it.id)).collect();
+        let held = self.roles.names();
+        for key in held.iter().filter(|it| it.starts_with(PLANNER_PREFIX) && !keys.contains(it)) {
+            self.release(key).await?;
+        }
+        if self.holds_watch() {
+            for key in keys.into_iter().filter(|it| !held.contains(it)) {
+                self.take_role(key, leases.short).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes a role if it is free; the answer is whether this host holds it.
+    async fn take_role(&mut self, key: String, lease: LeaseId) -> Result<bool, ReadError> {
+        if let Some(entry) = self.shared.store.get(&key).await? {
+            // The answer to an earlier write may have been lost.
+            let holder: HolderRecord = read_record(&entry)?;
+            let is_own = holder == self.holder() && entry.lease == Some(lease);
+            if is_own {
+                self.roles.take(key, FencingToken(entry.revision.0));
+            }
+            return Ok(is_own);
+        }
+        let outcome = self.swap(&key, StoreRevision::ABSENT, lease).await?;
+        let SwapOutcome::Swapped(revision) = outcome else { return Ok(false) };
+        log::info!(role:% = key; "role taken");
+        self.roles.take(key, FencingToken(revision.0));
+        Ok(true)
+    }
+
+    /// Stops using a role and deletes its entry.
+    async fn release(&mut self, key: &str) -> Result<(), ReadError> {
+        let token = self.roles.token(key, &self.short, self.now());
+        self.roles.release(key);
+        self.publish();
+        let Some(token) = token else { return Ok(()) };
+        let expected = StoreRevision(token.0);
+        let write = SwapWrite { key: key.to_owned(), expected, value: None, lease: None };
+        self.shared.store.compare_and_swap(write).await?;
+        Ok(())
+    }
+
+    fn holds_watch(&self) -> bool {
+        self.roles.names().iter().any(|it| it.starts_with(WATCH_PREFIX))
+    }
+
     fn forget(&mut self) {
         self.leases = None;
         self.short.end();
@@ -231,9 +281,16 @@
     }
 
     fn publish(&self) {
-        let is_holder = !self.roles.names().is_empty();
-        let until = if is_holder { self.short.usable_until() } else { MonoTime::default() };
+        let usable_until = self.short.usable_until();
+        let until = if self.holds_watch() { usable_until } else { MonoTime::default() };
         self.shared.watch_until.set(until);
+        let mut tokens: BTreeMap<ServiceId, FencingToken> = BTreeMap::new();
+        for name in self.roles.names() {
+            let service = name.strip_prefix(PLANNER_PREFIX).and_then(|it| it.parse().ok());
+            let token = self.roles.token(&name, &self.short, self.now());
+            tokens.extend(service.zip(token));
+        }
+        self.shared.planners.store(Arc::new(PlannerRoles { tokens, usable_until }));
     }
 
     async fn end(&mut self) {
--- a/crates/sapphireknotd/src/control/shared.rs
+++ b/crates/sapphireknotd/src/control/shared.rs
@@ -1,13 +1,13 @@
 //! What the control actors, the peer server and the operator interface read of one another.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use ractor::{ActorProcessingErr, ActorRef};
 use sapphireknot::{
     config::ConfigDocument,
     head::{ConfigHead, DocumentError, EncodedDocument},
-    ids::ConfigGeneration,
+    ids::{ConfigGeneration, FencingToken, ServiceId},
     time::MonoTime,
 };
 use sapphireknot_platform::{HostList, KeyValueStore, StoreError, StoredEntry};
@@ -56,6 +56,24 @@
     pub proof: SharedDeadline,
     /// Until when this host holds a watch role. Owner: session actor.
     pub watch_until: SharedDeadline,
+    /// Planner roles of this host. Owner: session actor.
+    pub planners: ArcSwap<PlannerRoles>,
+}
+
+/// Planner roles that this host holds.
+#[derive(Debug, Default)]
+pub struct PlannerRoles {
+    /// Fencing token of each service's role.
+    pub tokens: BTreeMap<ServiceId, FencingToken>,
+    /// When this host stops using them.
+    pub usable_until: MonoTime,
+}
+
+impl PlannerRoles {
+    /// The token of the role of `service`, if it may be used at `now`.
+    pub fn token(&self, service: &ServiceId, now: MonoTime) -> Option<FencingToken> {
+        self.tokens.get(service).copied().filter(|_| now < self.usable_until)
+    }
 }
 
 /// Failed reading of the configuration from the store.
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -27,13 +27,11 @@
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
     control::{self, ControlError, ControlHandle, ControlListeners},
     front::FrontServer,
+    rollout::RolloutTable,
     settings::{HostSettings, ListenSettings},
     telemetry::{self, TelemetryError},
     upstream::{
-        baseline::{ConfiguredRouter, EqualSplitGate},
-        connections::ConnectionPool,
-        pool::RegionalPool,
-        probes,
+        baseline::EqualSplitGate, connections::ConnectionPool, pool::RegionalPool, probes,
         spill::EqualSplitSpill,
     },
 };
@@ -140,6 +138,7 @@
     let context = Arc::new_cyclic(|context: &Weak<HostContext>| {
         let servers = Arc::new(RegionalPool::new(context.clone()));
         pool = Some(servers.clone());
+        let rollouts = Arc::new(RolloutTable::new(context.clone()));
         HostContext {
             settings,
             clock,
@@ -149,7 +148,8 @@
             members: ArcSwap::default(),
             drain: watch::Sender::new(DrainStage::Serving),
             quota: Arc::new(EqualSplitGate::new(context.clone())),
-            versions: Arc::new(ConfiguredRouter::new(context.clone())),
+            versions: rollouts.clone(),
+            rollouts,
             claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
             spill: Arc::new(EqualSplitSpill::new(context.clone())),
             servers,
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod operator;
 pub mod options;
 pub mod peer;
+pub mod rollout;
 pub mod settings;
 mod spans;
 pub mod telemetry;
--- a/crates/sapphireknotd/src/operator/status.rs
+++ b/crates/sapphireknotd/src/operator/status.rs
@@ -130,6 +130,6 @@
         store_up: shared.store.observation().is_some_and(|it| !it.is_down),
         members,
         quotas: Vec::new(),
-        rollouts: Vec::new(),
+        rollouts: context.rollouts.statuses(),
     }
 }
--- a/crates/sapphireknotd/src/peer.rs
+++ b/crates/sapphireknotd/src/peer.rs
@@ -3,9 +3,12 @@
 mod claims;
 mod client;
 pub mod convert;
+mod rollouts;
 mod server;
 
+pub(crate) use self::rollouts::news_to_wire;
 pub use self::{
     client::{PeerClients, PeerError},
+    rollouts::PeerCounts,
     server::{PeerServer, serve_peers},
 };
--- a/crates/sapphireknotd/src/peer/client.rs
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -15,12 +15,12 @@
 use sapphireknot::{
     config::ConfigDocument,
     head::{DocumentError, EncodedDocument},
-    ids::ConfigGeneration,
+    ids::{ConfigGeneration, PlanId, ServiceId},
     membership::MemberRecord,
 };
 use sapphireknot_wire::peer::{
     ClaimRequestReply, ClaimRequestRequest, ExchangeReply, ExchangeRequest, FetchConfigRequest,
-    Gossip, ProbeViaRequest, peer_client::PeerClient,
+    FetchEvidenceRequest, Gossip, ProbeViaRequest, peer_client::PeerClient,
 };
 use thiserror::Error;
 use tonic::{
@@ -28,6 +28,7 @@
     transport::{Channel, Endpoint},
 };
 
+use super::rollouts::{PeerCounts, evidence_from_wire};
 use crate::{control::LoadedConfig, spans::start_span};
 
 /// Connections that are kept; a host talks to a few random peers a second, so that the rest would only be idle.
@@ -167,6 +168,25 @@
         Ok(self.call("peer probe via", delegate, limit, call).await?.answered)
     }
 
+    /// Asks `peer` for the outcomes that it counted for a plan.
+    pub async fn fetch_evidence(
+        &self,
+        peer: SocketAddr,
+        service: &ServiceId,
+        plan: &PlanId,
+    ) -> Result<PeerCounts, PeerError> {
+        const STEP: &str = "peer fetch evidence";
+        let mut client = self.client(peer);
+        let (service, plan) = (service.to_string(), plan.to_string());
+        let call = client.fetch_evidence(FetchEvidenceRequest { service, plan });
+        let reply = self.call(STEP, peer, self.call_timeout, call).await?;
+        evidence_from_wire(&reply).map_err(|err| PeerError::Call {
+            step: STEP,
+            peer,
+            reason: err.to_string(),
+        })
+    }
+
     /// Claims an idempotency key at its owner `peer`, or tells it the end.
     pub(super) async fn claim_request(
         &self,
--- a/crates/sapphireknotd/src/peer/convert.rs
+++ b/crates/sapphireknotd/src/peer/convert.rs
@@ -9,6 +9,9 @@
 use sapphireknot_wire::peer::{Gossip, Member, MemberState as WireState};
 use thiserror::Error;
 
+use super::rollouts::news_from_wire;
+use crate::rollout::RolloutNews;
+
 /// Message of a peer that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("field {field} of a peer's message: {reason}")]
@@ -87,6 +90,8 @@
     pub proof_age: Option<Duration>,
     /// Whether the store is down, with the age of the observation.
     pub report: Option<(bool, Duration)>,
+    /// Decisions and trips of rollouts.
+    pub news: RolloutNews,
 }
 
 /// Reads a message of gossip.
@@ -106,6 +111,7 @@
         generation: ConfigGeneration(gossip.generation),
         proof_age: gossip.freshness_age_us.map(Duration::from_micros),
         report: gossip.store.as_ref().map(|it| (it.down, Duration::from_micros(it.age_us))),
+        news: news_from_wire(gossip),
         sender,
     })
 }
--- /dev/null
+++ b/crates/sapphireknotd/src/peer/rollouts.rs
@@ -0,0 +1,147 @@
+//! Messages about rollouts and the types of the decisions.
+
+use std::collections::BTreeMap;
+
+use sapphireknot::{
+    ids::{FencingToken, IncarnationId, ServiceId},
+    rollout::{OutcomeCounts, RolloutVerdict, SampleKey, ShareMap, ShareNotice, TripNotice},
+    units::TrafficShare,
+};
+use sapphireknot_wire::peer::{
+    FetchEvidenceReply, Gossip, OutcomeCount, RolloutShares, RolloutVerdict as WireVerdict, Trip,
+    VersionShare,
+};
+
+use super::convert::{ConvertError, parse};
+use crate::rollout::{LocalEvidence, RolloutNews};
+
+/// Evidence of a peer.
+#[derive(Debug, Clone)]
+pub struct PeerCounts {
+    /// Run of the peer.
+    pub incarnation: IncarnationId,
+    /// Cumulative counts of this run.
+    pub counts: BTreeMap<SampleKey, OutcomeCounts>,
+    /// Whether the peer knows of a trip.
+    pub is_tripped: bool,
+}
+
+/// The messages for decisions and trips.
+pub(crate) fn news_to_wire(news: &RolloutNews) -> (Vec<RolloutShares>, Vec<Trip>) {
+    let shares = news.notices.iter().map(|(service, it)| shares_to_wire(service, it)).collect();
+    let trips = news.trips.iter().map(|(service, it)| Trip {
+        service: service.to_string(),
+        plan: it.plan.to_string(),
+        version: it.version.to_string(),
+        host: it.host.to_string(),
+        reason: it.reason.clone(),
+    });
+    (shares, trips.collect())
+}
+
+fn shares_to_wire(service: &ServiceId, notice: &ShareNotice) -> RolloutShares {
+    let verdict = match notice.verdict {
+        RolloutVerdict::Running => WireVerdict::Running,
+        RolloutVerdict::Done => WireVerdict::Done,
+        RolloutVerdict::Reverted => WireVerdict::Reverted,
+    };
+    let shares = notice
+        .shares
+        .iter()
+        .map(|(version, share)| VersionShare { version: version.to_string(), share_ppm: share.0 });
+    RolloutShares {
+        service: service.to_string(),
+        plan: notice.plan.to_string(),
+        token: notice.token.0,
+        step: notice.step,
+        shares: shares.collect(),
+        verdict: verdict.into(),
+        reason: notice.reason.clone().unwrap_or_default(),
+    }
+}
+
+/// Decisions and trips in a message of gossip; what cannot be read is left out.
+pub(super) fn news_from_wire(gossip: &Gossip) -> RolloutNews {
+    let mut news = RolloutNews::default();
+    for message in &gossip.rollouts {
+        match shares_from_wire(message) {
+            Ok(notice) => news.notices.push(notice),
+            Err(err) => log::debug!("gossip of a rollout: {err}"),
+        }
+    }
+    for message in &gossip.trips {
+        match trip_from_wire(message) {
+            Ok(trip) => news.trips.push(trip),
+            Err(err) => log::debug!("gossip of a trip: {err}"),
+        }
+    }
+    news
+}
+
+fn shares_from_wire(message: &RolloutShares) -> Result<(ServiceId, ShareNotice), ConvertError> {
+    let verdict = match WireVerdict::try_from(message.verdict) {
+        Ok(WireVerdict::Running) => RolloutVerdict::Running,
+        Ok(WireVerdict::Done) => RolloutVerdict::Done,
+        Ok(WireVerdict::Reverted) => RolloutVerdict::Reverted,
+        Err(err) => return Err(ConvertError { field: "verdict", reason: err.to_string() }),
+    };
+    let mut shares = ShareMap::new();
+    for share in &message.shares {
+        shares.insert(parse("version", &share.version)?, TrafficShare(share.share_ppm));
+    }
+    let sum: u64 = shares.values().map(|it| u64::from(it.0)).sum();
+    if sum != u64::from(TrafficShare::WHOLE.0) {
+        let reason = format!("{sum} parts per million in all");
+        return Err(ConvertError { field: "shares", reason });
+    }
+    let notice = ShareNotice {
+        plan: parse("plan", &message.plan)?,
+        token: FencingToken(message.token),
+        step: message.step,
+        shares,
+        verdict,
+        reason: Some(message.reason.clone()).filter(|it| !it.is_empty()),
+    };
+    Ok((parse("service", &message.service)?, notice))
+}
+
+fn trip_from_wire(message: &Trip) -> Result<(ServiceId, TripNotice), ConvertError> {
+    let trip = TripNotice {
+        plan: parse("plan", &message.plan)?,
+        version: parse("version", &message.version)?,
+        host: parse("host", &message.host)?,
+        reason: message.reason.clone(),
+    };
+    Ok((parse("service", &message.service)?, trip))
+}
+
+/// The reply with the evidence of this host.
+pub(super) fn evidence_to_wire(
+    incarnation: IncarnationId,
+    evidence: &LocalEvidence,
+) -> FetchEvidenceReply {
+    let counts = evidence.counts.iter().map(|((version, route), counts)| OutcomeCount {
+        version: version.to_string(),
+        route: route.to_string(),
+        succeeded: counts.succeeded,
+        failed: counts.failed,
+        slow: counts.slow,
+    });
+    FetchEvidenceReply {
+        incarnation: incarnation.0,
+        counts: counts.collect(),
+        tripped: evidence.is_tripped,
+    }
+}
+
+/// The evidence in a reply.
+pub(super) fn evidence_from_wire(reply: &FetchEvidenceReply) -> Result<PeerCounts, ConvertError> {
+    let mut counts = BTreeMap::new();
+    for count in &reply.counts {
+        let key = (parse("version", &count.version)?, parse("route", &count.route)?);
+        let OutcomeCount { succeeded, failed, slow, .. } = *count;
+        counts.insert(key, OutcomeCounts { succeeded, failed, slow });
+    }
+    let incarnation = IncarnationId(reply.incarnation);
+    Ok(PeerCounts { incarnation, counts, is_tripped: reply.tripped })
+}
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -16,7 +16,8 @@
 use super::{
     claims::{claim_from_wire, claim_reply_to_wire},
     client::{MAX_MESSAGE_BYTES, PeerClients},
-    convert::gossip_from_wire,
+    convert::{ConvertError, gossip_from_wire, parse},
+    rollouts::evidence_to_wire,
 };
 use crate::control::{ControlShared, MemberMessage};
 
@@ -116,9 +117,17 @@
 
     async fn fetch_evidence(
         &self,
-        _: Request<FetchEvidenceRequest>,
+        request: Request<FetchEvidenceRequest>,
     ) -> Result<Response<FetchEvidenceReply>, Status> {
-        Err(Status::unimplemented("this host keeps no evidence"))
+        let invalid = |err: ConvertError| Status::invalid_argument(err.to_string());
+        let request = request.get_ref();
+        let service = parse("service", &request.service).map_err(invalid)?;
+        let plan = parse("plan", &request.plan).map_err(invalid)?;
+        let context = &self.shared.context;
+        let evidence = context.rollouts.evidence(&service, &plan);
+        let evidence =
+            evidence.ok_or_else(|| Status::not_found("the plan is not in force on this host"))?;
+        Ok(Response::new(evidence_to_wire(context.identity.incarnation, &evidence)))
     }
 
     async fn claim_request(
--- /dev/null
+++ b/crates/sapphireknotd/src/rollout/choice.rs
@@ -0,0 +1,63 @@
+//! Choice of a version among those that have servers.
+
+use sapphireknot::{
+    config::{ConfigDocument, ServiceEntry},
+    ids::{RegionId, VersionId},
+    rollout::ShareMap,
+    units::TrafficShare,
+};
+
+/// Versions of `service` that have a server which hosts of the region `own` may use.
+pub(super) fn usable_versions(
+    document: &ConfigDocument,
+    service: &ServiceEntry,
+    own: &RegionId,
+) -> Vec<VersionId> {
+    let is_reachable =
+        |region: &RegionId| region == own || service.spill.iter().any(|it| it.into == *region);
+    let mut versions: Vec<_> = service
+        .servers
+        .iter()
+        .filter(|it| !it.leaving && document.region_of(&it.datacentre).is_some_and(is_reachable))
+        .map(|it| it.version.clone())
+        .collect();
+    versions.sort();
+    versions.dedup();
+    versions
+}
+
+/// The version for `draw`, which is uniform in `0..1_000_000`.
+///
+/// The share of a version without servers goes to `old`, the version that a traffic plan moves away from. Without a plan
+/// the versions that have servers divide it. With a plan they don't: a rising version would otherwise get more than its
+/// decided share as soon as the servers of the old one are withdrawn.
+pub fn choose_usable(
+    shares: &ShareMap,
+    usable: &[VersionId],
+    old: Option<&VersionId>,
+    draw: u32,
+) -> Option<VersionId> {
+    let is_usable = |id: &VersionId| usable.contains(id);
+    if let Some(old) = old {
+        let drawn = at_point(shares.iter(), u64::from(draw))?;
+        return Some(if is_usable(&drawn) { drawn } else { old.clone() }).filter(is_usable);
+    }
+    let candidates: Vec<_> = shares.iter().filter(|(id, _)| is_usable(id)).collect();
+    let total: u64 = candidates.iter().map(|(_, share)| u64::from(share.0)).sum();
+    let point = u64::from(draw) * total / u64::from(TrafficShare::WHOLE.0);
+    at_point(candidates.into_iter(), point)
+}
+
+fn at_point<'a, I>(shares: I, point: u64) -> Option<VersionId>
+where
+    I: Iterator<Item = (&'a VersionId, &'a TrafficShare)>,
+{
+    let mut rest = point;
+    for (id, share) in shares {
+        match rest.checked_sub(u64::from(share.0)) {
+            Some(left) => rest = left,
+            None => return Some(id.clone()),
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/rollout/table.rs
@@ -0,0 +1,182 @@
+//! Rollouts of all services on this host.
+
+use std::{collections::BTreeMap, sync::Weak, time::Duration};
+
+use parking_lot::{Mutex, MutexGuard};
+use sapphireknot::{
+    ids::{ConfigGeneration, PlanId, ServiceId, VersionId},
+    operator::RolloutStatus,
+    rollout::{ShareNotice, TripNotice},
+    time::WallTime,
+};
+use tokio::sync::Notify;
+
+use super::{
+    LocalEvidence,
+    choice::usable_versions,
+    service::{RolloutFacts, ServiceRollout},
+};
+use crate::context::{AttemptOutcome, HostContext, VersionRouter, VersionSample};
+
+/// Hosts over which the false-alarm rate of trips is divided at least; a host that starts does not know the others yet.
+const MIN_HOSTS: usize = 12;
+
+/// Decisions and trips that hosts tell one another.
+#[derive(Debug, Clone, Default)]
+pub struct RolloutNews {
+    /// Newest decision of each service.
+    pub notices: Vec<(ServiceId, ShareNotice)>,
+    /// Trips.
+    pub trips: Vec<(ServiceId, TripNotice)>,
+}
+
+#[derive(Debug, Default)]
+struct TableInner {
+    generation: ConfigGeneration,
+    services: BTreeMap<ServiceId, ServiceRollout>,
+}
+
+/// Rollouts of all services on this host.
+#[derive(Debug)]
+pub struct RolloutTable {
+    context: Weak<HostContext>,
+    inner: Mutex<TableInner>,
+    tripped: Notify,
+}
+
+impl RolloutTable {
+    /// A table that reads the configuration of `context`.
+    pub fn new(context: Weak<HostContext>) -> Self {
+        Self { context, inner: Mutex::default(), tripped: Notify::new() }
+    }
+
+    /// Completes after a version tripped on this host.
+    pub async fn wait_trip(&self) {
+        self.tripped.notified().await;
+    }
+
+    /// The table after the configuration in force was taken over.
+    fn synced(&self, context: &HostContext) -> MutexGuard<'_, TableInner> {
+        let mut inner = self.inner.lock();
+        let config = context.config.load();
+        let Some(config) = config.as_ref().filter(|it| it.generation != inner.generation) else {
+            return inner;
+        };
+        let live = context.members.load().iter().filter(|it| it.state.is_live()).count();
+        let timing = context.settings.timing.rollout();
+        let facts = RolloutFacts {
+            timing,
+            hosts: live.max(MIN_HOSTS),
+            now: context.clock.now(),
+            wall: context.clock.wall(),
+        };
+        inner.generation = config.generation;
+        let services = &config.document.services;
+        inner.services.retain(|id, _| services.iter().any(|it| it.id == *id));
+        for entry in services {
+            let usable = usable_versions(&config.document, entry, &context.identity.region);
+            let service = inner
+                .services
+                .entry(entry.id.clone())
+                .or_insert_with(|| ServiceRollout::new(usable.clone()));
+            service.install(entry, usable, facts);
+        }
+        inner
+    }
+
+    /// Moves the shares in use towards the decided ones.
+    pub fn advance(&self) {
+        let Some(context) = self.context.upgrade() else { return };
+        let now = context.clock.wall();
+        self.synced(&context).services.values_mut().for_each(|it| it.advance(now));
+    }
+
+    /// What peers are to know.
+    pub fn news(&self) -> RolloutNews {
+        let Some(context) = self.context.upgrade() else { return RolloutNews::default() };
+        let mut news = RolloutNews::default();
+        for (id, service) in &self.synced(&context).services {
+            news.notices.extend(service.newest().map(|it| (id.clone(), it.clone())));
+            let trips = service.trips().notices().into_iter();
+            news.trips.extend(trips.map(|it| (id.clone(), it)));
+        }
+        news
+    }
+
+    /// Takes what a peer or the store told; the answer is whether anything is new.
+    pub fn merge(&self, news: &RolloutNews) -> bool {
+        let Some(context) = self.context.upgrade() else { return false };
+        let now = context.clock.wall();
+        let mut inner = self.synced(&context);
+        let mut is_new = false;
+        // Trips first, so that a decision is not used before the trip that overrides it.
+        for (id, trip) in &news.trips {
+            is_new |= inner.services.get_mut(id).is_some_and(|it| it.take_trip(trip));
+        }
+        for (id, notice) in &news.notices {
+            is_new |= inner.services.get_mut(id).is_some_and(|it| it.take_notice(notice, now));
+        }
+        is_new
+    }
+
+    /// Services of whose plan nothing was heard for `span`.
+    pub fn unheard(&self, span: Duration) -> Vec<ServiceId> {
+        let Some(context) = self.context.upgrade() else { return Vec::new() };
+        let now = context.clock.now();
+        let inner = self.synced(&context);
+        let services = inner.services.iter();
+        let is_due =
+            |it: &ServiceRollout| it.unheard_since().is_some_and(|since| now.since(since) >= span);
+        services.filter(|(_, it)| is_due(it)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Trips of `service`.
+    pub fn trips(&self, service: &ServiceId) -> sapphireknot::rollout::TripSet {
+        self.inner.lock().services.get(service).map(|it| it.trips().clone()).unwrap_or_default()
+    }
+
+    /// Outcomes that this host counted for a plan; none if the plan is not in force here.
+    pub fn evidence(&self, service: &ServiceId, plan: &PlanId) -> Option<LocalEvidence> {
+        let context = self.context.upgrade()?;
+        self.synced(&context).services.get(service)?.evidence(plan)
+    }
+
+    /// Records what the planner waits for.
+    pub fn set_hold(&self, service: &ServiceId, plan: &PlanId, hold: Option<String>) {
+        if let Some(service) = self.inner.lock().services.get_mut(service) {
+            service.set_hold(plan, hold);
+        }
+    }
+
+    /// State of every plan in force.
+    pub fn statuses(&self) -> Vec<RolloutStatus> {
+        let Some(context) = self.context.upgrade() else { return Vec::new() };
+        let now: WallTime = context.clock.wall();
+        let inner = self.synced(&context);
+        inner.services.iter().filter_map(|(id, it)| it.status(id, now)).collect()
+    }
+}
+
+impl VersionRouter for RolloutTable {
+    fn choose(&self, service: &ServiceId, draw: u32) -> Option<VersionId> {
+        let context = self.context.upgrade()?;
+        let now = context.clock.wall();
+        self.synced(&context).services.get(service)?.choose(now, draw)
+    }
+
+    fn record(&self, sample: VersionSample) {
+        let succeeded = match sample.outcome {
+            AttemptOutcome::Succeeded => true,
+            AttemptOutcome::Failed | AttemptOutcome::Broken => false,
+            // Neither says anything about the version.
+            AttemptOutcome::Shed | AttemptOutcome::Cancelled => return,
+        };
+        let Some(context) = self.context.upgrade() else { return };
+        let VersionSample { service, version, route, latency_us, .. } = &sample;
+        let mut inner = self.synced(&context);
+        let Some(service) = inner.services.get_mut(service) else { return };
+        if service.record(version, route, succeeded, *latency_us, &context.identity.id) {
+            self.tripped.notify_one();
+        }
+    }
+}
--- a/crates/sapphireknotd/src/settings.rs
+++ b/crates/sapphireknotd/src/settings.rs
@@ -8,6 +8,7 @@
 use sapphireknot::{
     config::ConfigProblem,
     ids::{DatacentreId, HostId, RegionId},
+    rollout::RolloutTiming,
     time::ClockSpan,
 };
 use serde::{Deserialize, Serialize};
@@ -167,6 +168,16 @@
     pub short_lease: ClockSpan,
     /// Lease of the quota that a host keeps during a partition.
     pub long_lease: ClockSpan,
+    /// Shortest time between steps of a rollout.
+    pub rollout_step: ClockSpan,
+    /// Time in which hosts take up a step of a rollout.
+    pub rollout_settle: ClockSpan,
+    /// Shortest time left when a rollout reaches its target.
+    pub rollout_spare: ClockSpan,
+    /// Interval at which the planner of a rollout asks hosts for evidence.
+    pub evidence_interval: ClockSpan,
+    /// Age at which evidence is stale.
+    pub evidence_age: ClockSpan,
 }
 
 impl Default for TimingSettings {
@@ -182,6 +193,22 @@
             watch_wait: constants::WATCH_WAIT,
             short_lease: constants::SHORT_LEASE,
             long_lease: constants::LONG_LEASE,
+            rollout_step: constants::ROLLOUT_STEP,
+            rollout_settle: constants::ROLLOUT_SETTLE,
+            rollout_spare: constants::ROLLOUT_SPARE,
+            evidence_interval: constants::EVIDENCE_INTERVAL,
+            evidence_age: constants::EVIDENCE_AGE,
+        }
+    }
+}
+
+impl TimingSettings {
+    /// Times of a rollout.
+    pub fn rollout(&self) -> RolloutTiming {
+        RolloutTiming {
+            step_interval: self.rollout_step.0,
+            settle_time: self.rollout_settle.0,
+            spare_time: self.rollout_spare.0,
         }
     }
 }
@@ -254,6 +281,11 @@
             ("timing.watch_wait", timing.watch_wait),
             ("timing.short_lease", timing.short_lease),
             ("timing.long_lease", timing.long_lease),
+            ("timing.rollout_step", timing.rollout_step),
+            ("timing.rollout_settle", timing.rollout_settle),
+            ("timing.rollout_spare", timing.rollout_spare),
+            ("timing.evidence_interval", timing.evidence_interval),
+            ("timing.evidence_age", timing.evidence_age),
             ("limits.header_timeout", self.limits.header_timeout),
             ("limits.body_timeout", self.limits.body_timeout),
             ("limits.write_timeout", self.limits.write_timeout),
@@ -268,6 +300,14 @@
                 "at least timing.cache_lifetime, or callers with a cached look-up are cut off";
             problems.push(ConfigProblem::new("timing.drain_limit", timing.drain_limit, allowed));
         }
+        if timing.rollout_step < timing.rollout_settle {
+            let allowed = "at least timing.rollout_settle, or no outcome belongs to a step";
+            problems.push(ConfigProblem::new("timing.rollout_step", timing.rollout_step, allowed));
+        }
+        if timing.evidence_age < timing.evidence_interval {
+            let allowed = "at least timing.evidence_interval, or no evidence is ever fresh";
+            problems.push(ConfigProblem::new("timing.evidence_age", timing.evidence_age, allowed));
+        }
         if timing.long_lease < timing.short_lease {
             let allowed = "at least timing.short_lease";
             problems.push(ConfigProblem::new("timing.long_lease", timing.long_lease, allowed));
--- a/crates/sapphireknotd/src/upstream/baseline.rs
+++ b/crates/sapphireknotd/src/upstream/baseline.rs
@@ -1,7 +1,7 @@
-//! Simple admission and version choice.
+//! Simple admission.
 //!
 //! [`EqualSplitGate`] is the baseline against which quota transfers are measured: it needs no messages, and refuses an
-//! organisation wrongly whose callers favour few hosts. [`ConfiguredRouter`] follows the shares of the configuration.
+//! organisation wrongly whose callers favour few hosts.
 
 use std::{
     collections::HashMap,
@@ -11,12 +11,12 @@
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use sapphireknot::{
-    ids::{OrganisationId, ServiceId, VersionId},
+    ids::OrganisationId,
     time::MonoTime,
     units::{RequestRate, TokenCount, TrafficShare},
 };
 
-use crate::context::{HostContext, QuotaGate, QuotaVerdict, VersionRouter, VersionSample};
+use crate::context::{HostContext, QuotaGate, QuotaVerdict};
 
 /// Time after which an organisation without a fill rate may be asked about again.
 const IDLE_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
@@ -86,38 +86,3 @@
         }
     }
 }
-
-/// Follows the shares of the configuration.
-#[derive(Debug)]
-pub struct ConfiguredRouter {
-    context: Weak<HostContext>,
-}
-
-impl ConfiguredRouter {
-    /// A router that reads the configuration of `context`.
-    pub fn new(context: Weak<HostContext>) -> Self {
-        Self { context }
-    }
-}
-
-impl VersionRouter for ConfiguredRouter {
-    fn choose(&self, service: &ServiceId, draw: u32) -> Option<VersionId> {
-        let context = self.context.upgrade()?;
-        let config = context.config.load();
-        let service = config.as_ref()?.routes.service(service)?;
-        let has_servers =
-            |id: &VersionId| service.servers.iter().any(|it| it.version == *id && !it.leaving);
-        let versions: Vec<_> = service.versions.iter().filter(|(id, _)| has_servers(id)).collect();
-        let total: u64 = versions.iter().map(|(_, share)| u64::from(share.0)).sum();
-        let mut point = u64::from(draw) * total / u64::from(TrafficShare::WHOLE.0);
-        for (id, share) in versions {
-            match point.checked_sub(u64::from(share.0)) {
-                Some(rest) => point = rest,
-                None => return Some(id.clone()),
-            }
-        }
-        None
-    }
-
-    fn record(&self, _sample: VersionSample) {}
-}
--- a/crates/sapphireknotd/tests/control/note_submission.rs
+++ b/crates/sapphireknotd/tests/control/note_submission.rs
@@ -119,6 +119,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn traffic_item() {
     let platform = FakePlatform::default();
+    // Another host is the planner, so that only this test writes the record.
+    let holder = br#"{"host":"h9","incarnation":1}"#.to_vec();
+    let (key, expected) = ("role/planner/s".to_owned(), StoreRevision::ABSENT);
+    let role = SwapWrite { key, expected, value: Some(holder), lease: None };
+    platform.store.compare_and_swap(role).await.unwrap();
     let host = start_host(&platform, 0).await;
     let document = load_document(
         "{regions: [{id: r0, datacentres: [d0]}], services: [{id: s, versions: {v1: 100%, v2: 0%}, \
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -25,6 +25,7 @@
         ServerPool, ServerTicket, SpillGate, VersionRouter, VersionSample,
     },
     control::{self, ControlHandle, ControlListeners, PlatformClients},
+    rollout::RolloutTable,
     settings::HostSettings,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -152,7 +153,7 @@
         operator_address: operator.local_addr().unwrap(),
     };
     let nothing = Arc::new(Nothing);
-    let context = Arc::new(HostContext {
+    let context = Arc::new_cyclic(|context| HostContext {
         settings,
         clock,
         identity,
@@ -162,6 +163,7 @@
         drain: tokio::sync::watch::Sender::new(DrainStage::Serving),
         quota: nothing.clone(),
         versions: nothing.clone(),
+        rollouts: Arc::new(RolloutTable::new(context.clone())),
         claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
         spill: nothing.clone(),
         servers: nothing,
