--- a/crates/sapphireknotd/src/operator/status.rs
+++ b/crates/sapphireknotd/src/operator/status.rs
@@ -46,8 +46,17 @@
             rollouts.insert(service, rollout);
         }
     }
-    let items =
-        record.note.items.iter().map(|item| item_status(item, &waiting_for, &rollouts)).collect();
+    let items = record.note.items.iter().map(|item| {
+        let status = item_status(item, &waiting_for, &rollouts);
+        let ended = replaced_reason(server, item, generation);
+        match ended.filter(|_| matches!(status.state, ItemState::Pending | ItemState::InForce)) {
+            Some(reason) => {
+                ItemStatus { state: ItemState::Reverted, reason: Some(reason), ..status }
+            }
+            None => status,
+        }
+    });
+    let items = items.collect();
     Ok(Some(NoteStatus { note: id.clone(), generation, waiting_for, items }))
 }
 
@@ -100,6 +109,23 @@
     ItemStatus { action: action.to_owned(), path, state, reason }
 }
 
+/// Why the plan of an item is no longer in force on this host, whose generation is at least `generation`.
+fn replaced_reason(
+    server: &OperatorServer,
+    item: &NoteItem,
+    generation: ConfigGeneration,
+) -> Option<String> {
+    let (NoteItem::Add(value) | NoteItem::Change(value)) = item else { return None };
+    let EntityValue::Traffic { service, plan } = value else { return None };
+    let config = server.shared.context.config.load();
+    let config = config.as_ref().filter(|it| it.generation >= generation)?;
+    match config.routes.service(service).and_then(|it| it.traffic.as_ref()) {
+        Some(current) if current.id == plan.id => None,
+        Some(current) => Some(format!("replaced by plan {} before its end", current.id)),
+        None => Some("withdrawn before its end".to_owned()),
+    }
+}
+
 fn plan_of(value: &EntityValue) -> Option<&PlanId> {
     match value {
         EntityValue::Traffic { plan, .. } => Some(&plan.id),
