--- a/crates/sapphireknot-standin/tests/end_to_end/main.rs
+++ b/crates/sapphireknot-standin/tests/end_to_end/main.rs
@@ -24,3 +24,7 @@
 mod store_outage;
 #[cfg(test)]
 mod support;
+#[cfg(test)]
+mod version_bed;
+#[cfg(test)]
+mod version_moves;
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -25,7 +25,10 @@
     time::MonoTime,
 };
 
-use crate::{claims::RequestClaims, clock::HostClock, quota::HostQuotas, settings::HostSettings};
+use crate::{
+    claims::RequestClaims, clock::HostClock, quota::HostQuotas, rollout::RolloutTable,
+    settings::HostSettings,
+};
 
 /// This host as others see it.
 #[derive(Debug, Clone)]
@@ -196,6 +199,8 @@
     pub quotas: Arc<HostQuotas>,
     /// Versions. Owner: rollout actor.
     pub versions: Arc<dyn VersionRouter>,
+    /// Rollouts. Owner: rollout actor.
+    pub rollouts: Arc<RolloutTable>,
     /// Spill to other regions. Owner: quota actor.
     pub spill: Arc<dyn SpillGate>,
     /// Idempotency keys.
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -28,11 +28,10 @@
     control::{self, ControlError, ControlHandle, ControlListeners},
     front::FrontServer,
     quota::HostQuotas,
+    rollout::RolloutTable,
     settings::{HostSettings, ListenSettings},
     telemetry::{self, TelemetryError},
-    upstream::{
-        baseline::ConfiguredRouter, connections::ConnectionPool, pool::RegionalPool, probes,
-    },
+    upstream::{connections::ConnectionPool, pool::RegionalPool, probes},
 };
 
 /// Interval at which a closing host looks for requests in flight.
@@ -138,6 +137,7 @@
         let servers = Arc::new(RegionalPool::new(context.clone()));
         pool = Some(servers.clone());
         let quotas = Arc::new(HostQuotas::new(&identity, clock));
+        let rollouts = Arc::new(RolloutTable::new(context.clone()));
         HostContext {
             settings,
             clock,
@@ -149,7 +149,8 @@
             quota: quotas.clone(),
             spill: quotas.clone(),
             quotas,
-            versions: Arc::new(ConfiguredRouter::new(context.clone())),
+            versions: rollouts.clone(),
+            rollouts,
             claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
             servers,
         }
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod options;
 pub mod peer;
 pub mod quota;
+pub mod rollout;
 pub mod settings;
 mod spans;
 pub mod telemetry;
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -26,6 +26,7 @@
     },
     control::{self, ControlHandle, ControlListeners, PlatformClients},
     quota::HostQuotas,
+    rollout::RolloutTable,
     settings::HostSettings,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -154,7 +155,7 @@
     };
     let quotas = Arc::new(HostQuotas::new(&identity, clock));
     let nothing = Arc::new(Nothing);
-    let context = Arc::new(HostContext {
+    let context = Arc::new_cyclic(|context| HostContext {
         settings,
         clock,
         identity,
@@ -164,6 +165,7 @@
         drain: tokio::sync::watch::Sender::new(DrainStage::Serving),
         quota: nothing.clone(),
         versions: nothing.clone(),
+        rollouts: Arc::new(RolloutTable::new(context.clone())),
         claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
         spill: nothing.clone(),
         quotas,
