--- a/crates/sapphireknot-standin/tests/end_to_end/main.rs
+++ b/crates/sapphireknot-standin/tests/end_to_end/main.rs
@@ -13,6 +13,8 @@
 #[cfg(test)]
 mod operator_race;
 #[cfg(test)]
+mod quota_bounds;
+#[cfg(test)]
 mod request_served;
 #[cfg(test)]
 mod server_drain;
@@ -22,3 +24,7 @@
 mod store_outage;
 #[cfg(test)]
 mod support;
+#[cfg(test)]
+mod version_bed;
+#[cfg(test)]
+mod version_moves;
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -25,6 +25,8 @@
         ServerPool, ServerTicket, SpillGate, VersionRouter, VersionSample,
     },
     control::{self, ControlHandle, ControlListeners, PlatformClients},
+    quota::HostQuotas,
+    rollout::RolloutTable,
     settings::HostSettings,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -151,8 +153,9 @@
         peer_address: address,
         operator_address: operator.local_addr().unwrap(),
     };
+    let quotas = Arc::new(HostQuotas::new(&identity, clock));
     let nothing = Arc::new(Nothing);
-    let context = Arc::new(HostContext {
+    let context = Arc::new_cyclic(|context| HostContext {
         settings,
         clock,
         identity,
@@ -162,8 +165,10 @@
         drain: tokio::sync::watch::Sender::new(DrainStage::Serving),
         quota: nothing.clone(),
         versions: nothing.clone(),
+        rollouts: Arc::new(RolloutTable::new(context.clone())),
         claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
         spill: nothing.clone(),
+        quotas,
         servers: nothing,
     });
     (context, ControlListeners { peer, operator })
