delta, lookup, standin: spread release notes and find few hosts a look-up

Every change shipped the whole document to every host, and a look-up ordered all hosts.

Hosts now keep the last release notes and send those to a peer that is behind; the peer applies them and checks the digest of the result. Watch holders read the notes from the store in the same way. The whole document is fetched when notes are gone, do not lead to the named document, or the host has no configuration. `HostIndex` groups hosts by region and finds the first ones of the order of `order_hosts`. Both hash a host's id once and mix it with the query, which changes the order of hosts against earlier versions.

--- /dev/null
+++ b/crates/sapphireknot-standin/examples/measure/report.rs
@@ -0,0 +1,87 @@
+//! Options and results of measurements.
+
+use std::{fmt, time::Duration};
+
+use indicatif::{ProgressBar, ProgressStyle};
+use serde::Serialize;
+
+/// Options of one run, and its progress.
+#[derive(Debug)]
+pub(crate) struct MeasureRun {
+    /// Seed of all random choices.
+    pub(crate) seed: u64,
+    /// Whether sizes are small.
+    pub(crate) is_small: bool,
+    progress: ProgressBar,
+}
+
+impl MeasureRun {
+    /// A run that shows its progress on a terminal.
+    pub(crate) fn new(seed: u64, is_small: bool) -> Self {
+        let style = ProgressStyle::with_template("{elapsed_precise} {prefix}: {msg}");
+        let style = style.unwrap_or_else(|_| ProgressStyle::default_spinner());
+        let progress = ProgressBar::new_spinner().with_style(style);
+        progress.enable_steady_tick(Duration::from_millis(200));
+        Self { seed, is_small, progress }
+    }
+
+    /// Begins a measurement.
+    pub(crate) fn start(&self, name: &'static str) {
+        self.progress.set_prefix(name);
+    }
+
+    /// Shows the step that runs.
+    pub(crate) fn step(&self, text: String) {
+        self.progress.set_message(text);
+    }
+
+    /// Removes the progress.
+    pub(crate) fn finish(&self) {
+        self.progress.finish_and_clear();
+    }
+}
+
+/// Table of results.
+#[derive(Debug, Serialize)]
+pub(crate) struct MeasureTable {
+    title: String,
+    columns: Vec<String>,
+    rows: Vec<Vec<String>>,
+}
+
+impl MeasureTable {
+    /// An empty table.
+    pub(crate) fn new<T>(title: T, columns: &[&str]) -> Self
+    where
+        T: Into<String>,
+    {
+        let columns = columns.iter().map(|it| (*it).to_owned()).collect();
+        Self { title: title.into(), columns, rows: Vec::new() }
+    }
+
+    /// Adds a row with one cell a column.
+    pub(crate) fn push(&mut self, cells: &[&dyn fmt::Display]) {
+        self.rows.push(cells.iter().map(ToString::to_string).collect());
+    }
+}
+
+impl fmt::Display for MeasureTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", self.title)?;
+        let all = || std::iter::once(&self.columns).chain(&self.rows);
+        let width = |idx: usize| all().filter_map(|it| it.get(idx)).map(String::len).max();
+        for row in all() {
+            for (idx, cell) in row.iter().enumerate() {
+                write!(f, "| {cell:>width$} ", width = width(idx).unwrap_or_default())?;
+            }
+            writeln!(f, "|")?;
+        }
+        Ok(())
+    }
+}
+
+/// The value at a quantile of sorted values.
+pub(crate) fn quantile(sorted: &[f64], at: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    sorted.get((at * last as f64).round() as usize).copied().unwrap_or_default()
+}
--- a/crates/sapphireknot/src/lib.rs
+++ b/crates/sapphireknot/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod config;
+pub mod delta;
 pub mod drain;
 pub mod freshness;
 pub mod head;
--- a/crates/sapphireknot/src/lookup.rs
+++ b/crates/sapphireknot/src/lookup.rs
@@ -2,7 +2,8 @@
 //!
 //! [`BlockTable`] finds the region of a client address by the longest prefix. [`order_hosts`] orders hosts by the
 //! distance of their region and then by weighted rendezvous hashing, so that an organisation meets few hosts and a
-//! change of the hosts moves few organisations.
+//! change of the hosts moves few organisations. [`HostIndex`] finds the first hosts of the same order without ranking
+//! all of them.
 
 use std::{
     cmp::Reverse,
@@ -13,7 +14,7 @@
 
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use prefix_trie::PrefixMap;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     config::ConfigDocument,
@@ -98,10 +99,7 @@
 
     /// The latency from `from` to `to`; the longest possible one if no path is known.
     pub fn between(&self, from: &RegionId, to: &RegionId) -> Duration {
-        if from == to {
-            return Duration::ZERO;
-        }
-        self.rows.get(from).and_then(|it| it.get(to)).copied().unwrap_or(Duration::MAX)
+        row_distance(self.rows.get(from), from, to)
     }
 
     fn shorten(&mut self, from: &RegionId, to: &RegionId, latency: Duration) {
@@ -111,6 +109,18 @@
     }
 }
 
+/// The latency to `to` in the row of `from`.
+fn row_distance(
+    row: Option<&BTreeMap<RegionId, Duration>>,
+    from: &RegionId,
+    to: &RegionId,
+) -> Duration {
+    if from == to {
+        return Duration::ZERO;
+    }
+    row.and_then(|it| it.get(to)).copied().unwrap_or(Duration::MAX)
+}
+
 /// Host that a caller may be sent to.
 #[derive(Debug, Clone, Copy)]
 pub struct HostCandidate<'a> {
@@ -139,28 +149,138 @@
     candidates: &[HostCandidate<'_>],
     distances: &RegionDistances,
 ) -> Vec<usize> {
-    let organisation = query.organisation.map_or("", OrganisationId::as_str);
-    // Identifiers contain no slash, so that the text has one reading. It is hashed once, not once per host.
-    let seed = xxh3_64(format!("{organisation}/{}", query.block).as_bytes());
+    let seed = query_seed(query);
     let mut order: Vec<_> = candidates
         .iter()
         .enumerate()
         .filter(|(_, it)| it.weight > 0)
         .map(|(idx, it)| {
             let distance = distances.between(query.region, it.region);
-            (distance, Reverse(rendezvous_score(seed, it)), it.id, idx)
+            let score = rendezvous_score(rendezvous_draw(seed, host_hash(it.id)), it.weight);
+            (distance, Reverse(score), it.id, idx)
         })
         .collect();
     order.sort();
     order.into_iter().map(|(_, _, _, idx)| idx).collect()
 }
 
+/// Hosts by region, from which the first of the order of [`order_hosts`] are found without ranking all hosts.
+#[derive(Debug, Default)]
+pub struct HostIndex {
+    groups: BTreeMap<RegionId, Vec<IndexedHost>>,
+}
+
+#[derive(Debug)]
+struct IndexedHost {
+    // Hashed once per index, so that a look-up reads no text of the hosts that it does not return.
+    hash: u64,
+    weight: u32,
+    position: usize,
+    id: HostId,
+}
+
+/// Host with what decides its place within a region distance.
+type RankedHost<'a> = (Reverse<u64>, &'a HostId, usize);
+
+impl HostIndex {
+    /// An index of `candidates`; positions count from the first one.
+    pub fn new<'a, I>(candidates: I) -> Self
+    where
+        I: IntoIterator<Item = HostCandidate<'a>>,
+    {
+        let mut index = Self::default();
+        for (position, candidate) in candidates.into_iter().enumerate() {
+            if candidate.weight > 0 {
+                let group = index.groups.entry(candidate.region.clone()).or_default();
+                let HostCandidate { id, weight, .. } = candidate;
+                group.push(IndexedHost { hash: host_hash(id), weight, position, id: id.clone() });
+            }
+        }
+        index
+    }
+
+    /// The first `count` positions of the order of [`order_hosts`].
+    pub fn nearest(
+        &self,
+        query: &LookupQuery<'_>,
+        distances: &RegionDistances,
+        count: usize,
+    ) -> Vec<usize> {
+        let seed = query_seed(query);
+        let row = distances.rows.get(query.region);
+        let mut regions: Vec<_> = self
+            .groups
+            .iter()
+            .map(|(region, hosts)| (row_distance(row, query.region, region), hosts))
+            .collect();
+        regions.sort_unstable_by_key(|(distance, _)| *distance);
+        let mut order = Vec::with_capacity(count);
+        // Regions at the same distance compete with each other.
+        for group in regions.chunk_by(|one, other| one.0 == other.0) {
+            let wanted = count - order.len();
+            if wanted == 0 {
+                break;
+            }
+            let hosts = group.iter().flat_map(|(_, hosts)| hosts.iter());
+            order.extend(best_hosts(seed, hosts, wanted).into_iter().map(|(_, _, idx)| idx));
+        }
+        order
+    }
+}
+
+/// The `count` hosts with the highest scores, best first.
+fn best_hosts<'a, I>(seed: u64, hosts: I, count: usize) -> Vec<RankedHost<'a>>
+where
+    I: Iterator<Item = &'a IndexedHost>,
+{
+    let mut best: Vec<RankedHost<'_>> = Vec::with_capacity(count + 1);
+    for host in hosts {
+        let uniform = rendezvous_draw(seed, host.hash);
+        if best.len() == count
+            && let Some((Reverse(lowest), ..)) = best.last()
+        {
+            // The score is at most weight / (1 - uniform), since -ln(x) >= 1 - x, which spares most logarithms. The
+            // margin is above the rounding of both sides.
+            let bound = f64::from_bits(*lowest) * (1.0 - uniform);
+            if f64::from(host.weight) < bound * (1.0 - 1e-9) {
+                continue;
+            }
+        }
+        let ranked = (Reverse(rendezvous_score(uniform, host.weight)), &host.id, host.position);
+        let idx = best.partition_point(|it| *it < ranked);
+        if idx < count {
+            best.insert(idx, ranked);
+            best.truncate(count);
+        }
+    }
+    best
+}
+
+/// Hash of what a caller asks for; hashed once, not once per host.
+fn query_seed(query: &LookupQuery<'_>) -> u64 {
+    let organisation = query.organisation.map_or("", OrganisationId::as_str);
+    // Identifiers contain no slash, so that the text has one reading.
+    xxh3_64(format!("{organisation}/{}", query.block).as_bytes())
+}
+
+fn host_hash(id: &HostId) -> u64 {
+    xxh3_64(id.as_str().as_bytes())
+}
+
+/// Number strictly between 0 and 1 that a host with the hash `hash` draws for a caller.
+fn rendezvous_draw(seed: u64, hash: u64) -> f64 {
+    // The finalizer of SplitMix64 spreads every bit of both hashes over the whole number.
+    let hash = seed ^ hash;
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    let hash = hash ^ (hash >> 31);
+    // The upper 53 bits give a uniform number whose logarithm is finite and negative.
+    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
 /// Score whose maximum falls on each host in proportion to its weight.
-fn rendezvous_score(seed: u64, candidate: &HostCandidate<'_>) -> u64 {
-    let hash = xxh3_64_with_seed(candidate.id.as_str().as_bytes(), seed);
-    // The upper 53 bits give a uniform number strictly between 0 and 1, so that its logarithm is finite and negative.
-    let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    let score = f64::from(candidate.weight) / -uniform.ln();
+fn rendezvous_score(uniform: f64, weight: u32) -> u64 {
+    let score = f64::from(weight) / -uniform.ln();
     // The bits of non-negative floats are ordered like the floats.
     score.to_bits()
 }
--- a/crates/sapphireknot/tests/host_order.rs
+++ b/crates/sapphireknot/tests/host_order.rs
@@ -6,7 +6,7 @@
     config::load_document,
     drain::{DrainLimits, DrainStage, DrainTracker},
     ids::{HostId, OrganisationId, RegionId},
-    lookup::{HostCandidate, LookupQuery, RegionDistances, order_hosts},
+    lookup::{HostCandidate, HostIndex, LookupQuery, RegionDistances, order_hosts},
     time::MonoTime,
 };
 
@@ -64,6 +64,34 @@
     }
 }
 
+/// Guards against an index whose first hosts are not those of the whole order, also at equal distances and few hosts.
+#[test]
+fn index_keeps_order() {
+    let regions: Vec<RegionId> =
+        ["a", "b", "c", "x", "y"].iter().map(|it| it.parse().unwrap()).collect();
+    let distances = distances();
+    for count in [0, 1, 7, 60, 400] {
+        let ids: Vec<HostId> = (0..count).map(|it| format!("h{it}").parse().unwrap()).collect();
+        for max_weight in [1, 2, 40] {
+            let candidate = |(idx, id)| {
+                let region = &regions[idx * 7 % regions.len()];
+                HostCandidate { id, region, weight: idx as u32 * 13 % (max_weight + 1) }
+            };
+            let candidates: Vec<_> = ids.iter().enumerate().map(candidate).collect();
+            let index = HostIndex::new(candidates.iter().copied());
+            for number in 0..200 {
+                let organisation: OrganisationId = format!("o{number}").parse().unwrap();
+                let block = "10.0.0.0/24".parse().unwrap();
+                let region = &regions[number % regions.len()];
+                let query = LookupQuery { organisation: Some(&organisation), block, region };
+                let mut expected = order_hosts(&query, &candidates, &distances);
+                expected.truncate(8);
+                assert_eq!(index.nearest(&query, &distances, 8), expected);
+            }
+        }
+    }
+}
+
 /// Guards against a host that closes before cached look-ups ran out, or ends while requests are in flight.
 #[test]
 fn leaves_before_it_closes() {
--- a/crates/sapphireknotd/src/control/config_actor.rs
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -7,7 +7,8 @@
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use sapphireknot::{
-    config::ConfigDocument,
+    config::{ConfigDocument, ReleaseNote},
+    delta::apply_notes,
     freshness::FreshnessClock,
     head::{ConfigHead, EncodedDocument},
     ids::{ConfigGeneration, HostId},
@@ -15,16 +16,22 @@
     membership::MemberRecord,
     time::MonoTime,
 };
-use sapphireknot_platform::StoredEntry;
+use sapphireknot_platform::{KeyValueStore, StoredEntry};
 
 use super::{
     member_actor::MemberMessage,
-    shared::{ActorResult, ControlShared, EncodedConfig, ReadError, read_head, send},
+    notes::{NoteRecord, note_key},
+    shared::{
+        ActorResult, ControlShared, EncodedConfig, HEAD_KEY, ReadError, read_head, read_record,
+        send,
+    },
 };
 use crate::peer::{PeerClients, PeerError};
 
 /// Interval at which the freshness deadline is recomputed from reports that end.
 const TICK: Duration = Duration::from_millis(200);
+/// Notes that are read from the store one by one; beyond this the document costs fewer calls.
+const MAX_NOTE_READS: u64 = 16;
 
 /// What a peer's reply told.
 #[derive(Debug)]
@@ -48,6 +55,10 @@
     pub generation: ConfigGeneration,
     /// Document.
     pub document: ConfigDocument,
+    /// The same in encoded form, if it is known.
+    pub encoded: Option<EncodedDocument>,
+    /// Notes that led to it from the generation that was in force; none if it was loaded whole.
+    pub notes: Vec<ReleaseNote>,
     /// Beginning of the read of the head that named it, if it came from the store.
     pub began: Option<MonoTime>,
 }
@@ -187,8 +198,9 @@
             self.is_fetching = true;
             let (peers, myself) = (self.arguments.peers.clone(), myself.clone());
             let address = evidence.peer.peer_address;
+            let known = self.shared().context.config.load_full();
             tokio::spawn(async move {
-                let result = peers.fetch_config(address, installed).await;
+                let result = peers.fetch_config(address, known).await;
                 send(&myself, ConfigMessage::PeerLoaded(result));
             });
         }
@@ -208,15 +220,21 @@
 
     /// Installs a generation if it is higher than the one in force.
     fn install(&mut self, loaded: LoadedConfig) {
-        let LoadedConfig { generation, document, began } = loaded;
+        let LoadedConfig { generation, document, encoded, notes, began } = loaded;
         if generation > self.shared().generation() {
-            let encoded = match EncodedDocument::new(&document) {
+            let shared = self.shared();
+            let encoded = encoded.map_or_else(|| EncodedDocument::new(&document), Ok);
+            let log = shared.encoded.load_full().map(|it| it.notes.clone()).unwrap_or_default();
+            let installed = encoded.and_then(|encoded| {
+                let notes = log.extended(generation, &notes)?;
+                Ok(EncodedConfig { generation, encoded, notes })
+            });
+            let encoded = match installed {
                 Ok(encoded) => encoded,
                 Err(err) => return log::error!("install generation {generation}: {err}"),
             };
-            let shared = self.shared();
             let config = InstalledConfig::new(generation, document);
-            shared.encoded.store(Some(Arc::new(EncodedConfig { generation, encoded })));
+            shared.encoded.store(Some(Arc::new(encoded)));
             shared.context.config.store(Some(Arc::new(config)));
             log::info!(generation:% = generation; "configuration installed");
             send(&self.arguments.members, MemberMessage::Installed(generation));
@@ -267,6 +285,46 @@
     head: &ConfigHead,
     began: MonoTime,
 ) -> Result<LoadedConfig, ReadError> {
+    match load_notes(shared, head, began).await {
+        Ok(Some(loaded)) => return Ok(loaded),
+        Ok(None) => {}
+        Err(err) => log::warn!("load release notes from the store: {err}"),
+    }
     let document = shared.load_document(head).await?;
-    Ok(LoadedConfig { generation: head.generation, document, began: Some(began) })
+    let (generation, began) = (head.generation, Some(began));
+    Ok(LoadedConfig { generation, document, encoded: None, notes: Vec::new(), began })
+}
+
+/// Loads what `head` names from the installed document and the notes since then; none if the whole document is needed.
+async fn load_notes(
+    shared: &ControlShared,
+    head: &ConfigHead,
+    began: MonoTime,
+) -> Result<Option<LoadedConfig>, ReadError> {
+    let Some(known) = shared.context.config.load_full() else { return Ok(None) };
+    let missing = head.generation.0.saturating_sub(known.generation.0);
+    let accepted: Vec<_> =
+        head.notes.iter().filter(|it| it.generation > known.generation).collect();
+    if missing > MAX_NOTE_READS || accepted.len() as u64 != missing {
+        return Ok(None);
+    }
+    let mut notes = Vec::with_capacity(accepted.len());
+    for accepted in accepted {
+        // A submitted document has no record of a note.
+        let Some(entry) = shared.store.get(&note_key(&accepted.id)).await? else {
+            return Ok(None);
+        };
+        notes.push(read_record::<NoteRecord>(&entry)?.note);
+    }
+    let (generation, digest) = (head.generation, head.digest.clone());
+    let applying = tokio::task::spawn_blocking(move || {
+        let applied = apply_notes(&known.document, &notes, &digest);
+        applied.map(|(document, encoded)| (document, encoded, notes))
+    });
+    let key = HEAD_KEY.to_owned();
+    let applied = applying.await.map_err(|err| err.to_string());
+    let applied = applied.and_then(|it| it.map_err(|err| err.to_string()));
+    let (document, encoded, notes) = applied.map_err(|reason| ReadError::Record { key, reason })?;
+    let (encoded, began) = (Some(encoded), Some(began));
+    Ok(Some(LoadedConfig { generation, document, encoded, notes, began }))
 }
--- a/crates/sapphireknotd/src/control/notes.rs
+++ b/crates/sapphireknotd/src/control/notes.rs
@@ -51,8 +51,10 @@
 pub struct AcceptedChange {
     /// Generation.
     pub generation: ConfigGeneration,
-    /// Document, unless the change was accepted earlier.
-    pub document: Option<ConfigDocument>,
+    /// Document with its encoded form, unless the change was accepted earlier.
+    pub document: Option<Box<(ConfigDocument, EncodedDocument)>>,
+    /// The note that made it; none if a whole document was submitted.
+    pub note: Option<ReleaseNote>,
     /// When the write of the head began.
     pub began: MonoTime,
 }
@@ -87,15 +89,16 @@
 
 fn accepted(
     generation: ConfigGeneration,
-    document: Option<ConfigDocument>,
+    document: Option<Box<(ConfigDocument, EncodedDocument)>>,
     began: MonoTime,
 ) -> SubmitOutcome {
     let receipt = ChangeReceipt::Accepted { generation };
-    let change = Some(AcceptedChange { generation, document, began });
+    let change = Some(AcceptedChange { generation, document, note: None, began });
     SubmitOutcome { receipt, change }
 }
 
-fn note_key(id: &NoteId) -> String {
+/// Key of the note `id`.
+pub(super) fn note_key(id: &NoteId) -> String {
     format!("note/{id}")
 }
 
@@ -133,7 +136,10 @@
             Err(outcome) => return *outcome,
         };
         let request = ChangeRequest::Note { note, base: Some(base) };
-        let outcome = self.run(&request, record.tried, deadline).await;
+        let mut outcome = self.run(&request, record.tried, deadline).await;
+        if let Some(change) = &mut outcome.change {
+            change.note = Some(record.note.clone());
+        }
         self.finish_record(record, &outcome.receipt).await;
         outcome
     }
@@ -376,7 +382,8 @@
         match self.shared.store.compare_and_swap(put).await {
             Ok(SwapOutcome::Swapped(_)) => {
                 let generation = write.head.generation;
-                Ok(Round::Ended(accepted(generation, Some(write.document), began)))
+                let document = Box::new((write.document, write.encoded));
+                Ok(Round::Ended(accepted(generation, Some(document), began)))
             }
             Ok(SwapOutcome::Conflict(_)) => {
                 Ok(Round::Again("another change came first".to_owned()))
--- a/crates/sapphireknotd/src/control/shared.rs
+++ b/crates/sapphireknotd/src/control/shared.rs
@@ -6,6 +6,7 @@
 use ractor::{ActorProcessingErr, ActorRef};
 use sapphireknot::{
     config::ConfigDocument,
+    delta::NoteLog,
     head::{ConfigHead, DocumentError, EncodedDocument},
     ids::ConfigGeneration,
     time::MonoTime,
@@ -31,6 +32,8 @@
     pub generation: ConfigGeneration,
     /// Document.
     pub encoded: EncodedDocument,
+    /// Last notes that led to it.
+    pub notes: NoteLog,
 }
 
 /// Clients of the platform.
--- a/crates/sapphireknotd/src/operator/calls.rs
+++ b/crates/sapphireknotd/src/operator/calls.rs
@@ -68,8 +68,14 @@
     if let Some(change) = outcome.change
         && let Some(document) = change.document
     {
-        let generation = change.generation;
-        let loaded = LoadedConfig { generation, document, began: Some(change.began) };
+        let (document, encoded) = *document;
+        let loaded = LoadedConfig {
+            generation: change.generation,
+            document,
+            encoded: Some(encoded),
+            notes: change.note.into_iter().collect(),
+            began: Some(change.began),
+        };
         send(&server.config, ConfigMessage::Written(loaded));
     }
     receipt(&outcome.receipt)
--- a/crates/sapphireknotd/src/peer/client.rs
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     future::Future,
     net::{IpAddr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 
@@ -14,12 +15,14 @@
 use parking_lot::Mutex;
 use sapphireknot::{
     config::ConfigDocument,
+    delta::{DeltaError, apply_notes, read_notes},
     head::{DocumentError, EncodedDocument},
     ids::ConfigGeneration,
+    installed::InstalledConfig,
     membership::MemberRecord,
 };
 use sapphireknot_wire::peer::{
-    ExchangeReply, ExchangeRequest, FetchConfigRequest, Gossip, ProbeViaRequest,
+    ExchangeReply, ExchangeRequest, FetchConfigReply, FetchConfigRequest, Gossip, ProbeViaRequest,
     peer_client::PeerClient,
 };
 use thiserror::Error;
@@ -167,23 +170,59 @@
         Ok(self.call("peer probe via", delegate, limit, call).await?.answered)
     }
 
-    /// Fetches the configuration of `peer` if it is newer than `known`.
+    /// Fetches the configuration of `peer` if it is newer than `known`, as release notes if the peer has them.
     pub async fn fetch_config(
         &self,
         peer: SocketAddr,
-        known: ConfigGeneration,
+        known: Option<Arc<InstalledConfig>>,
     ) -> Result<Option<LoadedConfig>, PeerError> {
-        let mut client = self.client(peer);
-        let call = client.fetch_config(FetchConfigRequest { known_generation: known.0 });
-        let limit = self.call_timeout * FETCH_FACTOR;
-        let reply = self.call("peer fetch config", peer, limit, call).await?;
-        if reply.document.is_empty() || reply.generation <= known.0 {
+        let generation = known.as_ref().map(|it| it.generation).unwrap_or_default();
+        let mut reply = self.fetch(peer, generation, known.is_none()).await?;
+        if let Some(known) = known
+            && !reply.notes.is_empty()
+        {
+            match apply_reply(known, reply).await {
+                Ok(loaded) => return Ok(Some(loaded)),
+                Err(err) => log::warn!("fetch release notes at host {peer}: {err}"),
+            }
+            reply = self.fetch(peer, generation, true).await?;
+        }
+        if reply.document.is_empty() || reply.generation <= generation.0 {
             return Ok(None);
         }
         let digest = hex::encode(&reply.digest);
         let document: ConfigDocument = EncodedDocument::decode(&reply.document, &digest)
             .map_err(|source| PeerError::Document { peer, source })?;
         let generation = ConfigGeneration(reply.generation);
-        Ok(Some(LoadedConfig { generation, document, began: None }))
+        let encoded = Some(EncodedDocument { bytes: reply.document, digest });
+        Ok(Some(LoadedConfig { generation, document, encoded, notes: Vec::new(), began: None }))
     }
+
+    async fn fetch(
+        &self,
+        peer: SocketAddr,
+        known: ConfigGeneration,
+        whole: bool,
+    ) -> Result<FetchConfigReply, PeerError> {
+        let mut client = self.client(peer);
+        let call = client.fetch_config(FetchConfigRequest { known_generation: known.0, whole });
+        self.call("peer fetch config", peer, self.call_timeout * FETCH_FACTOR, call).await
+    }
+}
+
+/// Applies the notes of a reply; a large document keeps a processor busy for too long for a task of the runtime.
+async fn apply_reply(
+    known: Arc<InstalledConfig>,
+    reply: FetchConfigReply,
+) -> Result<LoadedConfig, DeltaError> {
+    let applying = tokio::task::spawn_blocking(move || {
+        let notes = read_notes(&reply.notes)?;
+        let digest = hex::encode(&reply.digest);
+        let (document, encoded) = apply_notes(&known.document, &notes, &digest)?;
+        let generation = ConfigGeneration(reply.generation);
+        Ok(LoadedConfig { generation, document, encoded: Some(encoded), notes, began: None })
+    });
+    applying.await.unwrap_or_else(|err| {
+        Err(DocumentError::Syntax(serde::de::Error::custom(format!("apply notes: {err}"))).into())
+    })
 }
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use ractor::{ActorRef, rpc::CallResult};
+use sapphireknot::ids::ConfigGeneration;
 use sapphireknot_wire::peer::{
     BorrowReply, BorrowRequest, ClaimRequestReply, ClaimRequestRequest, ExchangeReply,
     ExchangeRequest, FetchConfigReply, FetchConfigRequest, FetchEvidenceReply,
@@ -90,15 +91,20 @@
         &self,
         request: Request<FetchConfigRequest>,
     ) -> Result<Response<FetchConfigReply>, Status> {
-        let known = request.get_ref().known_generation;
-        let reply = match &*self.shared.encoded.load() {
-            Some(config) if config.generation.0 > known => FetchConfigReply {
-                generation: config.generation.0,
-                document: config.encoded.bytes.clone(),
-                digest: hex::decode(&config.encoded.digest).unwrap_or_default(),
-            },
-            _ => FetchConfigReply::default(),
+        let FetchConfigRequest { known_generation, whole } = *request.get_ref();
+        let encoded = self.shared.encoded.load();
+        let Some(config) = encoded.as_ref().filter(|it| it.generation.0 > known_generation) else {
+            return Ok(Response::new(FetchConfigReply::default()));
         };
+        let mut reply = FetchConfigReply {
+            generation: config.generation.0,
+            digest: hex::decode(&config.encoded.digest).unwrap_or_default(),
+            ..FetchConfigReply::default()
+        };
+        match config.notes.after(ConfigGeneration(known_generation)) {
+            Some(notes) if !whole => reply.notes = notes,
+            _ => reply.document = config.encoded.bytes.clone(),
+        }
         Ok(Response::new(reply))
     }
 
--- a/crates/sapphireknotd/tests/control/config_spread.rs
+++ b/crates/sapphireknotd/tests/control/config_spread.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use sapphireknot::{
+    config::apply_note,
+    head::EncodedDocument,
     ids::{ConfigGeneration, HostId},
     membership::MemberState,
     operator::{ChangeReceipt, ItemState, NoteStatus},
 };
+use sapphireknot_wire::peer::{FetchConfigReply, FetchConfigRequest, peer_client::PeerClient};
 
 use crate::support::{
     FakePlatform, TestHost, add_note, document, start_host, start_host_in, wait_for,
@@ -192,3 +195,40 @@
     }
     assert!(oldest < Duration::from_secs(4), "oldest proof: {oldest:?}");
 }
+
+#[cfg(test)]
+async fn fetch(host: &TestHost, known_generation: u64, whole: bool) -> FetchConfigReply {
+    let address = format!("http://{}", host.context.identity.peer_address);
+    let mut client = PeerClient::connect(address).await.unwrap();
+    let request = FetchConfigRequest { known_generation, whole };
+    client.fetch_config(request).await.unwrap().into_inner()
+}
+
+/// Guards against whole documents where notes are enough, at every host however it learned of the change, and against
+/// notes for a host that cannot apply them.
+#[tokio::test(flavor = "multi_thread")]
+async fn spread_notes() {
+    let platform = FakePlatform::default();
+    let hosts = start_hosts(&platform, HOSTS).await;
+    begin(&hosts).await;
+    let mut expected = document();
+    for round in 0..3_u64 {
+        let note = add_note(&format!("n{round}"), &format!("org{round}"));
+        expected = apply_note(&expected, &note).unwrap();
+        hosts[round as usize].post_note(note, None).await;
+        let behind = || hosts.iter().all(|it| it.generation() == 2 + round);
+        wait_for("generation", LIMIT, behind).await;
+    }
+    let expected = EncodedDocument::new(&expected).unwrap();
+    for host in &hosts {
+        let reply = fetch(host, 1, false).await;
+        assert_eq!((reply.generation, reply.notes.len()), (4, 3));
+        assert!(reply.document.is_empty());
+        assert_eq!(hex::encode(&reply.digest), expected.digest);
+    }
+    for reply in [fetch(&hosts[0], 0, false).await, fetch(&hosts[0], 1, true).await] {
+        assert_eq!((reply.document, reply.notes.len()), (expected.bytes.clone(), 0));
+    }
+    assert_eq!(fetch(&hosts[0], 4, false).await, FetchConfigReply::default());
+    stop_hosts(hosts).await;
+}
