--- a/crates/sapphireknot-standin/examples/measure/config.rs
+++ b/crates/sapphireknot-standin/examples/measure/config.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    report::{MeasureRun, MeasureTable, quantile},
+    table::{MeasureRun, MeasureTable, quantile},
     target::document,
     usage::{mebibytes, resident_bytes},
 };
--- a/crates/sapphireknot-standin/examples/measure/drain.rs
+++ b/crates/sapphireknot-standin/examples/measure/drain.rs
@@ -12,7 +12,7 @@
     load::{CallerPlan, LoadPlan, LookupCaller},
 };
 
-use crate::report::{MeasureRun, MeasureTable, quantile};
+use crate::table::{MeasureRun, MeasureTable, quantile};
 
 /// Time for which callers cache a look-up, in seconds.
 const CACHE_SECONDS: u64 = 1;
--- a/crates/sapphireknot-standin/examples/measure/forward.rs
+++ b/crates/sapphireknot-standin/examples/measure/forward.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    report::{MeasureRun, MeasureTable},
+    table::{MeasureRun, MeasureTable},
     usage::{mebibytes, processor_time, resident_bytes},
 };
 
--- a/crates/sapphireknot-standin/examples/measure/gossip.rs
+++ b/crates/sapphireknot-standin/examples/measure/gossip.rs
@@ -24,7 +24,7 @@
 use sapphireknotd::peer::convert::member_to_wire;
 
 use crate::{
-    report::{MeasureRun, MeasureTable, quantile},
+    table::{MeasureRun, MeasureTable, quantile},
     target::members,
     usage::{mebibytes, resident_bytes},
 };
--- a/crates/sapphireknot-standin/examples/measure/lookups.rs
+++ b/crates/sapphireknot-standin/examples/measure/lookups.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    report::{MeasureRun, MeasureTable},
+    table::{MeasureRun, MeasureTable},
     target::{client_address, document, members},
     usage::{mebibytes, resident_bytes},
 };
--- a/crates/sapphireknot-standin/examples/measure/main.rs
+++ b/crates/sapphireknot-standin/examples/measure/main.rs
@@ -1,7 +1,6 @@
-//! Measurements behind `docs/measurements.md` and `docs/CAPACITY.md`.
+//! Measurements, one subcommand each; `all` runs every one.
 //!
-//! Each subcommand is one measurement with its own file. Results are tables or JSON on the standard output; progress is
-//! shown while the standard error is a terminal. Processor times are meaningful in release builds only.
+//! `cargo run --release -p sapphireknot-standin --example measure -- quota`
 
 mod config;
 mod drain;
@@ -9,24 +8,27 @@
 mod gossip;
 mod lookups;
 mod members;
+mod quota;
 mod report;
+mod rollout;
+mod table;
 mod target;
 mod usage;
 
-use std::{
-    error::Error,
-    io::{Write, stdout},
-};
+use std::{error::Error, io};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use report::{MeasureRun, MeasureTable};
+use self::{
+    report::Report,
+    table::{MeasureRun, MeasureTable},
+};
 
-/// Function of a measurement.
+/// Function of a measurement of the machine.
 type MeasureFn = fn(&MeasureRun) -> Result<Vec<MeasureTable>, Box<dyn Error>>;
 
-/// Subcommands with their help and function.
-const MEASUREMENTS: &[(&str, &str, MeasureFn)] = &[
+/// Measurements of processor time, memory and messages; meaningful in release builds only.
+const COSTS: &[(&str, &str, MeasureFn)] = &[
     ("lookups", "Look-ups a second on one core at the target size", lookups::measure),
     ("forward", "Forwarded requests against direct ones", forward::measure),
     ("members", "Control modules of many hosts in one process", members::measure),
@@ -35,46 +37,64 @@
     ("drain", "Graceful shutdowns under load", drain::measure),
 ];
 
-fn main() -> Result<(), Box<dyn Error>> {
-    let matches = command().get_matches();
-    let (name, matches) = matches.subcommand().ok_or("a subcommand is missing")?;
-    let run = MeasureRun::new(value(matches, "seed")?, matches.get_flag("small"));
-    let mut tables = Vec::new();
-    for (known, _, function) in MEASUREMENTS {
-        if name == "all" || name == *known {
-            run.start(known);
-            tables.extend(function(&run)?);
-        }
-    }
-    run.finish();
-    let text = match value::<String>(matches, "output")?.as_str() {
-        "json" => serde_json::to_string_pretty(&tables)?,
-        _ => tables.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"),
-    };
-    Ok(writeln!(stdout().lock(), "{text}")?)
+/// Options that every measurement understands.
+fn options() -> [Arg; 4] {
+    [
+        Arg::new("small")
+            .long("small")
+            .action(ArgAction::SetTrue)
+            .help("One run and small sizes, for a quick check"),
+        Arg::new("seed").long("seed").default_value("1").value_parser(value_parser!(u64)),
+        Arg::new("runs").long("runs").default_value("5").value_parser(value_parser!(u64)),
+        Arg::new("output")
+            .long("output")
+            .default_value("table")
+            .value_parser(["table", "json"])
+            .help("Form of the results"),
+    ]
 }
 
 fn command() -> Command {
-    let command = Command::new("measure").about("Measurements").subcommand_required(true);
-    let all = options(Command::new("all").about("All measurements"));
-    MEASUREMENTS.iter().fold(command.subcommand(all), |command, (name, about, _)| {
-        command.subcommand(options(Command::new(*name).about(*about)))
+    let all = Command::new("all").about("Runs every measurement").args(options());
+    let command = Command::new("measure")
+        .about("Measures decisions against baselines, and costs")
+        .subcommand_required(true)
+        .subcommand(quota::command().args(options()))
+        .subcommand(rollout::command().args(options()))
+        .subcommand(all);
+    COSTS.iter().fold(command, |command, (name, about, _)| {
+        command.subcommand(Command::new(*name).about(*about).args(options()))
     })
 }
 
-fn options(command: Command) -> Command {
-    let seed = Arg::new("seed").long("seed").help("Seed of all random choices").default_value("1");
-    let small = Arg::new("small").long("small").help("Small sizes, for a quick run");
-    let output = Arg::new("output").long("output").help("Form of the results");
-    command
-        .arg(seed.value_parser(value_parser!(u64)))
-        .arg(small.action(ArgAction::SetTrue))
-        .arg(output.value_parser(["table", "json"]).default_value("table"))
+/// Runs the measurements that a subcommand names.
+fn measure(name: &str, matches: &ArgMatches) -> Result<Vec<Report>, Box<dyn Error>> {
+    let is_small = matches.get_flag("small");
+    let seed = matches.get_one("seed").copied().unwrap_or(1);
+    let runs = matches.get_one("runs").copied().unwrap_or(1);
+    let runs = if is_small { 1 } else { runs };
+    let mut reports = Vec::new();
+    if matches!(name, "quota" | "all") {
+        reports.push(quota::run(seed, runs));
+    }
+    let run = MeasureRun::new(seed, is_small);
+    for (known, _, function) in COSTS {
+        if name == *known || name == "all" {
+            run.start(known);
+            reports.extend(function(&run)?.into_iter().map(|it| it.into_report(seed)));
+        }
+    }
+    run.finish();
+    Ok(reports)
 }
 
-fn value<T>(matches: &ArgMatches, name: &str) -> Result<T, Box<dyn Error>>
-where
-    T: Clone + Send + Sync + 'static,
-{
-    matches.get_one::<T>(name).cloned().ok_or_else(|| format!("--{name} is missing").into())
+fn main() -> Result<(), Box<dyn Error>> {
+    let matches = command().get_matches();
+    let Some((name, matches)) = matches.subcommand() else { return Ok(()) };
+    if matches!(name, "rollout" | "all") {
+        rollout::run(matches)?;
+    }
+    let reports = measure(name, matches)?;
+    let is_json = matches.get_one::<String>("output").is_some_and(|it| it == "json");
+    Ok(report::write(&reports, is_json, &mut io::stdout().lock())?)
 }
--- a/crates/sapphireknot-standin/examples/measure/members.rs
+++ b/crates/sapphireknot-standin/examples/measure/members.rs
@@ -38,7 +38,7 @@
 };
 
 use crate::{
-    report::{MeasureRun, MeasureTable, quantile},
+    table::{MeasureRun, MeasureTable, quantile},
     usage::{processor_time, resident_bytes},
 };
 
--- a/crates/sapphireknot-standin/examples/measure/target.rs
+++ b/crates/sapphireknot-standin/examples/measure/target.rs
@@ -18,12 +18,12 @@
 const SERVICES: usize = 4;
 /// Organisations.
 const ORGANISATIONS: usize = 64;
-/// Address of the first client block, as a number.
-const FIRST_BLOCK: u32 = 1 << 24;
+/// Odd factor that spreads the numbers of blocks; neighbouring blocks would share most of the table.
+const BLOCK_FACTOR: u32 = 0x9e37_79b1;
 
 /// Client address in the block `idx`.
 pub(crate) fn client_address(idx: usize) -> Ipv4Addr {
-    Ipv4Addr::from(FIRST_BLOCK + ((idx as u32) << 8) + 7)
+    Ipv4Addr::from((idx as u32).wrapping_mul(BLOCK_FACTOR) << 8 | 7)
 }
 
 /// Document with `blocks` client blocks, and ten backend servers at each of 470 sites.
--- a/crates/sapphireknotd/src/control/config_actor.rs
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -33,6 +33,9 @@
 /// Notes that are read from the store one by one; beyond this the document costs fewer calls.
 const MAX_NOTE_READS: u64 = 16;
 
+/// Time until a host that starts knows the others, and with them the owners of idempotency keys; five exchanges of gossip.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
 /// What a peer's reply told.
 #[derive(Debug)]
 pub struct PeerEvidence {
@@ -175,6 +178,10 @@
             Err(err) => return log::warn!("{err}"),
         };
         let installed = self.shared().generation();
+        if entry.is_none() && installed == ConfigGeneration::default() {
+            // Without a configuration no host has served a request.
+            self.shared().context.claims.vouch_from(began.after(SETTLE_TIME));
+        }
         if head.generation <= installed {
             // A lower head is not the one that this host has seen and proves nothing.
             if head.generation == installed {
