--- a/crates/sapphireknot-standin/examples/measure/main.rs
+++ b/crates/sapphireknot-standin/examples/measure/main.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod lookups;
 mod members;
+mod picking;
 mod quota;
 mod report;
 mod rollout;
@@ -59,6 +60,7 @@
     let command = Command::new("measure")
         .about("Measures decisions against baselines, and costs")
         .subcommand_required(true)
+        .subcommand(picking::command().args(options()))
         .subcommand(quota::command().args(options()))
         .subcommand(rollout::command().args(options()))
         .subcommand(all);
@@ -94,6 +96,9 @@
     if matches!(name, "rollout" | "all") {
         rollout::run(matches)?;
     }
+    if matches!(name, "picking" | "all") {
+        picking::run(matches)?;
+    }
     let reports = measure(name, matches)?;
     let is_json = matches.get_one::<String>("output").is_some_and(|it| it == "json");
     Ok(report::write(&reports, is_json, &mut io::stdout().lock())?)
