--- a/crates/sapphireknotd/src/operator/status.rs
+++ b/crates/sapphireknotd/src/operator/status.rs
@@ -5,13 +5,17 @@
 use sapphireknot::{
     config::{EntityPath, EntityValue, NoteItem},
     ids::{ConfigGeneration, HostId, NoteId, PlanId, ServiceId},
-    operator::{HostStatus, ItemState, ItemStatus, MemberStatus, NoteStatus},
+    operator::{HostStatus, ItemState, ItemStatus, MemberStatus, NoteStatus, QuotaStatus},
+    quota::ResourceId,
 };
 use sapphireknot_platform::KeyValueStore;
 use serde::Deserialize;
 
 use super::server::OperatorServer;
-use crate::control::{ReadError, read_record};
+use crate::{
+    context::HostContext,
+    control::{ReadError, read_record},
+};
 
 /// What a note needs of the record `rollout/<service>`.
 #[derive(Debug, Clone, Deserialize)]
@@ -46,8 +50,17 @@
             rollouts.insert(service, rollout);
         }
     }
-    let items =
-        record.note.items.iter().map(|item| item_status(item, &waiting_for, &rollouts)).collect();
+    let items = record.note.items.iter().map(|item| {
+        let status = item_status(item, &waiting_for, &rollouts);
+        let ended = replaced_reason(server, item, generation);
+        match ended.filter(|_| matches!(status.state, ItemState::Pending | ItemState::InForce)) {
+            Some(reason) => {
+                ItemStatus { state: ItemState::Reverted, reason: Some(reason), ..status }
+            }
+            None => status,
+        }
+    });
+    let items = items.collect();
     Ok(Some(NoteStatus { note: id.clone(), generation, waiting_for, items }))
 }
 
@@ -100,6 +113,23 @@
     ItemStatus { action: action.to_owned(), path, state, reason }
 }
 
+/// Why the plan of an item is no longer in force on this host, whose generation is at least `generation`.
+fn replaced_reason(
+    server: &OperatorServer,
+    item: &NoteItem,
+    generation: ConfigGeneration,
+) -> Option<String> {
+    let (NoteItem::Add(value) | NoteItem::Change(value)) = item else { return None };
+    let EntityValue::Traffic { service, plan } = value else { return None };
+    let config = server.shared.context.config.load();
+    let config = config.as_ref().filter(|it| it.generation >= generation)?;
+    match config.routes.service(service).and_then(|it| it.traffic.as_ref()) {
+        Some(current) if current.id == plan.id => None,
+        Some(current) => Some(format!("replaced by plan {} before its end", current.id)),
+        None => Some("withdrawn before its end".to_owned()),
+    }
+}
+
 fn plan_of(value: &EntityValue) -> Option<&PlanId> {
     match value {
         EntityValue::Traffic { plan, .. } => Some(&plan.id),
@@ -107,6 +137,18 @@
     }
 }
 
+/// Share of each organisation that this host may use now.
+fn quotas(context: &HostContext) -> Vec<QuotaStatus> {
+    let config = context.config.load();
+    let organisations = config.iter().flat_map(|it| &it.document.organisations);
+    organisations
+        .filter_map(|it| {
+            let view = context.quotas.view(&ResourceId::Organisation(it.id.clone()))?;
+            Some(QuotaStatus { organisation: it.id.clone(), share: view.active })
+        })
+        .collect()
+}
+
 /// The state of this host.
 pub(super) fn host_status(server: &OperatorServer) -> HostStatus {
     let shared = &server.shared;
@@ -129,7 +171,7 @@
         fresh: context.clock.now() < context.fresh_until.get(),
         store_up: shared.store.observation().is_some_and(|it| !it.is_down),
         members,
-        quotas: Vec::new(),
-        rollouts: Vec::new(),
+        quotas: quotas(context),
+        rollouts: context.rollouts.statuses(),
     }
 }
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use ractor::{ActorRef, rpc::CallResult};
-use sapphireknot::ids::ConfigGeneration;
+use sapphireknot::{ids::ConfigGeneration, quota::BorrowAnswer};
 use sapphireknot_wire::peer::{
     BorrowReply, BorrowRequest, ClaimRequestReply, ClaimRequestRequest, ExchangeReply,
     ExchangeRequest, FetchConfigReply, FetchConfigRequest, FetchEvidenceReply,
@@ -17,9 +17,14 @@
 use super::{
     claims::{claim_from_wire, claim_reply_to_wire},
     client::{MAX_MESSAGE_BYTES, PeerClients},
-    convert::gossip_from_wire,
+    convert::{ConvertError, gossip_from_wire, parse},
+    quotas::{answer_to_wire, borrow_from_wire, give_back_from_wire},
+    rollouts::evidence_to_wire,
+};
+use crate::{
+    context::DrainStage,
+    control::{ControlShared, MemberMessage},
 };
-use crate::control::{ControlShared, MemberMessage};
 
 /// Server of the calls between hosts.
 pub struct PeerServer {
@@ -109,22 +114,46 @@
         Ok(Response::new(reply))
     }
 
-    async fn borrow(&self, _: Request<BorrowRequest>) -> Result<Response<BorrowReply>, Status> {
-        Err(Status::unimplemented("this host lends no quota"))
+    async fn borrow(
+        &self,
+        request: Request<BorrowRequest>,
+    ) -> Result<Response<BorrowReply>, Status> {
+        let call = borrow_from_wire(request.get_ref())
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let context = &self.shared.context;
+        // A host that leaves lends nothing, so that all is back by the time at which it releases its grants.
+        let is_serving = *context.drain.borrow() == DrainStage::Serving;
+        let answer = match is_serving {
+            true => context.quotas.ledger().lend(context.clock.now(), &call),
+            false => BorrowAnswer::REFUSED,
+        };
+        Ok(Response::new(answer_to_wire(answer)))
     }
 
     async fn give_back(
         &self,
-        _: Request<GiveBackRequest>,
+        request: Request<GiveBackRequest>,
     ) -> Result<Response<GiveBackReply>, Status> {
-        Err(Status::unimplemented("this host lends no quota"))
+        let context = &self.shared.context;
+        let call = give_back_from_wire(request.get_ref(), &context.identity.id)
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let accepted = context.quotas.ledger().take_back(context.clock.now(), &call);
+        Ok(Response::new(GiveBackReply { accepted }))
     }
 
     async fn fetch_evidence(
         &self,
-        _: Request<FetchEvidenceRequest>,
+        request: Request<FetchEvidenceRequest>,
     ) -> Result<Response<FetchEvidenceReply>, Status> {
-        Err(Status::unimplemented("this host keeps no evidence"))
+        let invalid = |err: ConvertError| Status::invalid_argument(err.to_string());
+        let request = request.get_ref();
+        let service = parse("service", &request.service).map_err(invalid)?;
+        let plan = parse("plan", &request.plan).map_err(invalid)?;
+        let context = &self.shared.context;
+        let evidence = context.rollouts.evidence(&service, &plan);
+        let evidence =
+            evidence.ok_or_else(|| Status::not_found("the plan is not in force on this host"))?;
+        Ok(Response::new(evidence_to_wire(context.identity.incarnation, &evidence)))
     }
 
     async fn claim_request(
