--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -25,7 +25,10 @@
     time::MonoTime,
 };
 
-use crate::{claims::RequestClaims, clock::HostClock, quota::HostQuotas, settings::HostSettings};
+use crate::{
+    claims::RequestClaims, clock::HostClock, directory::HostDirectory, quota::HostQuotas,
+    rollout::RolloutTable, settings::HostSettings,
+};
 
 /// This host as others see it.
 #[derive(Debug, Clone)]
@@ -188,6 +191,8 @@
     pub fresh_until: SharedDeadline,
     /// Known hosts, this one included. Owner: member actor.
     pub members: ArcSwap<Vec<MemberRecord>>,
+    /// Hosts that take callers. Owner: member actor.
+    pub directory: ArcSwap<HostDirectory>,
     /// Stage of a graceful shutdown. Owner: drain actor.
     pub drain: tokio::sync::watch::Sender<DrainStage>,
     /// Admission. Owner: quota actor.
@@ -196,6 +201,8 @@
     pub quotas: Arc<HostQuotas>,
     /// Versions. Owner: rollout actor.
     pub versions: Arc<dyn VersionRouter>,
+    /// Rollouts. Owner: rollout actor.
+    pub rollouts: Arc<RolloutTable>,
     /// Spill to other regions. Owner: quota actor.
     pub spill: Arc<dyn SpillGate>,
     /// Idempotency keys.
@@ -203,3 +210,11 @@
     /// Backend servers. Owner: upstream module.
     pub servers: Arc<dyn ServerPool>,
 }
+
+impl HostContext {
+    /// Publishes the known hosts and what look-ups use of them.
+    pub fn publish_members(&self, members: Vec<MemberRecord>) {
+        self.directory.store(Arc::new(HostDirectory::new(&self.identity, &members)));
+        self.members.store(Arc::new(members));
+    }
+}
--- a/crates/sapphireknotd/src/control.rs
+++ b/crates/sapphireknotd/src/control.rs
@@ -7,7 +7,9 @@
 mod head_reader;
 mod member_actor;
 mod notes;
+mod planned_service;
 mod quota_actor;
+mod rollout_actor;
 mod session_actor;
 mod shared;
 mod store;
@@ -24,6 +26,7 @@
     config_actor::{ConfigActor, ConfigArguments},
     member_actor::{MemberActor, MemberArguments},
     quota_actor::{QuotaActor, QuotaArguments},
+    rollout_actor::{RolloutActor, RolloutArguments},
     session_actor::{SessionActor, SessionArguments},
 };
 pub use self::{
@@ -31,8 +34,12 @@
     member_actor::MemberMessage,
     notes::{NoteRecord, NoteWriter, SubmitOutcome},
     quota_actor::QuotaMessage,
+    rollout_actor::{GatheredRound, RolloutMessage},
     session_actor::{HolderRecord, SessionMessage},
-    shared::{ControlShared, EncodedConfig, HEAD_KEY, PlatformClients, ReadError, read_record},
+    shared::{
+        ControlShared, EncodedConfig, HEAD_KEY, PlannerRoles, PlatformClients, ReadError,
+        read_record,
+    },
     store::{ObservedStore, StoreObservation},
 };
 use crate::{
@@ -76,6 +83,7 @@
     session: ActorRef<SessionMessage>,
     quota: ActorRef<QuotaMessage>,
     config: ActorRef<ConfigMessage>,
+    rollout: ActorRef<RolloutMessage>,
     stopped: watch::Sender<bool>,
     servers: Vec<JoinHandle<()>>,
     tasks: Vec<JoinHandle<()>>,
@@ -110,6 +118,7 @@
         encoded: Default::default(),
         proof: SharedDeadline::default(),
         watch_until: SharedDeadline::default(),
+        planners: Default::default(),
     });
     shared.context.claims.connect(peers.clone());
     let arguments = MemberArguments { shared: shared.clone(), peers: peers.clone() };
@@ -131,6 +140,11 @@
         .await
         .map_err(|source| ControlError::Spawn { actor: "session", source })?;
 
+    let arguments =
+        RolloutArguments { shared: shared.clone(), peers: peers.clone(), members: members.clone() };
+    let (rollout, _) = Actor::spawn(None, RolloutActor, arguments)
+        .await
+        .map_err(|source| ControlError::Spawn { actor: "rollout", source })?;
     let (stopped, _) = watch::channel(false);
     let server = PeerServer::new(shared.clone(), peers, members.clone());
     let peer_stop = wait_stop(stopped.subscribe());
@@ -147,10 +161,11 @@
         tokio::spawn(head_reader::read_heads(shared.clone(), config.clone())),
         tokio::spawn(head_reader::watch_head(shared.clone(), config.clone())),
         tokio::spawn(member_actor::list_hosts(shared.clone(), members.clone())),
+        tokio::spawn(rollout_actor::follow_trips(shared.clone(), rollout.clone())),
         tokio::spawn(member_actor::follow_drain(shared, members.clone())),
     ];
     let servers = vec![peer_task, operator_task];
-    Ok(ControlHandle { members, session, quota, config, stopped, servers, tasks })
+    Ok(ControlHandle { members, session, quota, config, rollout, stopped, servers, tasks })
 }
 
 async fn wait_stop(mut stopped: watch::Receiver<bool>) {
@@ -187,6 +202,7 @@
         self.session.stop(None);
         self.quota.stop(None);
         self.config.stop(None);
+        self.rollout.stop(None);
         self.members.stop(None);
     }
 
@@ -195,12 +211,14 @@
         for task in self.tasks.into_iter().chain(self.servers) {
             task.abort();
         }
-        for actor in [
+        let cells = [
             self.session.get_cell(),
             self.quota.get_cell(),
             self.config.get_cell(),
+            self.rollout.get_cell(),
             self.members.get_cell(),
-        ] {
+        ];
+        for actor in cells {
             actor.kill();
         }
     }
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -26,13 +26,13 @@
     clock::HostClock,
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
     control::{self, ControlError, ControlHandle, ControlListeners},
+    directory::HostDirectory,
     front::FrontServer,
     quota::HostQuotas,
+    rollout::RolloutTable,
     settings::{HostSettings, ListenSettings},
     telemetry::{self, TelemetryError},
-    upstream::{
-        baseline::ConfiguredRouter, connections::ConnectionPool, pool::RegionalPool, probes,
-    },
+    upstream::{connections::ConnectionPool, pool::RegionalPool, probes},
 };
 
 /// Interval at which a closing host looks for requests in flight.
@@ -138,18 +138,21 @@
         let servers = Arc::new(RegionalPool::new(context.clone()));
         pool = Some(servers.clone());
         let quotas = Arc::new(HostQuotas::new(&identity, clock));
+        let rollouts = Arc::new(RolloutTable::new(context.clone()));
         HostContext {
             settings,
             clock,
-            identity,
             config: ArcSwapOption::empty(),
             fresh_until: SharedDeadline::default(),
             members: ArcSwap::default(),
+            directory: ArcSwap::from_pointee(HostDirectory::new(&identity, &[])),
+            identity,
             drain: watch::Sender::new(DrainStage::Serving),
             quota: quotas.clone(),
             spill: quotas.clone(),
             quotas,
-            versions: Arc::new(ConfiguredRouter::new(context.clone())),
+            versions: rollouts.clone(),
+            rollouts,
             claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
             servers,
         }
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use ractor::{ActorRef, rpc::CallResult};
-use sapphireknot::quota::BorrowAnswer;
+use sapphireknot::{ids::ConfigGeneration, quota::BorrowAnswer};
 use sapphireknot_wire::peer::{
     BorrowReply, BorrowRequest, ClaimRequestReply, ClaimRequestRequest, ExchangeReply,
     ExchangeRequest, FetchConfigReply, FetchConfigRequest, FetchEvidenceReply,
@@ -17,8 +17,9 @@
 use super::{
     claims::{claim_from_wire, claim_reply_to_wire},
     client::{MAX_MESSAGE_BYTES, PeerClients},
-    convert::gossip_from_wire,
+    convert::{ConvertError, gossip_from_wire, parse},
     quotas::{answer_to_wire, borrow_from_wire, give_back_from_wire},
+    rollouts::evidence_to_wire,
 };
 use crate::{
     context::DrainStage,
@@ -96,15 +97,20 @@
         &self,
         request: Request<FetchConfigRequest>,
     ) -> Result<Response<FetchConfigReply>, Status> {
-        let known = request.get_ref().known_generation;
-        let reply = match &*self.shared.encoded.load() {
-            Some(config) if config.generation.0 > known => FetchConfigReply {
-                generation: config.generation.0,
-                document: config.encoded.bytes.clone(),
-                digest: hex::decode(&config.encoded.digest).unwrap_or_default(),
-            },
-            _ => FetchConfigReply::default(),
+        let FetchConfigRequest { known_generation, whole } = *request.get_ref();
+        let encoded = self.shared.encoded.load();
+        let Some(config) = encoded.as_ref().filter(|it| it.generation.0 > known_generation) else {
+            return Ok(Response::new(FetchConfigReply::default()));
         };
+        let mut reply = FetchConfigReply {
+            generation: config.generation.0,
+            digest: hex::decode(&config.encoded.digest).unwrap_or_default(),
+            ..FetchConfigReply::default()
+        };
+        match config.notes.after(ConfigGeneration(known_generation)) {
+            Some(notes) if !whole => reply.notes = notes,
+            _ => reply.document = config.encoded.bytes.clone(),
+        }
         Ok(Response::new(reply))
     }
 
@@ -137,9 +143,17 @@
 
     async fn fetch_evidence(
         &self,
-        _: Request<FetchEvidenceRequest>,
+        request: Request<FetchEvidenceRequest>,
     ) -> Result<Response<FetchEvidenceReply>, Status> {
-        Err(Status::unimplemented("this host keeps no evidence"))
+        let invalid = |err: ConvertError| Status::invalid_argument(err.to_string());
+        let request = request.get_ref();
+        let service = parse("service", &request.service).map_err(invalid)?;
+        let plan = parse("plan", &request.plan).map_err(invalid)?;
+        let context = &self.shared.context;
+        let evidence = context.rollouts.evidence(&service, &plan);
+        let evidence =
+            evidence.ok_or_else(|| Status::not_found("the plan is not in force on this host"))?;
+        Ok(Response::new(evidence_to_wire(context.identity.incarnation, &evidence)))
     }
 
     async fn claim_request(
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
@@ -25,7 +26,9 @@
         ServerPool, ServerTicket, SpillGate, VersionRouter, VersionSample,
     },
     control::{self, ControlHandle, ControlListeners, PlatformClients},
+    directory::HostDirectory,
     quota::HostQuotas,
+    rollout::RolloutTable,
     settings::HostSettings,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -154,16 +157,18 @@
     };
     let quotas = Arc::new(HostQuotas::new(&identity, clock));
     let nothing = Arc::new(Nothing);
-    let context = Arc::new(HostContext {
+    let context = Arc::new_cyclic(|context| HostContext {
         settings,
         clock,
-        identity,
         config: Default::default(),
         fresh_until: Default::default(),
         members: Default::default(),
+        directory: ArcSwap::from_pointee(HostDirectory::new(&identity, &[])),
+        identity,
         drain: tokio::sync::watch::Sender::new(DrainStage::Serving),
         quota: nothing.clone(),
         versions: nothing.clone(),
+        rollouts: Arc::new(RolloutTable::new(context.clone())),
         claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
         spill: nothing.clone(),
         quotas,
