sapphireknotd, drains: take servers that leave together out in steps

A note that marked several servers as leaving moved all their traffic at once. DrainSchedule takes them out whole, as many a step as the cap allows, at least one; a share per server was ruled out, since a server above the cap would then get requests longer than a few seconds. The cap is that of the traffic plan, else limits.drain_cap.

--- a/crates/sapphireknot-standin/tests/end_to_end/version_bed.rs
+++ b/crates/sapphireknot-standin/tests/end_to_end/version_bed.rs
@@ -19,10 +19,19 @@
     store::{OutageKind, StoreFaults},
 };
 use serde_json::json;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// Requests per second over all hosts.
 const RATE: f64 = 120.0;
 
+/// Beds that run at the same time; more of them starve one another, which looks like slow servers and lost evidence.
+static BED_TURNS: Semaphore = Semaphore::const_new(4);
+
+/// Waits until another bed may run.
+pub(crate) async fn take_turn() -> SemaphorePermit<'static> {
+    BED_TURNS.acquire().await.unwrap()
+}
+
 /// Three hosts with a backend server of each version in each region, and short times of a rollout.
 pub(crate) async fn start_bed() -> ServiceBed {
     let mut plan = ServicePlan::small(1);
@@ -187,3 +196,13 @@
     .await
     .unwrap()
 }
+
+/// A note that lets servers leave, by their place in the document.
+pub(crate) fn drain_note(bed: &ServiceBed, servers: &[usize]) -> String {
+    let items = servers.iter().map(|index| {
+        let mut server = bed.document()["services"][0]["servers"][*index].clone();
+        server["leaving"] = true.into();
+        json!({ "change": { "server": { "service": "reports", "server": server } } })
+    });
+    json!({ "id": "note-drain", "items": items.collect::<Vec<_>>() }).to_string()
+}
--- a/crates/sapphireknot/src/membership/record.rs
+++ b/crates/sapphireknot/src/membership/record.rs
@@ -53,6 +53,8 @@
     pub state: MemberState,
     /// Configuration generation in force there, as last told by the host.
     pub generation: ConfigGeneration,
+    /// Generation up to which every backend server that leaves is out there, as last told by the host.
+    pub drained: ConfigGeneration,
     /// Requests in flight per thousand of capacity, as last told by the host.
     pub load_permille: u32,
     /// Orders what the host tells of itself within one incarnation.
--- a/crates/sapphireknot/src/membership/table.rs
+++ b/crates/sapphireknot/src/membership/table.rs
@@ -66,6 +66,8 @@
     TimePassed,
     /// A generation of the configuration is in force on this host.
     Installed(ConfigGeneration),
+    /// Every backend server that leaves by a generation is out on this host.
+    Drained(ConfigGeneration),
     /// The load of this host was measured.
     LoadMeasured(u32),
     /// A graceful shutdown of this host began.
@@ -257,6 +259,13 @@
                     return self.notify(rng);
                 }
             }
+            MemberEvent::Drained(generation) => {
+                if generation > self.own.drained {
+                    self.own.drained = generation;
+                    self.own.version += 1;
+                    return self.notify(rng);
+                }
+            }
             MemberEvent::LoadMeasured(load_permille) => {
                 if load_permille != self.own.load_permille {
                     self.own.load_permille = load_permille;
--- a/crates/sapphireknot/src/rollout.rs
+++ b/crates/sapphireknot/src/rollout.rs
@@ -19,7 +19,7 @@
 
 pub use self::{
     betting::{BettingDetector, RateSample},
-    drain::{DrainServer, DrainStep, next_drain},
+    drain::{DrainSchedule, DrainServer, DrainStep, next_drain},
     evidence::{EvidenceLedger, OutcomeCounts, SampleKey},
     judge::{EvidenceJudge, RouteStanding},
     planner::{PlannerAction, PlannerInput, PlannerLimits, RolloutPlanner},
--- a/crates/sapphireknot/src/rollout/drain.rs
+++ b/crates/sapphireknot/src/rollout/drain.rs
@@ -2,10 +2,15 @@
 //!
 //! Servers that leave lose their traffic in steps, so that the others take on no more than the cap at once.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
+    config::ServerEntry,
     ids::ServerId,
+    time::MonoTime,
     units::{SlotCount, TrafficShare},
 };
 
@@ -60,3 +65,79 @@
     step.moved = TrafficShare(u32::try_from(used.div_ceil(whole)).unwrap_or(u32::MAX));
     step
 }
+
+/// Drains of one service on one host.
+///
+/// Servers that leave together are taken out whole, one step after another. A step takes at least one server, even if it
+/// has more than the cap: a server that leaves must get no new requests after a few seconds.
+#[derive(Debug, Clone, Default)]
+pub struct DrainSchedule {
+    staying: BTreeSet<ServerId>,
+    draining: BTreeSet<ServerId>,
+    next_step: MonoTime,
+}
+
+impl DrainSchedule {
+    /// Takes over the servers of a configuration.
+    ///
+    /// A server that this host never used gets no requests; one that stays again is used again.
+    pub fn replace_servers<'a, I>(&mut self, servers: I)
+    where
+        I: Iterator<Item = &'a ServerEntry> + Clone,
+    {
+        let was_used = |it: &ServerId| self.staying.contains(it) || self.draining.contains(it);
+        let leaving = servers.clone().filter(|it| it.leaving && was_used(&it.id));
+        self.draining = leaving.map(|it| it.id.clone()).collect();
+        self.staying = servers.filter(|it| !it.leaving).map(|it| it.id.clone()).collect();
+    }
+
+    /// Takes the next servers out if a step is due; the answer is whether any was.
+    pub fn advance<'a, I>(
+        &mut self,
+        servers: I,
+        cap: TrafficShare,
+        step_interval: Duration,
+        now: MonoTime,
+    ) -> bool
+    where
+        I: Iterator<Item = &'a ServerEntry>,
+    {
+        if !self.is_due(now) {
+            return false;
+        }
+        let weight = |it: &ServerEntry| {
+            let is_out = it.leaving && !self.draining.contains(&it.id);
+            if is_out { TrafficShare::NONE } else { TrafficShare::WHOLE }
+        };
+        let servers: Vec<_> = servers
+            .map(|it| DrainServer {
+                id: it.id.clone(),
+                slots: it.slots,
+                leaving: it.leaving,
+                weight: weight(it),
+            })
+            .collect();
+        let step = next_drain(&servers, cap);
+        let whole = step.weights.into_iter().filter(|it| it.1 == TrafficShare::NONE);
+        let mut taken: Vec<_> = whole.map(|it| it.0).collect();
+        if step.moved == TrafficShare::NONE && !servers.iter().any(|it| !it.leaving) {
+            // No server is left to take the requests over, so that steps would only delay the drain.
+            taken = self.draining.iter().cloned().collect();
+        } else if taken.is_empty() {
+            taken.extend(self.draining.first().cloned());
+        }
+        self.draining.retain(|it| !taken.contains(it));
+        self.next_step = now.after(step_interval);
+        true
+    }
+
+    /// Whether a step is due.
+    pub fn is_due(&self, now: MonoTime) -> bool {
+        !self.draining.is_empty() && now >= self.next_step
+    }
+
+    /// Servers that leave and still get requests.
+    pub fn draining(&self) -> impl Iterator<Item = &ServerId> {
+        self.draining.iter()
+    }
+}
--- a/crates/sapphireknot/tests/member_table.rs
+++ b/crates/sapphireknot/tests/member_table.rs
@@ -37,6 +37,7 @@
         incarnation: IncarnationId(incarnation),
         state: MemberState::Alive,
         generation: ConfigGeneration(0),
+        drained: ConfigGeneration(0),
         load_permille: 0,
         version: 1,
     }
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -1,6 +1,6 @@
 //! Defaults of settings and fixed limits.
 
-use sapphireknot::time::ClockSpan;
+use sapphireknot::{time::ClockSpan, units::TrafficShare};
 
 /// Bytes of a request's line and headers.
 pub const MAX_HEADER_BYTES: usize = 16 << 10;
@@ -19,6 +19,8 @@
 /// Time for which a caller may not read its response.
 pub const WRITE_TIMEOUT: ClockSpan = ClockSpan::from_secs(10);
 
+/// Part of a service that planned drains take out in one step, without a traffic plan that says another.
+pub const DRAIN_CAP: TrafficShare = TrafficShare::percent(20);
 /// Longest time without proof that no key was withdrawn.
 pub const KEY_FRESHNESS: ClockSpan = ClockSpan::from_secs(5);
 /// Time for which callers may cache a look-up.
--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -68,6 +68,8 @@
     Announce,
     /// A generation is in force on this host.
     Installed(ConfigGeneration),
+    /// Every backend server that leaves by a generation is out on this host.
+    Drained(ConfigGeneration),
     /// The configuration actor runs.
     Connected(ActorRef<ConfigMessage>),
     /// The next probe is due.
@@ -164,6 +166,9 @@
             MemberMessage::Installed(generation) => {
                 state.apply(&myself, MemberEvent::Installed(generation));
             }
+            MemberMessage::Drained(generation) => {
+                state.apply(&myself, MemberEvent::Drained(generation));
+            }
             MemberMessage::Announce => state.announce(&myself),
             MemberMessage::Connected(config) => state.config = Some(config),
             MemberMessage::ProbeDue => {
@@ -376,6 +381,7 @@
         incarnation: identity.incarnation,
         state: MemberState::Alive,
         generation: shared.generation(),
+        drained: ConfigGeneration(0),
         load_permille: 0,
         version: 1,
     }
@@ -392,6 +398,7 @@
         incarnation: IncarnationId(0),
         state: if host.leaving { MemberState::Leaving } else { MemberState::Alive },
         generation: ConfigGeneration(0),
+        drained: ConfigGeneration(0),
         load_permille: 0,
         version: 0,
     }
--- a/crates/sapphireknotd/src/control/rollout_actor.rs
+++ b/crates/sapphireknotd/src/control/rollout_actor.rs
@@ -14,7 +14,7 @@
 use futures_util::future::join_all;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use sapphireknot::{
-    ids::{FencingToken, HostId, PlanId, ServiceId},
+    ids::{ConfigGeneration, FencingToken, HostId, PlanId, ServiceId},
     membership::MemberRecord,
     rollout::{PlannerAction, RolloutState, ShareNotice},
     time::{MonoTime, WallTime},
@@ -97,6 +97,8 @@
     busy: BTreeSet<ServiceId>,
     /// Services that are being read.
     reading: BTreeSet<ServiceId>,
+    /// Generation last reported as drained.
+    drained: ConfigGeneration,
 }
 
 #[ractor::async_trait]
@@ -118,6 +120,7 @@
             planned: BTreeMap::new(),
             busy: BTreeSet::new(),
             reading: BTreeSet::new(),
+            drained: ConfigGeneration(0),
         })
     }
 
@@ -131,6 +134,7 @@
             RolloutMessage::Tick => {
                 state.shared().context.rollouts.advance();
                 state.read_unheard(&myself);
+                state.report_drains();
             }
             RolloutMessage::Tripped => send(&state.arguments.members, MemberMessage::Announce),
             RolloutMessage::PlanDue => state.begin_rounds(&myself),
@@ -168,6 +172,15 @@
         }
     }
 
+    /// Lets the member actor tell peers that the servers that leave are out.
+    fn report_drains(&mut self) {
+        let drained = self.shared().context.rollouts.drained_generation();
+        if let Some(generation) = drained.filter(|it| *it != self.drained) {
+            self.drained = generation;
+            send(&self.arguments.members, MemberMessage::Drained(generation));
+        }
+    }
+
     /// Reads the state of plans of which no peer has told, such as after a start of all hosts.
     fn read_unheard(&mut self, myself: &ActorRef<RolloutMessage>) {
         let context = &self.arguments.shared.context;
--- a/crates/sapphireknotd/src/operator/status.rs
+++ b/crates/sapphireknotd/src/operator/status.rs
@@ -56,6 +56,18 @@
             None => status,
         }
     });
+    let items = items.zip(&record.note.items).map(|(status, item)| {
+        if !is_drain(item) || status.state != ItemState::InForce {
+            return status;
+        }
+        match hosts_draining(server, generation) {
+            0 => ItemStatus { state: ItemState::Done, ..status },
+            count => {
+                let reason = format!("{count} live hosts still use servers that leave");
+                ItemStatus { state: ItemState::Pending, reason: Some(reason), ..status }
+            }
+        }
+    });
     let items = items.collect();
     Ok(Some(NoteStatus { note: id.clone(), generation, waiting_for, items }))
 }
@@ -109,6 +121,21 @@
     ItemStatus { action: action.to_owned(), path, state, reason }
 }
 
+fn is_drain(item: &NoteItem) -> bool {
+    match item {
+        NoteItem::Add(value) | NoteItem::Change(value) => {
+            matches!(value, EntityValue::Server { server, .. } if server.leaving)
+        }
+        NoteItem::Withdraw(_) => false,
+    }
+}
+
+/// Live hosts that have not reported that the servers which leave by `generation` are out.
+fn hosts_draining(server: &OperatorServer, generation: ConfigGeneration) -> usize {
+    let members = server.shared.context.members.load();
+    members.iter().filter(|it| it.state.is_live() && it.drained < generation).count()
+}
+
 /// Why the plan of an item is no longer in force on this host, whose generation is at least `generation`.
 fn replaced_reason(
     server: &OperatorServer,
--- a/crates/sapphireknotd/src/peer/convert.rs
+++ b/crates/sapphireknotd/src/peer/convert.rs
@@ -48,6 +48,7 @@
         incarnation: record.incarnation.0,
         state: state.into(),
         generation: record.generation.0,
+        drained_generation: record.drained.0,
         load_permille: record.load_permille,
         version: record.version,
     }
@@ -72,6 +73,7 @@
         incarnation: IncarnationId(member.incarnation),
         state,
         generation: ConfigGeneration(member.generation),
+        drained: ConfigGeneration(member.drained_generation),
         load_permille: member.load_permille,
         version: member.version,
     })
--- a/crates/sapphireknotd/src/rollout/table.rs
+++ b/crates/sapphireknotd/src/rollout/table.rs
@@ -4,9 +4,9 @@
 
 use parking_lot::{Mutex, MutexGuard};
 use sapphireknot::{
-    ids::{ConfigGeneration, PlanId, ServiceId, VersionId},
+    ids::{ConfigGeneration, PlanId, ServerId, ServiceId, VersionId},
     operator::RolloutStatus,
-    rollout::{ShareNotice, TripNotice},
+    rollout::{DrainSchedule, ShareNotice, TripNotice},
     time::WallTime,
 };
 use tokio::sync::Notify;
@@ -34,6 +34,29 @@
 struct TableInner {
     generation: ConfigGeneration,
     services: BTreeMap<ServiceId, ServiceRollout>,
+    drains: BTreeMap<ServiceId, DrainSchedule>,
+    /// Rises with every change of the drains.
+    drain_revision: u64,
+}
+
+impl TableInner {
+    /// Takes out the servers of all services whose step is due.
+    fn advance_drains(&mut self, context: &HostContext) {
+        let now = context.clock.now();
+        let settings = &context.settings;
+        let config = context.config.load();
+        let Some(config) = config.as_ref().filter(|it| it.generation == self.generation) else {
+            return;
+        };
+        for (id, drain) in &mut self.drains {
+            let Some(entry) = config.routes.service(id) else { continue };
+            let cap = entry.traffic.as_ref().map_or(settings.limits.drain_cap, |it| it.cap);
+            let step_interval = settings.timing.rollout_step.0;
+            if drain.advance(entry.servers.iter(), cap, step_interval, now) {
+                self.drain_revision += 1;
+            }
+        }
+    }
 }
 
 /// Rollouts of all services on this host.
@@ -80,7 +103,12 @@
                 .entry(entry.id.clone())
                 .or_insert_with(|| ServiceRollout::new(usable.clone()));
             service.install(entry, usable, facts);
+            let drain = inner.drains.entry(entry.id.clone()).or_default();
+            drain.replace_servers(entry.servers.iter());
         }
+        inner.drains.retain(|id, _| services.iter().any(|it| it.id == *id));
+        inner.drain_revision += 1;
+        inner.advance_drains(context);
         inner
     }
 
@@ -88,7 +116,28 @@
     pub fn advance(&self) {
         let Some(context) = self.context.upgrade() else { return };
         let now = context.clock.wall();
-        self.synced(&context).services.values_mut().for_each(|it| it.advance(now));
+        let mut inner = self.synced(&context);
+        inner.services.values_mut().for_each(|it| it.advance(now));
+        inner.advance_drains(&context);
+    }
+
+    /// Rises whenever [`Self::draining_servers`] may answer something new.
+    pub fn drain_revision(&self) -> u64 {
+        self.context.upgrade().map_or(0, |it| self.synced(&it).drain_revision)
+    }
+
+    /// Servers of `service` that leave and are not out yet.
+    pub fn draining_servers(&self, service: &ServiceId) -> Vec<ServerId> {
+        let inner = self.inner.lock();
+        inner.drains.get(service).map(|it| it.draining().cloned().collect()).unwrap_or_default()
+    }
+
+    /// Generation in force here, if every server that leaves is out.
+    pub fn drained_generation(&self) -> Option<ConfigGeneration> {
+        let context = self.context.upgrade()?;
+        let inner = self.synced(&context);
+        let is_drained = inner.drains.values().all(|it| it.draining().next().is_none());
+        is_drained.then_some(inner.generation)
     }
 
     /// What peers are to know.
--- a/crates/sapphireknotd/src/settings.rs
+++ b/crates/sapphireknotd/src/settings.rs
@@ -10,6 +10,7 @@
     ids::{DatacentreId, HostId, RegionId},
     rollout::RolloutTiming,
     time::ClockSpan,
+    units::TrafficShare,
 };
 use serde::{Deserialize, Serialize};
 
@@ -127,6 +128,8 @@
     pub body_timeout: ClockSpan,
     /// Time for which a caller may not read its response.
     pub write_timeout: ClockSpan,
+    /// Part of a service that planned drains take out in one step, without a traffic plan that says another.
+    pub drain_cap: TrafficShare,
 }
 
 impl Default for LimitSettings {
@@ -140,6 +143,7 @@
             header_timeout: constants::HEADER_TIMEOUT,
             body_timeout: constants::BODY_TIMEOUT,
             write_timeout: constants::WRITE_TIMEOUT,
+            drain_cap: constants::DRAIN_CAP,
         }
     }
 }
@@ -259,6 +263,9 @@
             }
         }
         let limits = &self.limits;
+        if limits.drain_cap == TrafficShare::NONE {
+            problems.push(ConfigProblem::new("limits.drain_cap", limits.drain_cap, "more than 0%"));
+        }
         let largest = limits.max_body_bytes.max(limits.max_response_bytes);
         if limits.max_buffered_bytes < largest {
             let allowed = "at least limits.max_body_bytes and limits.max_response_bytes";
--- a/crates/sapphireknotd/src/upstream/service.rs
+++ b/crates/sapphireknotd/src/upstream/service.rs
@@ -60,6 +60,8 @@
     /// Configuration and members from which the servers were derived.
     config: Option<Arc<InstalledConfig>>,
     members: Arc<Vec<MemberRecord>>,
+    /// Change of the drains from which the servers were derived.
+    drain_revision: u64,
     addresses: HashMap<ServerId, SocketAddr>,
     /// Own region, then those into which a spill is configured, by distance.
     regions: Vec<RegionId>,
@@ -75,6 +77,7 @@
             queue: FairQueue::new(QUEUE_LIMITS),
             config: None,
             members: Arc::default(),
+            drain_revision: 0,
             addresses: HashMap::new(),
             regions: Vec::new(),
             usual_latency_us: 0,
@@ -268,19 +271,23 @@
         let service = config.routes.service(id).ok_or(PickRefusal::NoServer)?.clone();
         let members = context.members.load_full();
         let is_known = self.config.as_ref().is_some_and(|it| Arc::ptr_eq(it, &config));
+        let drain_revision = context.rollouts.drain_revision();
+        let is_known = is_known && self.drain_revision == drain_revision;
         if is_known && Arc::ptr_eq(&self.members, &members) {
             return Ok(());
         }
+        let draining = context.rollouts.draining_servers(id);
         let own = &context.identity.region;
         let mut regions: Vec<_> = service.spill.iter().map(|it| it.into.clone()).collect();
         regions.retain(|it| it != own);
         regions.sort_by_key(|it| config.distances.between(own, it));
         regions.insert(0, own.clone());
         self.addresses = service.servers.iter().map(|it| (it.id.clone(), it.address)).collect();
-        let specs = server_specs(context, &config, &service, &members);
+        let specs = server_specs(context, &config, &service, &members, &draining);
         self.picker.replace_servers(specs, now);
         self.regions = regions;
         self.members = members;
+        self.drain_revision = drain_revision;
         self.config = Some(config);
         Ok(())
     }
@@ -314,6 +321,7 @@
     config: &InstalledConfig,
     service: &ServiceEntry,
     members: &[MemberRecord],
+    draining: &[ServerId],
 ) -> Vec<ServerSpec> {
     let own = &context.identity;
     let specs = service.servers.iter().filter_map(|it| {
@@ -329,7 +337,8 @@
             region: region.clone(),
             version: it.version.clone(),
             slots: it.slots,
-            is_leaving: it.leaving || !is_in_subset(&own.id, &it.id, users, limits),
+            is_leaving: it.leaving && !draining.contains(&it.id)
+                || !is_in_subset(&own.id, &it.id, users, limits),
         })
     });
     specs.collect()
--- a/crates/sapphireknotd/tests/request_path/idempotency_keys.rs
+++ b/crates/sapphireknotd/tests/request_path/idempotency_keys.rs
@@ -56,6 +56,7 @@
             incarnation: IncarnationId(1),
             state: MemberState::Alive,
             generation: ConfigGeneration(1),
+            drained: ConfigGeneration(1),
             load_permille: 0,
             version: 1,
         });
