--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -26,7 +26,8 @@
 };
 
 use crate::{
-    claims::RequestClaims, clock::HostClock, rollout::RolloutTable, settings::HostSettings,
+    claims::RequestClaims, clock::HostClock, quota::HostQuotas, rollout::RolloutTable,
+    settings::HostSettings,
 };
 
 /// This host as others see it.
@@ -194,6 +195,8 @@
     pub drain: tokio::sync::watch::Sender<DrainStage>,
     /// Admission. Owner: quota actor.
     pub quota: Arc<dyn QuotaGate>,
+    /// Shares and tokens of this host. Owner: quota actor.
+    pub quotas: Arc<HostQuotas>,
     /// Versions. Owner: rollout actor.
     pub versions: Arc<dyn VersionRouter>,
     /// Rollouts. Owner: rollout actor.
--- a/crates/sapphireknotd/src/control.rs
+++ b/crates/sapphireknotd/src/control.rs
@@ -8,6 +8,7 @@
 mod member_actor;
 mod notes;
 mod planned_service;
+mod quota_actor;
 mod rollout_actor;
 mod session_actor;
 mod shared;
@@ -15,7 +16,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use ractor::{Actor, ActorRef, SpawnErr};
+use ractor::{Actor, ActorRef, SpawnErr, rpc::CallResult};
 use sapphireknot_platform::{GrpcHosts, GrpcStore};
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
@@ -24,13 +25,15 @@
 use self::{
     config_actor::{ConfigActor, ConfigArguments},
     member_actor::{MemberActor, MemberArguments},
+    quota_actor::{QuotaActor, QuotaArguments},
     rollout_actor::{RolloutActor, RolloutArguments},
-    session_actor::SessionActor,
+    session_actor::{SessionActor, SessionArguments},
 };
 pub use self::{
     config_actor::{ConfigMessage, LoadedConfig, PeerEvidence},
     member_actor::MemberMessage,
     notes::{NoteRecord, NoteWriter, SubmitOutcome},
+    quota_actor::QuotaMessage,
     rollout_actor::{GatheredRound, RolloutMessage},
     session_actor::{HolderRecord, SessionMessage},
     shared::{
@@ -78,6 +81,7 @@
 pub struct ControlHandle {
     members: ActorRef<MemberMessage>,
     session: ActorRef<SessionMessage>,
+    quota: ActorRef<QuotaMessage>,
     config: ActorRef<ConfigMessage>,
     rollout: ActorRef<RolloutMessage>,
     stopped: watch::Sender<bool>,
@@ -127,7 +131,12 @@
         .await
         .map_err(|source| ControlError::Spawn { actor: "configuration", source })?;
     send(&members, MemberMessage::Connected(config.clone()));
-    let (session, _) = Actor::spawn(None, SessionActor, shared.clone())
+    let arguments = QuotaArguments { shared: shared.clone(), peers: peers.clone() };
+    let (quota, _) = Actor::spawn(None, QuotaActor, arguments)
+        .await
+        .map_err(|source| ControlError::Spawn { actor: "quota", source })?;
+    let arguments = SessionArguments { shared: shared.clone(), quota: quota.clone() };
+    let (session, _) = Actor::spawn(None, SessionActor, arguments)
         .await
         .map_err(|source| ControlError::Spawn { actor: "session", source })?;
 
@@ -156,7 +165,7 @@
         tokio::spawn(member_actor::follow_drain(shared, members.clone())),
     ];
     let servers = vec![peer_task, operator_task];
-    Ok(ControlHandle { members, session, config, rollout, stopped, servers, tasks })
+    Ok(ControlHandle { members, session, quota, config, rollout, stopped, servers, tasks })
 }
 
 async fn wait_stop(mut stopped: watch::Receiver<bool>) {
@@ -167,7 +176,16 @@
 impl ControlHandle {
     /// Gives back roles and leases, tells peers that the host has left, and ends.
     pub async fn stop(self) {
-        if let Err(err) = self.session.call(SessionMessage::End, Some(END_LIMIT)).await {
+        let is_lent = match self.quota.call(QuotaMessage::Stop, Some(END_LIMIT)).await {
+            Ok(CallResult::Success(is_lent)) => is_lent,
+            // Unreleased grants must not be revoked while parts of them may be lent.
+            result => {
+                log::warn!("release quotas: {result:?}");
+                true
+            }
+        };
+        let end = |port| SessionMessage::End { is_lent, port };
+        if let Err(err) = self.session.call(end, Some(END_LIMIT)).await {
             log::warn!("end the session with the store: {err}");
         }
         send(&self.members, MemberMessage::Drain(DrainStage::Ended));
@@ -182,6 +200,7 @@
             task.abort();
         }
         self.session.stop(None);
+        self.quota.stop(None);
         self.config.stop(None);
         self.rollout.stop(None);
         self.members.stop(None);
@@ -194,9 +213,10 @@
         }
         let cells = [
             self.session.get_cell(),
+            self.quota.get_cell(),
             self.config.get_cell(),
-            self.members.get_cell(),
             self.rollout.get_cell(),
+            self.members.get_cell(),
         ];
         for actor in cells {
             actor.kill();
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -27,13 +27,11 @@
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
     control::{self, ControlError, ControlHandle, ControlListeners},
     front::FrontServer,
+    quota::HostQuotas,
     rollout::RolloutTable,
     settings::{HostSettings, ListenSettings},
     telemetry::{self, TelemetryError},
-    upstream::{
-        baseline::EqualSplitGate, connections::ConnectionPool, pool::RegionalPool, probes,
-        spill::EqualSplitSpill,
-    },
+    upstream::{connections::ConnectionPool, pool::RegionalPool, probes},
 };
 
 /// Interval at which a closing host looks for requests in flight.
@@ -138,6 +136,7 @@
     let context = Arc::new_cyclic(|context: &Weak<HostContext>| {
         let servers = Arc::new(RegionalPool::new(context.clone()));
         pool = Some(servers.clone());
+        let quotas = Arc::new(HostQuotas::new(&identity, clock));
         let rollouts = Arc::new(RolloutTable::new(context.clone()));
         HostContext {
             settings,
@@ -147,11 +146,12 @@
             fresh_until: SharedDeadline::default(),
             members: ArcSwap::default(),
             drain: watch::Sender::new(DrainStage::Serving),
-            quota: Arc::new(EqualSplitGate::new(context.clone())),
+            quota: quotas.clone(),
+            spill: quotas.clone(),
+            quotas,
             versions: rollouts.clone(),
             rollouts,
             claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
-            spill: Arc::new(EqualSplitSpill::new(context.clone())),
             servers,
         }
     });
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -25,6 +25,7 @@
         ServerPool, ServerTicket, SpillGate, VersionRouter, VersionSample,
     },
     control::{self, ControlHandle, ControlListeners, PlatformClients},
+    quota::HostQuotas,
     rollout::RolloutTable,
     settings::HostSettings,
 };
@@ -152,6 +153,7 @@
         peer_address: address,
         operator_address: operator.local_addr().unwrap(),
     };
+    let quotas = Arc::new(HostQuotas::new(&identity, clock));
     let nothing = Arc::new(Nothing);
     let context = Arc::new_cyclic(|context| HostContext {
         settings,
@@ -166,6 +168,7 @@
         rollouts: Arc::new(RolloutTable::new(context.clone())),
         claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
         spill: nothing.clone(),
+        quotas,
         servers: nothing,
     });
     (context, ControlListeners { peer, operator })
