--- a/crates/sapphireknot-standin/examples/measure/target.rs
+++ b/crates/sapphireknot-standin/examples/measure/target.rs
@@ -86,6 +86,7 @@
             incarnation: IncarnationId(1_780_000_000_000 + idx as u64),
             state: MemberState::Alive,
             generation: ConfigGeneration(1),
+            drained: ConfigGeneration(1),
             load_permille: 0,
             version: 1,
         })
