--- a/crates/sapphireknotd/tests/request_path/request_forwarding.rs
+++ b/crates/sapphireknotd/tests/request_path/request_forwarding.rs
@@ -1,5 +1,10 @@
 //! Forwarding of requests to backend servers.
 
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
 use crate::support::{BackendMode, KEY, TestBackend, TestHost};
 
 /// Guards against a changed response and against lost facts for the backend server.
@@ -69,6 +74,43 @@
     assert_eq!(host.call("POST", "/desk/pay", "y").await.body, "y");
 }
 
+/// Serves one response whose end shows only by the end of the connection.
+async fn serve_unframed(mut stream: TcpStream) {
+    let mut head = String::new();
+    let mut bytes = [0; 1024];
+    while !head.contains("\r\n\r\n") {
+        let count = stream.read(&mut bytes).await.unwrap_or(0);
+        if count == 0 {
+            return;
+        }
+        head.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    let id = head.lines().find(|it| it.starts_with("x-request-id")).unwrap_or_default();
+    let reply = if head.starts_with("GET /load") {
+        let load = r#"{"in_flight":0,"slots":4,"connections":1,"leaving":false}"#;
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{load}", load.len())
+    } else {
+        format!("HTTP/1.1 200 OK\r\n{id}\r\n\r\nfirst half")
+    };
+    // The test ends first if it has failed.
+    let _ = stream.write_all(reply.as_bytes()).await;
+}
+
+/// Guards against a response that broke off and is passed on as if it were complete.
+#[tokio::test]
+async fn refuses_response_without_length() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_unframed(stream));
+        }
+    });
+    let host = TestHost::start(&[address]).await;
+    let response = host.call("POST", "/desk/pay", "x").await;
+    assert_eq!(response.refusal(), (502, "upstream-failed", "unknown"));
+}
+
 /// Guards against attempts that go on for a caller that left.
 #[tokio::test]
 async fn cancels_attempt_when_caller_disconnects() {
