--- a/crates/sapphireknot-standin/src/quota_world.rs
+++ b/crates/sapphireknot-standin/src/quota_world.rs
@@ -55,13 +55,18 @@
 /// If the hosts together exceed the whole.
 pub fn check_run(u: &mut Unstructured<'_>) -> Result<()> {
     let mut world = QuotaWorld::new(u)?;
-    while !u.is_empty() {
+    // A step without a process to act on reads no input, so that the loop would not end.
+    while !u.is_empty() && world.has_process() {
         world.step(u)?;
     }
     Ok(())
 }
 
 impl QuotaWorld {
+    fn has_process(&self) -> bool {
+        self.processes.iter().any(|it| it.state != ProcessState::Dead)
+    }
+
     fn new(u: &mut Unstructured<'_>) -> Result<Self> {
         let mut clocks = [1_000_000; HOSTS];
         if u.ratio(2, 3)? {
