sapphireknotd, picker: use one type for the end of an attempt

Cause: the context had an enum with the same five variants as the picker's ServerOutcome, and a match that copied one into the other; the picker had a sum of free room that nothing called. Change: the context passes on the picker's type; the copy and the unused sum are gone. Behaviour and assertions are unchanged. Result: clippy and documentation without warnings; request_path 38, control 14 and server_picking 7 tests pass. End-to-end tests were not rerun as a whole.

--- a/crates/sapphireknot/src/picker.rs
+++ b/crates/sapphireknot/src/picker.rs
@@ -145,12 +145,6 @@
         Ok(candidates[choice].server.clone())
     }
 
-    /// Free room of the usable servers of `version` in `region`, in requests.
-    pub fn free_room(&self, criteria: &PickCriteria<'_>, now: MonoTime) -> u32 {
-        let usable = self.servers.values().filter(|it| it.is_usable(criteria, now));
-        usable.map(|it| it.free_room(now)).sum()
-    }
-
     /// State of `server`.
     pub fn server(&self, server: &ServerId) -> Option<&ServerTrack> {
         self.servers.get(server)
--- a/crates/sapphireknotd/src/context.rs
+++ b/crates/sapphireknotd/src/context.rs
@@ -13,7 +13,6 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_trait::async_trait;
-pub use sapphireknot::drain::DrainStage;
 use sapphireknot::{
     config::RouteEntry,
     ids::{
@@ -24,6 +23,7 @@
     membership::MemberRecord,
     time::MonoTime,
 };
+pub use sapphireknot::{drain::DrainStage, picker::ServerOutcome};
 
 use crate::{
     claims::RequestClaims, clock::HostClock, directory::HostDirectory, quota::HostQuotas,
@@ -111,22 +111,7 @@
     fn version(&self) -> &VersionId;
 
     /// Ends the request with its outcome.
-    fn finish(self: Box<Self>, outcome: AttemptOutcome);
-}
-
-/// How one attempt at a backend server ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptOutcome {
-    /// Complete response without a server error.
-    Succeeded,
-    /// Complete response with a server error.
-    Failed,
-    /// The server refused before running the request.
-    Shed,
-    /// No connection, broken response or time limit exceeded.
-    Broken,
-    /// The caller went away or another attempt won; says nothing about the server.
-    Cancelled,
+    fn finish(self: Box<Self>, outcome: ServerOutcome);
 }
 
 /// Why no backend server was picked.
@@ -163,7 +148,7 @@
     /// Route.
     pub route: RouteId,
     /// How it ended.
-    pub outcome: AttemptOutcome,
+    pub outcome: ServerOutcome,
     /// Time from sending to the end of the response, in microseconds.
     pub latency_us: u64,
 }
--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     claims::RequestClaim,
-    context::{AttemptOutcome, PickQuery, PickRefusal, ServerTicket, VersionSample},
+    context::{PickQuery, PickRefusal, ServerOutcome, ServerTicket, VersionSample},
     telemetry::{self, HopSpan},
     upstream::connections::{ExchangeError, REQUEST_ID},
 };
@@ -182,13 +182,11 @@
                     ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
                     ExchangeError::Broken { .. } => AttemptEnd::MaybeRan,
                 };
-                (AttemptOutcome::Broken, ended(end, RefusalReason::UpstreamFailed))
-            }
-            Err(_) => {
-                (AttemptOutcome::Broken, ended(AttemptEnd::MaybeRan, RefusalReason::Deadline))
+                (ServerOutcome::Broken, ended(end, RefusalReason::UpstreamFailed))
             }
+            Err(_) => (ServerOutcome::Broken, ended(AttemptEnd::MaybeRan, RefusalReason::Deadline)),
         };
-        if outcome != AttemptOutcome::Succeeded {
+        if outcome != ServerOutcome::Succeeded {
             span.fail("attempt failed");
         }
         let latency = self.context.clock.now().since(started);
@@ -243,7 +241,7 @@
     request: &AdmittedRequest,
     response: Response<Bytes>,
     now: MonoTime,
-) -> (AttemptOutcome, AttemptResult) {
+) -> (ServerOutcome, AttemptResult) {
     let status = response.status().as_u16();
     let ran = response.headers().get(REQUEST_RAN).map(HeaderValue::as_bytes);
     if status == 503 && ran == Some(b"no") {
@@ -253,7 +251,7 @@
             fallback: None,
             retry_at: Some(now.after(retry_after(response.headers()))),
         };
-        return (AttemptOutcome::Shed, AttemptResult::Ended(failure));
+        return (ServerOutcome::Shed, AttemptResult::Ended(failure));
     }
     if request.matched.route().idempotent && matches!(status, 502..=504) {
         let failure = AttemptFailure {
@@ -262,9 +260,9 @@
             fallback: Some(response),
             retry_at: None,
         };
-        return (AttemptOutcome::Failed, AttemptResult::Ended(failure));
+        return (ServerOutcome::Failed, AttemptResult::Ended(failure));
     }
-    let outcome = if status >= 500 { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded };
+    let outcome = if status >= 500 { ServerOutcome::Failed } else { ServerOutcome::Succeeded };
     (outcome, AttemptResult::Passed(response))
 }
 
--- a/crates/sapphireknotd/src/rollout/table.rs
+++ b/crates/sapphireknotd/src/rollout/table.rs
@@ -16,7 +16,7 @@
     choice::usable_versions,
     service::{RolloutFacts, ServiceRollout},
 };
-use crate::context::{AttemptOutcome, HostContext, VersionRouter, VersionSample};
+use crate::context::{HostContext, ServerOutcome, VersionRouter, VersionSample};
 
 /// Hosts over which the false-alarm rate of trips is divided at least; a host that starts does not know the others yet.
 const MIN_HOSTS: usize = 12;
@@ -215,10 +215,10 @@
 
     fn record(&self, sample: VersionSample) {
         let succeeded = match sample.outcome {
-            AttemptOutcome::Succeeded => true,
-            AttemptOutcome::Failed | AttemptOutcome::Broken => false,
+            ServerOutcome::Succeeded => true,
+            ServerOutcome::Failed | ServerOutcome::Broken => false,
             // Neither says anything about the version.
-            AttemptOutcome::Shed | AttemptOutcome::Cancelled => return,
+            ServerOutcome::Shed | ServerOutcome::Cancelled => return,
         };
         let Some(context) = self.context.upgrade() else { return };
         let VersionSample { service, version, route, latency_us, .. } = &sample;
--- a/crates/sapphireknotd/src/upstream/pool.rs
+++ b/crates/sapphireknotd/src/upstream/pool.rs
@@ -16,7 +16,7 @@
 use rand::RngExt;
 use sapphireknot::{
     ids::{ServerId, ServiceId, VersionId},
-    picker::{LoadReport, ServerOutcome},
+    picker::LoadReport,
     time::MonoTime,
     units::TrafficShare,
 };
@@ -24,7 +24,7 @@
 
 use super::{probes::LoadProber, service::ServiceState};
 use crate::context::{
-    AttemptOutcome, HostContext, PickQuery, PickRefusal, ServerPool, ServerTicket,
+    HostContext, PickQuery, PickRefusal, ServerOutcome, ServerPool, ServerTicket,
 };
 
 /// Servers that are probed for each request.
@@ -176,14 +176,8 @@
         &self.version
     }
 
-    fn finish(mut self: Box<Self>, outcome: AttemptOutcome) {
-        self.outcome = match outcome {
-            AttemptOutcome::Succeeded => ServerOutcome::Succeeded,
-            AttemptOutcome::Failed => ServerOutcome::Failed,
-            AttemptOutcome::Shed => ServerOutcome::Shed,
-            AttemptOutcome::Broken => ServerOutcome::Broken,
-            AttemptOutcome::Cancelled => ServerOutcome::Cancelled,
-        };
+    fn finish(mut self: Box<Self>, outcome: ServerOutcome) {
+        self.outcome = outcome;
     }
 }
 
--- a/crates/sapphireknotd/tests/request_path/server_choice.rs
+++ b/crates/sapphireknotd/tests/request_path/server_choice.rs
@@ -7,7 +7,7 @@
     BackendFaults, BackendPlan, BackendServer, LoadFault, LoadReport as ToldReport,
 };
 use sapphireknotd::{
-    context::{AttemptOutcome, PickQuery, PickRefusal, ServerTicket},
+    context::{PickQuery, PickRefusal, ServerOutcome, ServerTicket},
     upstream::{connections::ConnectionPool, probes},
 };
 
@@ -102,7 +102,7 @@
     report(&host, "s1", REPORT);
     let ticket = pick(&host).await.ok().unwrap();
     assert_eq!(ticket.server(), &server("s1"));
-    ticket.finish(AttemptOutcome::Succeeded);
+    ticket.finish(ServerOutcome::Succeeded);
     // A server that claims no load has at least what this host sent.
     let _held = pick(&host).await.ok().unwrap();
     report(&host, "s1", REPORT);
