--- a/crates/sapphireknot/src/lookup.rs
+++ b/crates/sapphireknot/src/lookup.rs
@@ -19,6 +19,7 @@
 use crate::{
     config::ConfigDocument,
     ids::{HostId, OrganisationId, RegionId},
+    rendezvous::{rendezvous_draw, rendezvous_score},
 };
 
 /// Regions of client blocks.
@@ -266,21 +267,3 @@
 fn host_hash(id: &HostId) -> u64 {
     xxh3_64(id.as_str().as_bytes())
 }
-
-/// Number strictly between 0 and 1 that a host with the hash `hash` draws for a caller.
-fn rendezvous_draw(seed: u64, hash: u64) -> f64 {
-    // The finalizer of SplitMix64 spreads every bit of both hashes over the whole number.
-    let hash = seed ^ hash;
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    let hash = hash ^ (hash >> 31);
-    // The upper 53 bits give a uniform number whose logarithm is finite and negative.
-    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
-/// Score whose maximum falls on each host in proportion to its weight.
-fn rendezvous_score(uniform: f64, weight: u32) -> u64 {
-    let score = f64::from(weight) / -uniform.ln();
-    // The bits of non-negative floats are ordered like the floats.
-    score.to_bits()
-}
--- a/crates/sapphireknot/src/retry.rs
+++ b/crates/sapphireknot/src/retry.rs
@@ -3,6 +3,8 @@
 //! A request that must not run twice is sent again only if it provably did not run. All retries share a budget, so that
 //! a failing service is not hit by a multiple of its load.
 
+use crate::units::{TokenCount, TrafficShare};
+
 /// How one attempt ended without a response that is passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -25,44 +27,74 @@
     Unknown,
 }
 
-/// Tenths of a retry that one request adds to the budget.
-const DEPOSIT: u32 = 1;
-/// Tenths of a retry that one retry takes.
-const RETRY_COST: u32 = 10;
-/// Retries that a host may start with, so that the first requests after a start can be retried.
-const INITIAL_RETRIES: u32 = 10;
-/// Retries that a host may save up; more would let a burst of retries follow a quiet hour.
-const MAX_RETRIES: u32 = 100;
+/// Limits of the retries of one host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryLimits {
+    /// Part of a retry that one request adds.
+    pub deposit: TrafficShare,
+    /// Retries that may be saved up; more would let a burst of retries follow a quiet hour.
+    pub most: TokenCount,
+    /// Retries that a host starts with, so that the first requests after a start can be retried.
+    pub initial: TokenCount,
+}
+
+impl Default for RetryLimits {
+    fn default() -> Self {
+        Self {
+            deposit: TrafficShare::percent(10),
+            most: TokenCount(100 * TokenCount::ONE.0),
+            initial: TokenCount(10 * TokenCount::ONE.0),
+        }
+    }
+}
 
-/// Retries that are left, as a tenth of requests.
+/// Retries that are left, as a part of requests.
 #[derive(Debug)]
 pub struct RetryBudget {
-    tenths: u32,
+    limits: RetryLimits,
+    left: TokenCount,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { tenths: INITIAL_RETRIES * RETRY_COST }
+        Self::new(RetryLimits::default())
     }
 }
 
 impl RetryBudget {
+    /// A budget with the initial retries of `limits`.
+    pub fn new(limits: RetryLimits) -> Self {
+        Self { limits, left: limits.initial }
+    }
+
+    /// Replaces the limits; what is left is clipped and never raised.
+    pub fn set_limits(&mut self, limits: RetryLimits) {
+        self.limits = limits;
+        self.left = self.left.min(limits.most);
+    }
+
     /// Counts a first attempt.
     pub fn deposit(&mut self) {
-        self.tenths = (self.tenths + DEPOSIT).min(MAX_RETRIES * RETRY_COST);
+        self.add(TokenCount(u64::from(self.limits.deposit.0)));
     }
 
     /// Takes one retry, if one is left.
     #[must_use]
     pub fn withdraw(&mut self) -> bool {
-        let left = self.tenths.checked_sub(RETRY_COST);
-        self.tenths = left.unwrap_or(self.tenths);
-        left.is_some()
+        let is_left = self.left >= TokenCount::ONE;
+        if is_left {
+            self.left = self.left.saturating_sub(TokenCount::ONE);
+        }
+        is_left
     }
 
     /// Gives back a retry that was not sent.
     pub fn refund(&mut self) {
-        self.tenths = (self.tenths + RETRY_COST).min(MAX_RETRIES * RETRY_COST);
+        self.add(TokenCount::ONE);
+    }
+
+    fn add(&mut self, count: TokenCount) {
+        self.left = self.left.saturating_add(count).min(self.limits.most);
     }
 }
 
--- /dev/null
+++ b/crates/sapphireknot/src/steering.rs
@@ -0,0 +1,16 @@
+//! Steering of requests on a platform that holds the configuration, the registrations and the list of hosts.
+//!
+//! [`plan`] is the configuration that hosts install, [`fleet`] the registered backend servers and hosts. [`choice`]
+//! picks a backend server for a request, [`place`] decides in which region its object is kept, [`shares`] divides what
+//! is bounded over all hosts together, [`version`] decides which version of a service takes a request while a rollout
+//! runs, and [`naming`] which hosts a caller is told. [`core`] holds them together.
+
+pub mod choice;
+pub mod core;
+pub mod fleet;
+pub mod naming;
+pub mod place;
+pub mod plan;
+pub mod server_state;
+pub mod shares;
+pub mod version;
--- /dev/null
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -0,0 +1,352 @@
+//! Choice of a backend server for a request.
+//!
+//! Each usable server gets an expected time to the response: the way there, the wait for a slot, and the work, which is
+//! shorter where the object was served lately. Which servers know an object follows from rendezvous hashing, so that all
+//! hosts agree without exchanging messages. The request goes to the server with the lowest expected time, which moves it
+//! to another one when its first choice is full, slow, failing or silent. A request that cannot finish in time anywhere
+//! is refused before it is sent.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng, RngExt};
+
+use super::{
+    fleet::{FleetServer, ServerRecord},
+    place::{PlaceTable, sum_rooms},
+    plan::{RequestPriority, ServiceRule},
+    server_state::{ServerLoad, ServerState},
+};
+use crate::{
+    ids::{DatacentreId, RegionId, ServerId, ServiceId, VersionId},
+    picker::ServerOutcome,
+    rendezvous::{rendezvous_draw, rendezvous_score},
+    time::MonoTime,
+};
+
+/// Chance that a server does not know an object, by its rank for the object. Requests overflow to the next ranks, so that
+/// these know a part of the objects too.
+const UNKNOWN_BY_RANK: [f64; 4] = [0.0, 0.3, 0.6, 0.85];
+/// Time that a server in another region than that of the object costs, in milliseconds: a round trip between regions.
+const AWAY_MS: f64 = 30.0;
+/// Work at a server that knows the object, as a part of the target latency, until it was measured.
+const FIRST_WARM: f64 = 0.5;
+/// Work at a server that does not know the object, as a part of the target latency, until it was measured.
+const FIRST_COLD: f64 = 1.5;
+/// Weight of a new sample in an estimate of work.
+const WORK_WEIGHT: f64 = 0.02;
+/// Weight of a new sample in the usual load.
+const USUAL_WEIGHT: f64 = 0.05;
+/// Part of the remaining time that the expected time may take; estimates are too low for half of the requests.
+const TIME_PART: f64 = 0.9;
+/// Requests per slot that may run or wait at a server for the least urgent requests of a service.
+const LEAST_URGENT_LOAD: f64 = 1.7;
+/// The same for the most urgent ones; a server keeps up to three waiting requests a slot.
+const MOST_URGENT_LOAD: f64 = 3.0;
+/// Wait that a full slot count costs below the limit, as a part of the work; spreads requests before queues form.
+const CROWDING: f64 = 0.4;
+/// Part of the work that decides between servers that are otherwise alike, at random.
+const JITTER: f64 = 0.05;
+/// Silence beyond the expected time after which a server is taken to be unreachable.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Factor on the expected time at a silent server.
+const SILENCE_FACTOR: f64 = 8.0;
+
+/// What a request needs.
+#[derive(Debug)]
+pub struct ChoiceQuery<'a> {
+    /// Target latency of its route, in milliseconds.
+    pub target_ms: f64,
+    /// Rank.
+    pub priority: RequestPriority,
+    /// Hash of its object; `None` without affinity.
+    pub object: Option<u64>,
+    /// Version that is to take it; `None` for any.
+    pub version: Option<&'a VersionId>,
+    /// Regions in which it may be served; `None` for all.
+    pub homes: Option<&'a HashSet<RegionId>>,
+    /// Servers that had it already.
+    pub excluded: &'a [ServerId],
+    /// When its caller no longer waits.
+    pub deadline: MonoTime,
+}
+
+/// Server that was chosen.
+#[derive(Debug, Clone)]
+pub struct ChosenServer {
+    /// Registration.
+    pub record: Arc<ServerRecord>,
+    /// Expected time of the work, in milliseconds.
+    pub work_ms: f64,
+    /// Expected time to the response, in milliseconds.
+    pub expected_ms: f64,
+    /// Whether it is expected to know the object.
+    pub is_warm: bool,
+    /// Load that was assumed.
+    pub load: f64,
+}
+
+/// Why no server was chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ChoiceMiss {
+    /// No server may take the request at all.
+    NoServer,
+    /// All that may are full or cold, or cannot finish in time; they may have room after the given time.
+    NoRoom {
+        /// Time until a slot is expected to be free.
+        wait: Duration,
+    },
+}
+
+/// Measured work of one route's requests, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct WorkEstimate {
+    warm: f64,
+    cold: f64,
+}
+
+/// Servers of one service.
+#[derive(Debug)]
+pub struct ServicePicker {
+    servers: Vec<ServerState>,
+    place: PlaceTable,
+    /// Work by target latency, which tells kinds of requests apart.
+    work: HashMap<u64, WorkEstimate>,
+    /// Requests that run or wait per slot, over all servers.
+    usual_load: f64,
+    evacuated: HashSet<DatacentreId>,
+    rule: ServiceRule,
+    /// Hosts that share the rate of a cold server.
+    hosts: u32,
+    /// Rank of the least urgent requests.
+    least_urgent: RequestPriority,
+}
+
+impl ServicePicker {
+    /// A picker for callers in `region`.
+    pub fn new(rule: ServiceRule, region: RegionId) -> Self {
+        Self {
+            servers: Vec::new(),
+            place: PlaceTable::new(region),
+            work: HashMap::new(),
+            usual_load: 0.3,
+            evacuated: HashSet::new(),
+            rule,
+            hosts: 1,
+            least_urgent: RequestPriority::default(),
+        }
+    }
+
+    /// Takes the registered servers of the service with their regions.
+    pub fn set_servers<'a, I>(&mut self, servers: I)
+    where
+        I: Iterator<Item = (&'a FleetServer, RegionId)>,
+    {
+        let mut known: HashMap<ServerId, ServerState> =
+            self.servers.drain(..).map(|it| (it.record.id.clone(), it)).collect();
+        for (server, region) in servers {
+            let state = match known.remove(&server.record.id) {
+                Some(mut state) => {
+                    state.update(server, region);
+                    state
+                }
+                None => ServerState::new(server, region),
+            };
+            self.servers.push(state);
+        }
+        self.servers.sort_by(|a, b| a.record.id.cmp(&b.record.id));
+    }
+
+    /// Takes what the plan says, and the number of hosts.
+    pub fn set_rule(&mut self, rule: ServiceRule, least_urgent: RequestPriority, hosts: u32) {
+        self.rule = rule;
+        self.least_urgent = least_urgent;
+        self.hosts = hosts;
+    }
+
+    /// Takes the data centres that get nothing.
+    pub fn set_evacuated(&mut self, evacuated: HashSet<DatacentreId>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Moves objects between regions if a step is due.
+    pub fn rebalance(&mut self, now: MonoTime) {
+        if now < self.place.next_step() {
+            return;
+        }
+        let usual = self.usual_load;
+        let usable = self.servers.iter().filter(|it| self.may_get(it, now) && !it.is_cold(now));
+        let loads = usable.map(|it| (&it.region, it.record.slots.0, it.estimated_load(usual, now)));
+        let rooms = sum_rooms(loads);
+        self.place.step(&rooms, now);
+    }
+
+    fn may_get(&self, server: &ServerState, now: MonoTime) -> bool {
+        server.is_usable(now) && !self.evacuated.contains(&server.record.datacentre)
+    }
+
+    /// Chooses a server.
+    pub fn choose<R>(
+        &self,
+        query: &ChoiceQuery<'_>,
+        now: MonoTime,
+        rng: &mut R,
+    ) -> Result<ChosenServer, ChoiceMiss>
+    where
+        R: Rng,
+    {
+        let work = self.work_of(query.target_ms);
+        let home = query.object.map(|it| self.place.region_of(it));
+        let seed = query.object.unwrap_or_else(|| rng.random());
+        let left_ms = now.until(query.deadline).as_secs_f64() * 1_000.0;
+        let max_load = self.max_load(query.priority);
+        let mut ranked: Vec<(u64, &ServerState)> = Vec::with_capacity(self.servers.len());
+        for server in self.servers.iter().filter(|it| self.is_candidate(it, query, now)) {
+            let draw = rendezvous_draw(seed, server.hash);
+            ranked.push((rendezvous_score(draw, server.record.slots.0.max(1)), server));
+        }
+        let at_home = |it: &ServerState| home.is_none_or(|region| it.region == *region);
+        ranked.sort_unstable_by_key(|(score, it)| (!at_home(it), std::cmp::Reverse(*score)));
+        let mut best: Option<(f64, ChosenServer)> = None;
+        let mut shortest_wait = f64::INFINITY;
+        for (rank, (_, server)) in ranked.iter().enumerate() {
+            let is_home = at_home(server);
+            let unknown = match home {
+                Some(_) if is_home => UNKNOWN_BY_RANK.get(rank).copied().unwrap_or(1.0),
+                Some(_) => 1.0,
+                None => 0.0,
+            };
+            let away = if is_home { 0.0 } else { AWAY_MS };
+            let load = server.estimated_load(self.usual_load, now);
+            let work_ms = (work.warm + (work.cold - work.warm) * unknown) * server.slowness(now);
+            let wait = wait_ms(load, server.slots(), work.warm * server.slowness(now));
+            let expected_ms = away + wait + work_ms;
+            if server.is_cold(now) && !server.gate.is_open(now) {
+                shortest_wait = shortest_wait.min(wait.max(work_ms));
+                continue;
+            }
+            if load >= max_load * server.slots() || expected_ms > left_ms * TIME_PART {
+                shortest_wait = shortest_wait.min(wait.max(work.warm));
+                continue;
+            }
+            let failing = (1.0 - server.failure_rate(now)).powi(2);
+            let mut cost = (expected_ms + work.warm * JITTER * rng.random::<f64>()) / failing;
+            if server.silence(now) > SILENCE + Duration::from_secs_f64(expected_ms * 2e-3) {
+                cost *= SILENCE_FACTOR;
+            }
+            if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+                let is_warm = unknown < 0.5;
+                let record = server.record.clone();
+                let chosen = ChosenServer { record, work_ms, expected_ms, is_warm, load };
+                best = Some((cost, chosen));
+            }
+        }
+        match best {
+            Some((_, chosen)) => Ok(chosen),
+            None if shortest_wait.is_finite() => {
+                Err(ChoiceMiss::NoRoom { wait: Duration::from_secs_f64(shortest_wait / 1_000.0) })
+            }
+            None => Err(ChoiceMiss::NoServer),
+        }
+    }
+
+    fn is_candidate(&self, server: &ServerState, query: &ChoiceQuery<'_>, now: MonoTime) -> bool {
+        self.may_get(server, now)
+            && query.version.is_none_or(|it| server.record.version == *it)
+            && query.homes.is_none_or(|it| it.contains(&server.region))
+            && !query.excluded.contains(&server.record.id)
+    }
+
+    /// Requests per slot that a server may have for a request of this rank.
+    fn max_load(&self, priority: RequestPriority) -> f64 {
+        if priority < self.least_urgent { MOST_URGENT_LOAD } else { LEAST_URGENT_LOAD }
+    }
+
+    fn work_of(&self, target_ms: f64) -> WorkEstimate {
+        let first = WorkEstimate { warm: target_ms * FIRST_WARM, cold: target_ms * FIRST_COLD };
+        self.work.get(&target_ms.to_bits()).copied().unwrap_or(first)
+    }
+
+    /// Counts a request that is being sent to `id`.
+    pub fn record_sent(&mut self, id: &ServerId, now: MonoTime) {
+        let (rate, hosts) = (self.rule.warmup_rate, self.hosts);
+        let Some(server) = self.server_mut(id) else { return };
+        server.record_sent(now);
+        if server.is_cold(now) {
+            server.gate.pass(rate, hosts, now);
+        }
+    }
+
+    /// Takes a load report of `id`.
+    pub fn record_load(&mut self, id: &ServerId, load: ServerLoad, now: MonoTime) {
+        let Some(server) = self.server_mut(id) else { return };
+        server.record_load(load, now);
+        let per_slot = f64::from(load.running + load.waiting) / server.slots();
+        self.usual_load += (per_slot - self.usual_load) * USUAL_WEIGHT;
+    }
+
+    /// Counts the end of a request at the server that was chosen for it.
+    pub fn record_end(
+        &mut self,
+        chosen: &ChosenServer,
+        outcome: ServerOutcome,
+        target_ms: f64,
+        elapsed: Duration,
+        now: MonoTime,
+    ) {
+        let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
+        let is_sample = outcome == ServerOutcome::Succeeded;
+        let ratio = is_sample.then(|| elapsed_ms / chosen.expected_ms.max(1.0));
+        if let Some(server) = self.server_mut(&chosen.record.id) {
+            match outcome {
+                ServerOutcome::Cancelled => server.record_abandoned(),
+                outcome => server.record_end(outcome, ratio, now),
+            }
+        }
+        // Time that was spent in a queue is no work.
+        if is_sample && chosen.load < f64::from(chosen.record.slots.0) {
+            let mut work = self.work_of(target_ms);
+            let estimate = if chosen.is_warm { &mut work.warm } else { &mut work.cold };
+            *estimate += (elapsed_ms - *estimate) * WORK_WEIGHT;
+            work.cold = work.cold.max(work.warm);
+            self.work.insert(target_ms.to_bits(), work);
+        }
+    }
+
+    /// Leaves a server out for a while, as it cannot be reached or another one has its address.
+    pub fn pause(&mut self, id: &ServerId, now: MonoTime) {
+        if let Some(server) = self.server_mut(id) {
+            server.pause(now);
+        }
+    }
+
+    /// Servers with their state.
+    pub fn servers(&self) -> &[ServerState] {
+        &self.servers
+    }
+
+    /// Share of objects that is kept in the callers' region.
+    pub fn home_share(&self) -> f64 {
+        self.place.home_share()
+    }
+
+    fn server_mut(&mut self, id: &ServerId) -> Option<&mut ServerState> {
+        let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id)).ok()?;
+        self.servers.get_mut(idx)
+    }
+}
+
+/// Expected wait for a slot at a server with `load` requests that run or wait, in milliseconds.
+fn wait_ms(load: f64, slots: f64, work_ms: f64) -> f64 {
+    if load < slots {
+        let used = load / slots;
+        return CROWDING * used * used * work_ms;
+    }
+    CROWDING * work_ms + (load - slots + 1.0) / slots * work_ms
+}
+
+/// Pickers of all services.
+pub type ServicePickers = HashMap<ServiceId, ServicePicker>;
--- /dev/null
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -0,0 +1,392 @@
+//! State of steering on one host.
+//!
+//! The core takes what the store tells as [`FleetChange`]s and answers the questions of the request path. It is the only
+//! owner of this state; the request path locks it for the time of one question.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::Rng;
+
+use super::{
+    choice::{ChoiceMiss, ChoiceQuery, ChosenServer, ServicePicker, ServicePickers},
+    fleet::{FleetTable, HostRecord, ServerRecord},
+    plan::{RequestPriority, RouteRule, RoutingPlan},
+    server_state::ServerLoad,
+    shares::{HostShare, QuotaShares, QuotaSlack},
+    version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
+};
+use crate::{
+    ids::{
+        DatacentreId, HostId, OrganisationId, RegionId, RouteId, ServerId, ServiceId, VersionId,
+    },
+    picker::ServerOutcome,
+    retry::{RetryBudget, RetryLimits},
+    time::MonoTime,
+    units::{TokenCount, TrafficShare},
+};
+
+/// Part of the retry budget of all hosts that is used; the rest covers requests that are delayed between windows.
+const USED_RETRIES: f64 = 0.75;
+/// Response time, in target latencies, from which a response of a new version counts as a failure. A cold server that
+/// does not know the object takes up to three.
+const BAD_SLOWNESS: f64 = 4.5;
+
+/// Bounds over all hosts together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharedBounds {
+    /// What quotas may be exceeded by.
+    pub quota: QuotaSlack,
+    /// Retries as a part of the requests.
+    pub retry_ratio: f64,
+    /// Retries beyond that part in one window.
+    pub retry_slack: u32,
+}
+
+/// Place of this host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostPlace {
+    /// Region.
+    pub region: RegionId,
+    /// Region of each data centre.
+    pub regions: HashMap<DatacentreId, RegionId>,
+}
+
+/// News from the store.
+#[derive(Debug, Clone)]
+pub enum FleetChange {
+    /// The operators' configuration.
+    Plan(Arc<RoutingPlan>),
+    /// A backend server registered.
+    Server(ServerRecord),
+    /// A backend server's registration ended.
+    ServerGone(ServerId),
+    /// Operators want another version of a service.
+    Order(RolloutOrder),
+    /// The order for a service ended.
+    OrderGone(ServiceId),
+    /// A data centre is to get nothing.
+    Evacuation(DatacentreId),
+    /// A data centre is taken back into use.
+    EvacuationGone(DatacentreId),
+    /// A host registered.
+    Host(HostRecord),
+    /// A host's registration ended.
+    HostGone(HostId),
+    /// The record of a rollout changed, at the given revision.
+    Rollout(RolloutRecord, u64),
+}
+
+/// Result of one attempt for the core.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptReport<'a> {
+    /// Server to which it was sent.
+    pub chosen: &'a ChosenServer,
+    /// Outcome.
+    pub outcome: ServerOutcome,
+    /// Load that the response reported.
+    pub load: Option<ServerLoad>,
+    /// Target latency of the route, in milliseconds.
+    pub target_ms: f64,
+    /// Time from sending to the response.
+    pub elapsed: Duration,
+}
+
+/// State of steering on one host.
+#[derive(Debug)]
+pub struct SteeringCore {
+    place: HostPlace,
+    bounds: SharedBounds,
+    plan: Option<Arc<RoutingPlan>>,
+    fleet: FleetTable,
+    versions: VersionTable,
+    pickers: ServicePickers,
+    quotas: QuotaShares,
+    budgets: HashMap<ServiceId, RetryBudget>,
+    evacuated: HashSet<DatacentreId>,
+    /// Credit of each part of a split route.
+    turns: HashMap<RouteId, Vec<i64>>,
+}
+
+impl SteeringCore {
+    /// A core that knows nothing yet.
+    pub fn new(place: HostPlace, bounds: SharedBounds) -> Self {
+        Self {
+            place,
+            bounds,
+            plan: None,
+            fleet: FleetTable::default(),
+            versions: VersionTable::default(),
+            pickers: HashMap::new(),
+            quotas: QuotaShares::default(),
+            budgets: HashMap::new(),
+            evacuated: HashSet::new(),
+            turns: HashMap::new(),
+        }
+    }
+
+    /// Replaces the bounds.
+    pub fn set_bounds(&mut self, bounds: SharedBounds, now: MonoTime) {
+        self.bounds = bounds;
+        self.refresh(now);
+    }
+
+    /// Notes that the store could not be read until `now`.
+    pub fn record_outage(&mut self, now: MonoTime) {
+        self.fleet.record_outage(now);
+    }
+
+    /// Replaces all that a complete read of the store covers.
+    pub fn replace(&mut self, changes: Vec<FleetChange>, now: MonoTime) {
+        let (mut servers, mut hosts, mut rest) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut ordered, mut evacuated) = (HashSet::new(), HashSet::new());
+        for change in changes {
+            match change {
+                FleetChange::Server(record) => servers.push(record),
+                FleetChange::Host(record) => hosts.push(record),
+                other => {
+                    match &other {
+                        FleetChange::Order(order) => drop(ordered.insert(order.service.clone())),
+                        FleetChange::Evacuation(id) => drop(evacuated.insert(id.clone())),
+                        _ => {}
+                    }
+                    rest.push(other);
+                }
+            }
+        }
+        self.fleet.replace_servers(servers, now);
+        self.fleet.replace_hosts(hosts, now);
+        let services: Vec<ServiceId> = self.pickers.keys().cloned().collect();
+        for service in services.iter().filter(|it| !ordered.contains(*it)) {
+            self.versions.remove_order(service);
+        }
+        let ended: Vec<DatacentreId> = self.evacuated.difference(&evacuated).cloned().collect();
+        for datacentre in ended {
+            self.apply(FleetChange::EvacuationGone(datacentre), now);
+        }
+        for change in rest {
+            self.apply(change, now);
+        }
+        self.refresh(now);
+    }
+
+    /// Takes news in the order in which the store tells them.
+    pub fn take(&mut self, changes: Vec<FleetChange>, now: MonoTime) {
+        for change in changes {
+            self.apply(change, now);
+        }
+        self.refresh(now);
+    }
+
+    fn apply(&mut self, change: FleetChange, now: MonoTime) {
+        match change {
+            FleetChange::Plan(plan) => {
+                // The store is read again after an outage and may tell an older state from a connection that was slow.
+                if self.plan.as_ref().is_none_or(|it| it.generation < plan.generation) {
+                    self.plan = Some(plan);
+                }
+            }
+            FleetChange::Server(record) => self.fleet.register(record, now),
+            FleetChange::ServerGone(id) => self.fleet.unregister(&id, now),
+            FleetChange::Order(order) => self.versions.add_order(order, now),
+            FleetChange::OrderGone(service) => self.versions.remove_order(&service),
+            FleetChange::Evacuation(datacentre) => drop(self.evacuated.insert(datacentre)),
+            FleetChange::EvacuationGone(datacentre) => {
+                self.evacuated.remove(&datacentre);
+                // Servers that got nothing for a while may be cold without having said so yet.
+                let warmups = self.plan.iter().flat_map(|it| it.services.values());
+                let warmup = warmups.map(|it| it.warmup).max().unwrap_or_default();
+                self.fleet.cool_down(&datacentre, now.after(warmup));
+            }
+            FleetChange::Host(record) => self.fleet.add_host(record, now),
+            FleetChange::HostGone(id) => self.fleet.remove_host(&id, now),
+            FleetChange::Rollout(record, revision) => self.versions.add_record(record, revision),
+        }
+    }
+
+    /// Derives what requests need from the news and the time.
+    pub fn refresh(&mut self, now: MonoTime) {
+        self.fleet.expire(now);
+        let Some(plan) = self.plan.clone() else { return };
+        let share = self.share(now);
+        self.quotas.install(&plan, share, self.bounds.quota, now);
+        let limits = self.retry_limits(share.hosts);
+        self.budgets.retain(|id, _| plan.services.contains_key(id));
+        self.pickers.retain(|id, _| plan.services.contains_key(id));
+        let least_urgent = least_urgent_ranks(&plan);
+        for (id, rule) in &plan.services {
+            let budget = self.budgets.entry(id.clone());
+            budget.or_insert_with(|| RetryBudget::new(limits)).set_limits(limits);
+            let picker = self
+                .pickers
+                .entry(id.clone())
+                .or_insert_with(|| ServicePicker::new(rule.clone(), self.place.region.clone()));
+            let rank = least_urgent.get(id).copied().unwrap_or_default();
+            picker.set_rule(rule.clone(), rank, share.hosts);
+            picker.set_evacuated(self.evacuated.clone());
+            let servers = self.fleet.servers().filter(|it| it.record.service == *id);
+            let placed = servers.clone().filter_map(|it| {
+                Some((it, self.place.regions.get(&it.record.datacentre)?.clone()))
+            });
+            picker.set_servers(placed);
+            let usable = servers.filter(|it| !it.record.is_draining);
+            self.versions.set_servers(id, usable.map(|it| &it.record.version));
+        }
+    }
+
+    /// Ends what is due at `now`.
+    pub fn tick(&mut self, now: MonoTime) {
+        if self.fleet.next_expiry().is_some_and(|it| now >= it) {
+            self.refresh(now);
+        }
+    }
+
+    fn retry_limits(&self, hosts: u32) -> RetryLimits {
+        let micros =
+            |part: f64| TokenCount((part * USED_RETRIES * TokenCount::ONE.0 as f64) as u64);
+        let most = micros(f64::from(self.bounds.retry_slack) / f64::from(hosts.max(1)));
+        let deposit = self.bounds.retry_ratio * USED_RETRIES * f64::from(TrafficShare::WHOLE.0);
+        RetryLimits { deposit: TrafficShare(deposit as u32), most, initial: most }
+    }
+
+    /// Moves objects between regions where a step is due.
+    pub fn rebalance(&mut self, now: MonoTime) {
+        for picker in self.pickers.values_mut() {
+            picker.rebalance(now);
+        }
+    }
+
+    /// Takes one request of `organisation` from its quota; otherwise returns when another one may pass.
+    pub fn admit(&mut self, organisation: &OrganisationId, now: MonoTime) -> Result<(), MonoTime> {
+        self.quotas.admit(organisation, now)
+    }
+
+    /// Gives back what a request took that did not run.
+    pub fn refund_quota(&mut self, organisation: &OrganisationId) {
+        self.quotas.refund(organisation);
+    }
+
+    /// Service that takes the next request of `route`, so that parts are exactly by weight.
+    pub fn next_service(&mut self, route: &RouteRule) -> Option<ServiceId> {
+        if let [part] = route.split.as_slice() {
+            return Some(part.service.clone());
+        }
+        let turns = self.turns.entry(route.id.clone()).or_default();
+        turns.resize(route.split.len(), 0);
+        let total: i64 = route.split.iter().map(|it| i64::from(it.weight)).sum();
+        for (turn, part) in turns.iter_mut().zip(&route.split) {
+            *turn += i64::from(part.weight);
+        }
+        let (idx, turn) = turns.iter_mut().enumerate().max_by_key(|(_, turn)| **turn)?;
+        *turn -= total;
+        route.split.get(idx).map(|it| it.service.clone())
+    }
+
+    /// Chooses a server of `service` and counts the request as sent to it.
+    pub fn choose<R>(
+        &mut self,
+        service: &ServiceId,
+        query: ChoiceQuery<'_>,
+        now: MonoTime,
+        rng: &mut R,
+    ) -> Result<ChosenServer, ChoiceMiss>
+    where
+        R: Rng,
+    {
+        let picker = self.pickers.get_mut(service).ok_or(ChoiceMiss::NoServer)?;
+        picker.rebalance(now);
+        let draw = rand::RngExt::random::<f64>(rng);
+        let version = self.versions.choose(service, draw, now);
+        let mut chosen =
+            picker.choose(&ChoiceQuery { version: version.as_ref(), ..query }, now, rng);
+        if chosen.is_err() && self.versions.is_in_rollout(service) {
+            // The new version may have too few warm servers yet, and the old one may have gone already.
+            let other = self.versions.choose(service, 1.0 - draw, now);
+            if other != version {
+                let query = ChoiceQuery { version: other.as_ref(), ..query };
+                chosen = picker.choose(&query, now, rng);
+            }
+        }
+        if let Ok(chosen) = &chosen {
+            picker.record_sent(&chosen.record.id, now);
+        }
+        chosen
+    }
+
+    /// Counts the end of an attempt, and says whether a rollout looks bad since this one.
+    pub fn record_attempt(&mut self, report: AttemptReport<'_>, now: MonoTime) -> bool {
+        let AttemptReport { chosen, outcome, load, target_ms, elapsed } = report;
+        let record = &chosen.record;
+        if let Some(picker) = self.pickers.get_mut(&record.service) {
+            if let Some(load) = load {
+                picker.record_load(&record.id, load, now);
+            }
+            picker.record_end(chosen, outcome, target_ms, elapsed, now);
+        }
+        let is_slow = elapsed.as_secs_f64() * 1_000.0 > target_ms * BAD_SLOWNESS;
+        let is_bad = match outcome {
+            ServerOutcome::Succeeded => is_slow,
+            ServerOutcome::Failed | ServerOutcome::Broken => true,
+            ServerOutcome::Shed | ServerOutcome::Cancelled => return false,
+        };
+        self.versions.record_outcome(&record.service, &record.version, is_bad)
+    }
+
+    /// Leaves a server out for a while, as it cannot be reached or another one has its address.
+    pub fn pause_server(&mut self, record: &ServerRecord, now: MonoTime) {
+        if let Some(picker) = self.pickers.get_mut(&record.service) {
+            picker.pause(&record.id, now);
+        }
+    }
+
+    /// Retries of a service.
+    pub fn budget_mut(&mut self, service: &ServiceId) -> &mut RetryBudget {
+        let limits = RetryLimits { initial: TokenCount::NONE, ..RetryLimits::default() };
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits))
+    }
+
+    /// Part of this host in what all hosts share.
+    pub fn share(&self, now: MonoTime) -> HostShare {
+        HostShare::new(&self.fleet.host_counts(now), &self.place.region)
+    }
+
+    /// The plan in force.
+    pub fn plan(&self) -> Option<&Arc<RoutingPlan>> {
+        self.plan.as_ref()
+    }
+
+    /// Registered hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostRecord> {
+        self.fleet.hosts()
+    }
+
+    /// Changes of rollout records that are due.
+    pub fn due_rollouts(&self, now: MonoTime) -> Vec<RecordChange> {
+        self.versions.due_changes(now)
+    }
+
+    /// Pickers by service.
+    pub fn pickers(&self) -> &ServicePickers {
+        &self.pickers
+    }
+
+    /// Version that takes a request without a rollout, for reports.
+    pub fn usual_version(&self, service: &ServiceId, now: MonoTime) -> Option<VersionId> {
+        self.versions.choose(service, 1.0, now)
+    }
+}
+
+/// Rank of the least urgent requests by service.
+fn least_urgent_ranks(plan: &RoutingPlan) -> HashMap<&ServiceId, RequestPriority> {
+    let mut ranks: HashMap<&ServiceId, RequestPriority> = HashMap::new();
+    for route in plan.routes() {
+        for part in &route.split {
+            let rank = ranks.entry(&part.service).or_default();
+            *rank = (*rank).max(route.priority);
+        }
+    }
+    ranks
+}
--- /dev/null
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -0,0 +1,191 @@
+//! Registered backend servers and hosts.
+//!
+//! The table holds what the store says. A registration that ends while the store is out of reach, or just after, says
+//! nothing of the server: it is kept until servers had time to register again. [`FleetTable`] returns the servers that
+//! may be used.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use crate::{
+    ids::{DatacentreId, HostId, IncarnationId, RegionId, ServerId, ServiceId, VersionId},
+    time::MonoTime,
+    units::SlotCount,
+};
+
+/// Time after the store's return within which a server that lives has registered again, with a margin for the way of
+/// the news to this host.
+const REGISTER_AGAIN: Duration = Duration::from_millis(2_300);
+/// Time for which a host that left the list still counts in the division of shares; it may be cut off and serve on.
+const HOST_RETENTION: Duration = Duration::from_secs(60);
+
+/// Registration of a backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerRecord {
+    /// Identifier.
+    pub id: ServerId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub datacentre: DatacentreId,
+    /// Version of its software.
+    pub version: VersionId,
+    /// Requests that it runs at the same time.
+    pub slots: SlotCount,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+    /// Time for which it stays cold, counted from the registration.
+    pub warmup_left: Duration,
+    /// Start of the server as it says itself, in milliseconds; differs after a restart under the same identifier.
+    pub started: u64,
+}
+
+/// Entry host as it registers itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostRecord {
+    /// Identifier.
+    pub id: HostId,
+    /// Run of its process.
+    pub incarnation: IncarnationId,
+    /// Region.
+    pub region: RegionId,
+    /// Data centre.
+    pub datacentre: DatacentreId,
+    /// Address for callers.
+    pub address: SocketAddr,
+}
+
+/// Backend server that is registered.
+#[derive(Debug, Clone)]
+pub struct FleetServer {
+    /// Latest registration.
+    pub record: ServerRecord,
+    /// Until when it is cold.
+    pub cold_until: MonoTime,
+    /// When it is removed unless it registers again.
+    missing_until: Option<MonoTime>,
+}
+
+/// Backend servers and hosts that are registered.
+#[derive(Debug, Default)]
+pub struct FleetTable {
+    servers: HashMap<ServerId, FleetServer>,
+    hosts: HashMap<HostId, HostRecord>,
+    /// Hosts with the time until which they count in the division of shares.
+    counted: HashMap<HostId, (RegionId, MonoTime)>,
+    /// Until when an ended registration does not yet mean that the server is gone.
+    doubtful_until: MonoTime,
+}
+
+impl FleetTable {
+    /// Notes that the store could not be read until `now`.
+    pub fn record_outage(&mut self, now: MonoTime) {
+        self.doubtful_until = self.doubtful_until.max(now.after(REGISTER_AGAIN));
+    }
+
+    /// Takes a registration.
+    pub fn register(&mut self, record: ServerRecord, now: MonoTime) {
+        let cold_until = now.after(record.warmup_left);
+        let known = self.servers.get(&record.id);
+        let is_restart = known.is_some_and(|it| it.record.started != record.started);
+        let cold_until = match known {
+            // A later registration may say less than what is left; a restart always counts anew.
+            Some(known) if !is_restart && record.warmup_left.is_zero() => known.cold_until.min(now),
+            _ => cold_until,
+        };
+        let server = FleetServer { cold_until, missing_until: None, record };
+        self.servers.insert(server.record.id.clone(), server);
+    }
+
+    /// Ends a registration.
+    pub fn unregister(&mut self, id: &ServerId, now: MonoTime) {
+        if now >= self.doubtful_until {
+            self.servers.remove(id);
+        } else if let Some(server) = self.servers.get_mut(id) {
+            server.missing_until.get_or_insert(self.doubtful_until);
+        }
+    }
+
+    /// Replaces all registrations by those of a complete read.
+    pub fn replace_servers(&mut self, records: Vec<ServerRecord>, now: MonoTime) {
+        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
+        for id in ids {
+            if !records.iter().any(|it| it.id == id) {
+                self.unregister(&id, now);
+            }
+        }
+        for record in records {
+            self.register(record, now);
+        }
+    }
+
+    /// Treats the servers of a data centre as cold until `until`.
+    pub fn cool_down(&mut self, datacentre: &DatacentreId, until: MonoTime) {
+        for server in self.servers.values_mut() {
+            if server.record.datacentre == *datacentre {
+                server.cold_until = server.cold_until.max(until);
+            }
+        }
+    }
+
+    /// Removes servers that did not register again in time and hosts that no longer count.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.servers.retain(|_, it| it.missing_until.is_none_or(|until| now < until));
+        self.counted.retain(|_, (_, until)| now < *until);
+    }
+
+    /// When [`Self::expire`] is due.
+    pub fn next_expiry(&self) -> Option<MonoTime> {
+        self.servers.values().filter_map(|it| it.missing_until).min()
+    }
+
+    /// Takes the registration of a host.
+    pub fn add_host(&mut self, record: HostRecord, now: MonoTime) {
+        let counted = (record.region.clone(), now.after(HOST_RETENTION));
+        self.counted.insert(record.id.clone(), counted);
+        self.hosts.insert(record.id.clone(), record);
+    }
+
+    /// Ends the registration of a host.
+    pub fn remove_host(&mut self, id: &HostId, now: MonoTime) {
+        if let Some(record) = self.hosts.remove(id) {
+            self.counted.insert(record.id, (record.region, now.after(HOST_RETENTION)));
+        }
+    }
+
+    /// Replaces all registered hosts.
+    pub fn replace_hosts(&mut self, records: Vec<HostRecord>, now: MonoTime) {
+        let ids: Vec<HostId> = self.hosts.keys().cloned().collect();
+        for id in ids {
+            self.remove_host(&id, now);
+        }
+        for record in records {
+            self.add_host(record, now);
+        }
+    }
+
+    /// Registered hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostRecord> {
+        self.hosts.values()
+    }
+
+    /// Registered servers, those that drain included.
+    pub fn servers(&self) -> impl Iterator<Item = &FleetServer> + Clone {
+        self.servers.values()
+    }
+
+    /// Regions of the hosts among which shares are divided, with their number of hosts.
+    pub fn host_counts(&self, now: MonoTime) -> HashMap<RegionId, u32> {
+        let mut counts = HashMap::new();
+        let registered = self.hosts.values().map(|it| &it.region);
+        let left = self
+            .counted
+            .iter()
+            .filter(|(id, (_, until))| !self.hosts.contains_key(*id) && now < *until);
+        for region in registered.chain(left.map(|(_, (region, _))| region)) {
+            *counts.entry(region.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/steering/shares.rs
@@ -0,0 +1,131 @@
+//! Bounds over all hosts together, divided among them.
+//!
+//! No host asks another one before it admits a request. Each uses its part of a bound, and the parts add up to no more
+//! than the whole: the parts are computed from the hosts that are registered or were until lately, so that a host that is
+//! cut off and serves on still has its part. Traffic is taken as even over regions and over the hosts of a region, as
+//! callers choose among the hosts of their region at random.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    ids::{OrganisationId, RegionId},
+    quota::{QuotaLimits, TokenBucket},
+    steering::plan::RoutingPlan,
+    time::MonoTime,
+    units::{BurstSize, RequestRate, TokenCount, TrafficShare},
+};
+
+/// Part of a cold server's rate that is used; the rest covers requests that are delayed into the next second.
+const PACED_PART: f64 = 0.9;
+/// Part of the slack of a quota that is used.
+const USED_SLACK: f64 = 0.6;
+
+/// Part of this host in what all hosts share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostShare {
+    /// Part of traffic that follows callers.
+    pub traffic: TrafficShare,
+    /// Hosts among which equal parts are made.
+    pub hosts: u32,
+}
+
+impl HostShare {
+    /// The part of a host in `region` when `counts` hosts run in each region.
+    pub fn new(counts: &HashMap<RegionId, u32>, region: &RegionId) -> Self {
+        let hosts: u32 = counts.values().sum::<u32>().max(1);
+        let regions = u32::try_from(counts.len()).unwrap_or(u32::MAX).max(1);
+        let neighbours = counts.get(region).copied().unwrap_or(1).max(1);
+        let parts = TrafficShare::WHOLE.0 / regions.saturating_mul(neighbours);
+        Self { traffic: TrafficShare(parts), hosts }
+    }
+}
+
+/// Lets single requests pass at a steady pace.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PacedGate {
+    next: MonoTime,
+}
+
+impl PacedGate {
+    /// Whether a request may pass now.
+    pub fn is_open(&self, now: MonoTime) -> bool {
+        now >= self.next
+    }
+
+    /// Counts a request that passes, when `hosts` hosts share `rate`.
+    pub fn pass(&mut self, rate: RequestRate, hosts: u32, now: MonoTime) {
+        let per_second = rate.0 as f64 / 1_000.0 * PACED_PART / f64::from(hosts.max(1));
+        // A server without a rate takes one request a second.
+        let per_second = if per_second > 0.0 { per_second } else { 1.0 };
+        self.next = now.after(Duration::from_secs_f64(1.0 / per_second));
+    }
+}
+
+/// What a quota may be exceeded by over all hosts.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct QuotaSlack {
+    /// Part of the rate.
+    pub tolerance: f64,
+    /// Requests.
+    pub requests: u32,
+}
+
+impl QuotaSlack {
+    /// `limits` with the part of the slack that is used: small parts of a burst round down to no request, and callers
+    /// do not spread evenly. The rest covers requests that are delayed on the way to a backend server.
+    fn extend(self, limits: QuotaLimits) -> QuotaLimits {
+        let rate = limits.rate.0 as f64 * (1.0 + self.tolerance * USED_SLACK);
+        let extra = f64::from(self.requests) * USED_SLACK;
+        QuotaLimits {
+            rate: RequestRate(rate as u64),
+            burst: BurstSize(limits.burst.0.saturating_add(extra as u64)),
+        }
+    }
+}
+
+/// Quotas of organisations, as far as this host may use them.
+#[derive(Debug, Default)]
+pub struct QuotaShares {
+    buckets: HashMap<OrganisationId, TokenBucket>,
+}
+
+impl QuotaShares {
+    /// Takes the organisations of `plan` and this host's part.
+    pub fn install(
+        &mut self,
+        plan: &RoutingPlan,
+        share: HostShare,
+        slack: QuotaSlack,
+        now: MonoTime,
+    ) {
+        self.buckets
+            .retain(|id, _| plan.organisations.get(id).is_some_and(|it| it.quota.is_some()));
+        for (id, organisation) in &plan.organisations {
+            let Some(limits) = organisation.quota else { continue };
+            let limits = slack.extend(limits);
+            // A host that starts anew may have spent its burst in its former run, so that the bucket starts empty.
+            let bucket = self.buckets.entry(id.clone());
+            let bucket = bucket.or_insert_with(|| TokenBucket::new(limits, now));
+            bucket.settle(now);
+            bucket.set_limits(limits);
+            bucket.set_share(share.traffic);
+        }
+    }
+
+    /// Takes one request of `organisation`; otherwise returns when another one may pass.
+    pub fn admit(&mut self, organisation: &OrganisationId, now: MonoTime) -> Result<(), MonoTime> {
+        let Some(bucket) = self.buckets.get_mut(organisation) else { return Ok(()) };
+        bucket.settle(now);
+        if bucket.try_take(TokenCount::ONE) {
+            return Ok(());
+        }
+        Err(bucket.ready_at(TokenCount::ONE).unwrap_or(now.after(Duration::from_secs(1))))
+    }
+
+    /// Gives back what a request took that did not run.
+    pub fn refund(&mut self, organisation: &OrganisationId) {
+        if let Some(bucket) = self.buckets.get_mut(organisation) {
+            bucket.add(TokenCount::ONE);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -0,0 +1,244 @@
+//! Versions of a service while operators bring in a new one.
+//!
+//! The state of a rollout is a record in the store that hosts change by compare-and-swap, so that no host leads. Between
+//! its changes every host derives the share of the new version from the time since the start. Each host judges the new
+//! version by its own requests and reverts the rollout for all hosts when it looks bad; the share returns to nothing on
+//! this host at once.
+
+use std::{collections::HashMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{ServiceId, VersionId},
+    time::MonoTime,
+};
+
+/// Share of the new version from a part of the rollout's time on. A bad version that shows itself before the share
+/// reaches a quarter has had less than a twentieth of the requests.
+const RAMP: [(f64, f64); 6] =
+    [(0.0, 0.02), (0.10, 0.05), (0.30, 0.10), (0.44, 0.25), (0.54, 0.50), (0.62, 1.0)];
+/// Part of a rollout's time after which it completes. The old version got nothing for the time in between, so that its
+/// servers have answered what they had.
+const COMPLETE_AT: f64 = 0.76;
+/// Failures of the new version before it is judged.
+const MIN_FAILURES: u32 = 3;
+/// Lead of the failure rate of the new version over that of the old one that reverts the rollout.
+const FAILURE_LEAD: f64 = 0.2;
+/// Weight of a pseudo-sample without failure, so that a few failures of a few requests do not revert.
+const PRIOR_SAMPLES: f64 = 3.0;
+
+/// What operators asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// Service.
+    pub service: ServiceId,
+    /// Version that is to take all requests.
+    pub target: VersionId,
+    /// Time in which it is to be done.
+    pub span: Duration,
+    /// Revision of the order; tells a repeated order from an earlier one.
+    pub revision: u64,
+}
+
+/// State of a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RolloutPhase {
+    /// The share of the new version rises.
+    Running,
+    /// The new version takes all requests.
+    Completed,
+    /// The old version takes all requests.
+    Reverted,
+}
+
+/// Record of a service's latest rollout in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutRecord {
+    /// Service.
+    pub service: ServiceId,
+    /// Version that takes the requests without a rollout.
+    pub stable: VersionId,
+    /// Version of the rollout.
+    pub target: VersionId,
+    /// Revision of the order.
+    pub order: u64,
+    /// State.
+    pub phase: RolloutPhase,
+}
+
+/// Change of a record that a host is to write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordChange {
+    /// Record to write.
+    pub record: RolloutRecord,
+    /// Revision of the record that it replaces; zero if there is none.
+    pub replaces: u64,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct VersionTally {
+    samples: f64,
+    failures: u32,
+}
+
+impl VersionTally {
+    fn add(&mut self, is_bad: bool) {
+        self.samples += 1.0;
+        self.failures += u32::from(is_bad);
+    }
+
+    fn failure_rate(&self) -> f64 {
+        f64::from(self.failures) / (self.samples + PRIOR_SAMPLES)
+    }
+}
+
+/// Versions of one service.
+#[derive(Debug, Default)]
+struct ServiceVersions {
+    order: Option<(RolloutOrder, MonoTime)>,
+    record: Option<(RolloutRecord, u64)>,
+    /// Version that most servers run, while there is no record.
+    common: Option<VersionId>,
+    /// Orders whose target this host found bad.
+    reverted: Option<u64>,
+    old: VersionTally,
+    new: VersionTally,
+}
+
+impl ServiceVersions {
+    fn running(&self) -> Option<(&RolloutOrder, MonoTime)> {
+        let (order, seen) = self.order.as_ref()?;
+        let (record, _) = self.record.as_ref()?;
+        let is_current = record.order == order.revision && record.phase == RolloutPhase::Running;
+        (is_current && self.reverted != Some(order.revision)).then_some((order, *seen))
+    }
+
+    fn stable(&self) -> Option<&VersionId> {
+        let record = self.record.as_ref().map(|(record, _)| match record.phase {
+            RolloutPhase::Completed => &record.target,
+            RolloutPhase::Running | RolloutPhase::Reverted => &record.stable,
+        });
+        record.or(self.common.as_ref())
+    }
+
+    fn progress(order: &RolloutOrder, seen: MonoTime, now: MonoTime) -> f64 {
+        now.since(seen).as_secs_f64() / order.span.as_secs_f64().max(0.001)
+    }
+}
+
+/// Versions of all services.
+#[derive(Debug, Default)]
+pub struct VersionTable {
+    services: HashMap<ServiceId, ServiceVersions>,
+}
+
+impl VersionTable {
+    /// Takes an order.
+    pub fn add_order(&mut self, order: RolloutOrder, now: MonoTime) {
+        let versions = self.services.entry(order.service.clone()).or_default();
+        if versions.order.as_ref().is_some_and(|(it, _)| it.revision == order.revision) {
+            return;
+        }
+        versions.old = VersionTally::default();
+        versions.new = VersionTally::default();
+        versions.order = Some((order, now));
+    }
+
+    /// Ends an order; its record stays.
+    pub fn remove_order(&mut self, service: &ServiceId) {
+        if let Some(versions) = self.services.get_mut(service) {
+            versions.order = None;
+        }
+    }
+
+    /// Takes a record as the store holds it at `revision`.
+    pub fn add_record(&mut self, record: RolloutRecord, revision: u64) {
+        let versions = self.services.entry(record.service.clone()).or_default();
+        if versions.record.as_ref().is_none_or(|(_, known)| *known < revision) {
+            versions.record = Some((record, revision));
+        }
+    }
+
+    /// Takes the versions of a service's servers, one entry per server.
+    pub fn set_servers<'a, I>(&mut self, service: &ServiceId, servers: I)
+    where
+        I: Iterator<Item = &'a VersionId>,
+    {
+        let mut counts: HashMap<&VersionId, usize> = HashMap::new();
+        for version in servers {
+            *counts.entry(version).or_default() += 1;
+        }
+        let versions = self.services.entry(service.clone()).or_default();
+        // The version in use stays as long as a server runs it; servers of a new one may start before their order is seen.
+        if versions.common.as_ref().is_some_and(|it| counts.contains_key(it)) {
+            return;
+        }
+        let common = counts.into_iter().max_by(|a, b| a.1.cmp(&b.1).then(b.0.cmp(a.0)));
+        versions.common = common.map(|(version, _)| version.clone()).or(versions.common.take());
+    }
+
+    /// Version that takes a request, for a uniform `draw` between 0 and 1; `None` if any may.
+    pub fn choose(&self, service: &ServiceId, draw: f64, now: MonoTime) -> Option<VersionId> {
+        let versions = self.services.get(service)?;
+        let Some((order, seen)) = versions.running() else { return versions.stable().cloned() };
+        let progress = ServiceVersions::progress(order, seen, now);
+        let step = RAMP.iter().rev().find(|(from, _)| progress >= *from);
+        let share = step.map_or(0.0, |(_, share)| *share);
+        if draw < share { Some(order.target.clone()) } else { versions.stable().cloned() }
+    }
+
+    /// Whether a version may get requests while a rollout runs.
+    pub fn is_in_rollout(&self, service: &ServiceId) -> bool {
+        self.services.get(service).is_some_and(|it| it.running().is_some())
+    }
+
+    /// Counts the outcome of a request, and says whether the rollout looks bad since this one.
+    pub fn record_outcome(
+        &mut self,
+        service: &ServiceId,
+        version: &VersionId,
+        is_bad: bool,
+    ) -> bool {
+        let Some(versions) = self.services.get_mut(service) else { return false };
+        let Some((order, _)) = versions.running() else { return false };
+        let (is_new, revision) = (order.target == *version, order.revision);
+        let tally = if is_new { &mut versions.new } else { &mut versions.old };
+        tally.add(is_bad);
+        let lead = versions.new.failure_rate() - versions.old.failure_rate();
+        if versions.new.failures < MIN_FAILURES || lead < FAILURE_LEAD {
+            return false;
+        }
+        versions.reverted = Some(revision);
+        true
+    }
+
+    /// Changes of records that are due.
+    pub fn due_changes(&self, now: MonoTime) -> Vec<RecordChange> {
+        let changes = self.services.iter().filter_map(|(service, versions)| {
+            let (order, seen) = versions.order.as_ref()?;
+            let known = versions.record.as_ref().filter(|(it, _)| it.order == order.revision);
+            let replaces = versions.record.as_ref().map_or(0, |(_, revision)| *revision);
+            let stable = versions.stable()?.clone();
+            let phase = match known {
+                None => RolloutPhase::Running,
+                Some((record, _)) if record.phase != RolloutPhase::Running => return None,
+                Some(_) if versions.reverted == Some(order.revision) => RolloutPhase::Reverted,
+                Some(_) if ServiceVersions::progress(order, *seen, now) >= COMPLETE_AT => {
+                    RolloutPhase::Completed
+                }
+                Some(_) => return None,
+            };
+            let record = RolloutRecord {
+                service: service.clone(),
+                stable,
+                target: order.target.clone(),
+                order: order.revision,
+                phase,
+            };
+            Some(RecordChange { record, replaces })
+        });
+        changes.collect()
+    }
+}
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -51,3 +51,24 @@
 pub const SHORT_LEASE: ClockSpan = ClockSpan::from_secs(5);
 /// Lease of the quota that a host keeps during a partition.
 pub const LONG_LEASE: ClockSpan = ClockSpan::from_secs(1_800);
+
+/// Retries as a part of requests.
+pub const RETRY_RATIO: f64 = 0.1;
+/// Retries beyond that part in one window.
+pub const RETRY_SLACK: u32 = 10;
+/// Time after SIGTERM at which the process is killed.
+pub const STOP_GRACE: ClockSpan = ClockSpan::from_secs(6);
+/// Time in which a call to the store is answered; its answers may be slower than usual by a factor of sixty.
+pub const FLEET_CALL_TIMEOUT: ClockSpan = ClockSpan::from_millis(1_000);
+/// Longest wait of one watch; a silent connection is noticed by its keep-alive probes, not by this limit.
+pub const FLEET_WATCH_WAIT: ClockSpan = ClockSpan::from_secs(20);
+/// Pause between watches, in which changes gather; far below the two seconds in which a change is to be in force.
+pub const FLEET_WATCH_PAUSE: ClockSpan = ClockSpan::from_millis(120);
+/// First pause after a failed call to the store.
+pub const FLEET_FIRST_RETRY: ClockSpan = ClockSpan::from_millis(200);
+/// Longest pause after failed calls; short enough that a host follows soon after the store's return.
+pub const FLEET_MAX_RETRY: ClockSpan = ClockSpan::from_millis(800);
+/// Lease of a host's registration; callers are told of a host that died for no longer than this.
+pub const HOST_LEASE: ClockSpan = ClockSpan::from_millis(3_500);
+/// Interval at which the lease is renewed; a lost renewal is followed by two more before the lease ends.
+pub const HOST_RENEWAL: ClockSpan = ClockSpan::from_millis(1_000);
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -12,6 +12,7 @@
     idempotency::ClaimLimits,
     ids::IncarnationId,
 };
+use sapphireknot_adapter::{HttpDialect, HttpFleetStore};
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
@@ -24,14 +25,17 @@
 use crate::{
     claims::RequestClaims,
     clock::HostClock,
+    constants,
     context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
     control::{self, ControlError, ControlHandle, ControlListeners},
     directory::HostDirectory,
+    entry::{self, EntryError, EntryPlatform},
     front::FrontServer,
+    options::{DaemonOptions, DaemonSettings},
     quota::HostQuotas,
     rollout::RolloutTable,
     settings::{HostSettings, ListenSettings},
-    telemetry::{self, TelemetryError},
+    telemetry::{self, TelemetryError, TelemetryTarget},
     upstream::{connections::ConnectionPool, pool::RegionalPool, probes},
 };
 
@@ -53,6 +57,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// The runtime cannot be started.
+    #[error("start runtime: {0}")]
+    Runtime(#[source] std::io::Error),
+    /// An entry host ended early.
+    #[error(transparent)]
+    Entry(#[from] EntryError),
     /// Signals cannot be received.
     #[error("receive signals: {0}")]
     Signals(#[source] std::io::Error),
@@ -205,10 +215,44 @@
     }
 }
 
+/// Runs the host of `options` until a signal ends it.
+pub fn run_process(options: DaemonOptions) -> Result<(), DaemonError> {
+    let build = |mut builder: tokio::runtime::Builder| builder.enable_all().build();
+    match options.settings {
+        DaemonSettings::Own(settings) => {
+            let runtime = build(tokio::runtime::Builder::new_multi_thread());
+            let runtime = runtime.map_err(DaemonError::Runtime)?;
+            let result = runtime.block_on(run(settings));
+            // A second signal must not wait for blocking tasks.
+            runtime.shutdown_background();
+            result
+        }
+        DaemonSettings::Managed(settings) => {
+            // Such hosts have a part of one core, on which threads only take turns.
+            let runtime = build(tokio::runtime::Builder::new_current_thread());
+            let runtime = runtime.map_err(DaemonError::Runtime)?;
+            let platform = EntryPlatform {
+                store: Arc::new(HttpFleetStore::new(
+                    settings.managed.store,
+                    constants::FLEET_CALL_TIMEOUT.0,
+                )),
+                dialect: Arc::new(HttpDialect),
+            };
+            Ok(runtime.block_on(entry::run(settings, options.path, platform))?)
+        }
+    }
+}
+
 /// Runs a host until a signal ends it.
 pub async fn run(settings: HostSettings) -> Result<(), DaemonError> {
     let mut signals = HostSignals::new().map_err(DaemonError::Signals)?;
-    let guard = telemetry::install(&settings)?;
+    let target = TelemetryTarget {
+        host: &settings.host,
+        region: &settings.region,
+        otlp: settings.telemetry.otlp,
+        registry: None,
+    };
+    let guard = telemetry::install(&target)?;
     let host = RunningHost::start(settings).await?;
     let [caller, peer, operator] = host.bound;
     log::info!(caller:%, peer:%, operator:%; "listening");
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -0,0 +1,382 @@
+//! Serves callers: finds the route, checks key and quota, and forwards.
+
+use std::{
+    convert::Infallible,
+    sync::Arc,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use opentelemetry::trace::SpanKind;
+use ractor::ActorRef;
+use sapphireknot::{
+    ids::{OrganisationId, ServiceId},
+    refusal::{RefusalReason, RequestRefusal, RunState},
+    steering::plan::{RouteRule, RoutingPlan},
+    time::MonoTime,
+};
+use sapphireknot_platform::CallerHead;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{sleep, timeout_at},
+};
+
+use super::{fleet_actor::FleetMessage, forward::EntryRequest, state::EntryState};
+use crate::{
+    buffers::{BufferBudget, CollectError, MemoryWait},
+    constants,
+    context::DrainStage,
+    front::{headers::drop_hop_by_hop, refusals::FrontRefusal, streams::PromptStream},
+    telemetry::{self, HopSpan},
+    upstream::connections::{ConnectionPool, PoolLimits},
+};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not busy the processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections of callers at the same time; leaves descriptors for backend servers out of the 4,100 of a host.
+const MAX_CONNECTIONS: usize = 2_400;
+/// Time to open a connection to a backend server; ten round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Idle connections that are kept per backend server; twelve hosts stay far below its limit.
+const MAX_IDLE: usize = 12;
+/// Time for which an idle connection to a backend server is used again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time for which bytes to a backend server may stay unacknowledged before the connection counts as silent.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_200);
+/// Time that a connection may be idle beyond the limit that callers know, so that it is they who stop using it.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time after which a host without a plan is asked again.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+
+/// Server for callers.
+pub struct CallerServer {
+    pub(super) state: Arc<EntryState>,
+    pub(super) connections: ConnectionPool,
+    pub(super) fleet: ActorRef<FleetMessage>,
+    buffers: BufferBudget,
+    /// Held by each connection that may have a request in flight.
+    busy: Arc<()>,
+    /// Whether spans leave the process; without a receiver they are not produced.
+    has_traces: bool,
+}
+
+/// Request that was answered, for logs and metrics.
+struct RequestTrail<'a> {
+    head: &'a CallerHead,
+    route: Option<&'a RouteRule>,
+    organisation: Option<&'a OrganisationId>,
+    service: Option<ServiceId>,
+}
+
+impl CallerServer {
+    /// A server that tells `fleet` of rollouts that look bad.
+    pub fn new(state: Arc<EntryState>, fleet: ActorRef<FleetMessage>) -> Self {
+        let limits = PoolLimits {
+            max_idle: MAX_IDLE,
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            unacknowledged: Some(UNACKNOWLEDGED),
+        };
+        let has_traces = state.settings.load().telemetry.otlp.is_some();
+        Self {
+            state,
+            connections: ConnectionPool::with_limits(constants::MAX_BUFFERED_BYTES, limits),
+            fleet,
+            // A request that has not run is refused rather than kept waiting for memory.
+            buffers: BufferBudget::new(constants::MAX_BUFFERED_BYTES, MemoryWait::Fail),
+            busy: Arc::default(),
+            has_traces,
+        }
+    }
+
+    /// Connections that may have a request in flight.
+    pub fn in_flight(&self) -> usize {
+        Arc::strong_count(&self.busy) - 1
+    }
+
+    /// Accepts connections until the host closes.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        let mut drain = self.state.drain.subscribe();
+        let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
+        tokio::pin!(closing);
+        loop {
+            // Further connections wait in the backlog of the listener.
+            let Ok(permit) = permits.clone().acquire_owned().await else { return };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = &mut closing => return,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve_connection(stream, permit));
+                }
+                Err(err) => {
+                    log::warn!(error:% = err; "accept connection of a caller");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!(error:% = err; "set TCP_NODELAY");
+        }
+        let plan = self.state.plan.load_full();
+        let limits = plan.as_ref().map(|it| &it.limits);
+        let idle = limits.map_or(constants::HEADER_TIMEOUT.0, |it| it.idle_timeout + IDLE_MARGIN);
+        let max_header = limits.map_or(constants::MAX_HEADER_BYTES, |it| it.max_header_bytes);
+        let stream = PromptStream::new(stream, constants::WRITE_TIMEOUT.0);
+        let has_begun = AtomicBool::new(false);
+        let service = service_fn(|request| {
+            has_begun.store(true, Ordering::Relaxed);
+            self.handle(request)
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            // The time of an idle connection counts too, so that the limit for headers would close it too early.
+            .header_read_timeout(idle)
+            .max_header_size(max_header)
+            // The least size that hyper accepts.
+            .max_buf_size(max_header.max(8 << 10));
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let mut drain = self.state.drain.subscribe();
+        // Counts before it looks at the stage, so that the end of closing cannot miss it.
+        let busy = self.busy.clone();
+        let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
+        tokio::select! {
+            result = connection.as_mut() => return log_end(result),
+            () = closing => {}
+        }
+        if has_begun.load(Ordering::Relaxed) {
+            connection.as_mut().graceful_shutdown();
+        } else {
+            // A first request is still answered.
+            drop(busy);
+        }
+        log_end(connection.await);
+    }
+
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let started = self.state.clock.now();
+        let head = self.state.platform.dialect.read_request(request.headers());
+        let span = self.has_traces.then(|| {
+            let parent = telemetry::extract_parent(request.headers());
+            HopSpan::start("request", SpanKind::Server, &parent)
+        });
+        let plan = self.state.plan.load_full();
+        let (parts, body) = request.into_parts();
+        let route = plan.as_deref().and_then(|plan| {
+            let host_name = host_name(&parts)?;
+            plan.find_route(host_name, parts.uri.path()).cloned()
+        });
+        let mut trail = RequestTrail {
+            head: &head,
+            route: route.as_deref(),
+            organisation: None,
+            service: None,
+        };
+        let result = match (&plan, &route) {
+            (None, _) => {
+                let refusal = RequestRefusal::not_run(RefusalReason::NotReady);
+                Err(refusal.retry_at(started.after(NOT_READY_RETRY)).into())
+            }
+            (Some(_), None) => Err(FrontRefusal::not_run(RefusalReason::UnknownRoute)),
+            (Some(plan), Some(route)) => {
+                let inputs = RequestInputs { plan, route, head: &head, started };
+                self.answer(inputs, parts, body, &mut trail, span.as_ref()).await
+            }
+        };
+        if let (Some(span), Err(_)) = (&span, &result) {
+            span.fail("refused");
+        }
+        Ok(self.finish(result, &trail, started).map(Full::new))
+    }
+
+    async fn answer<'a>(
+        &self,
+        inputs: RequestInputs<'a>,
+        parts: http::request::Parts,
+        body: Incoming,
+        trail: &mut RequestTrail<'a>,
+        span: Option<&HopSpan>,
+    ) -> Result<Response<Bytes>, FrontRefusal> {
+        let RequestInputs { plan, route, head, started } = inputs;
+        let organisation = if route.is_open { None } else { Some(key_owner(plan, head)?) };
+        trail.organisation = organisation;
+        let patience = head.patience.unwrap_or(route.timeout);
+        let deadline = started.after(patience.min(route.timeout));
+        let caller_deadline = head.patience.map(|it| started.after(it));
+        let body = self.read_body(plan, &parts.headers, body, deadline).await?;
+        let now = self.state.clock.now();
+        let service = {
+            let mut core = self.state.core.lock();
+            if let Some(organisation) = organisation
+                && let Err(retry_at) = core.admit(organisation, now)
+            {
+                let refusal = RequestRefusal::not_run(RefusalReason::OverRate);
+                return Err(refusal.retry_at(retry_at).into());
+            }
+            core.next_service(route)
+        };
+        let Some(service) = service else {
+            return Err(FrontRefusal::not_run(RefusalReason::NoServer));
+        };
+        trail.service = Some(service.clone());
+        let own_priority = organisation.and_then(|it| plan.organisations.get(it)?.priority);
+        let mut headers = parts.headers;
+        drop_hop_by_hop(&mut headers);
+        for name in [header::CONTENT_LENGTH, header::EXPECT] {
+            headers.remove(name);
+        }
+        let request = EntryRequest {
+            route,
+            service: &service,
+            organisation,
+            homes: plan.homes(route, organisation),
+            priority: own_priority.unwrap_or(route.priority),
+            head,
+            method: parts.method,
+            target: parts.uri,
+            headers,
+            body,
+            deadline,
+            caller_deadline,
+        };
+        let result = self.forward(&request, span).await;
+        if let (Some(organisation), Err(refusal)) = (organisation, &result)
+            && refusal.ran == RunState::NotRun
+        {
+            self.state.core.lock().refund_quota(organisation);
+        }
+        Ok(result?)
+    }
+
+    /// The response to the caller, with its log line and metrics.
+    fn finish(
+        &self,
+        result: Result<Response<Bytes>, FrontRefusal>,
+        trail: &RequestTrail<'_>,
+        started: MonoTime,
+    ) -> Response<Bytes> {
+        let now = self.state.clock.now();
+        let elapsed = now.since(started);
+        let name = match &result {
+            Ok(response) if response.status().is_success() => "passed",
+            Ok(_) => "server-error",
+            Err(refusal) => refusal.refusal.reason.as_str(),
+        };
+        let service = trail.service.as_ref().map_or("", |it| it.as_str());
+        self.state.meters.count_request(service, name, elapsed);
+        let is_good = name == "passed";
+        let is_wanted = if is_good {
+            self.state.decisions.is_sampled(trail.head.request_id.as_ref())
+        } else {
+            true
+        };
+        if is_wanted && let Some(dropped) = self.state.decisions.take_line(now) {
+            let request = trail.head.request_id.as_ref().and_then(|it| it.to_str().ok());
+            let route = trail.route.map(|it| it.id.as_str());
+            let organisation = trail.organisation.map(|it| it.as_str());
+            let ran = result.as_ref().err().map(|it| it.refusal.ran.to_string());
+            log::info!(
+                request, route, organisation, service, result = name, ran,
+                elapsed_ms = elapsed.as_millis() as u64,
+                patience_ms = trail.head.patience.map(|it| it.as_millis() as u64),
+                plan = self.state.plan.load().as_ref().map(|it| it.generation.0),
+                lines_dropped = dropped;
+                "request ended"
+            );
+        }
+        let mut response = match result {
+            Ok(mut response) => {
+                drop_hop_by_hop(response.headers_mut());
+                response
+            }
+            Err(refusal) => {
+                let dialect = &self.state.platform.dialect;
+                let mut response = dialect.refuse(&refusal.refusal, refusal.status, now);
+                if let Some(id) = &trail.head.request_id {
+                    response.headers_mut().insert(telemetry_id_header(), id.clone());
+                }
+                response
+            }
+        };
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+        if *self.state.drain.borrow() >= DrainStage::Leaving {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn read_body(
+        &self,
+        plan: &RoutingPlan,
+        headers: &HeaderMap,
+        body: Incoming,
+        deadline: MonoTime,
+    ) -> Result<Bytes, FrontRefusal> {
+        let max_bytes = plan.limits.max_body_bytes;
+        let too_large = || FrontRefusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE);
+        let declared = headers.get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok());
+        let declared = declared.and_then(|it| it.parse::<u64>().ok());
+        if declared.is_some_and(|it| it > max_bytes as u64) {
+            return Err(too_large());
+        }
+        let reading = self.buffers.collect(body, max_bytes);
+        match timeout_at(self.state.clock.instant(deadline), reading).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(CollectError::TooLarge(_))) => Err(too_large()),
+            Ok(Err(CollectError::NoMemory)) => Err(FrontRefusal::not_run(RefusalReason::NoRoom)),
+            Ok(Err(CollectError::Broken(_))) => {
+                Err(FrontRefusal::bad_request(StatusCode::BAD_REQUEST))
+            }
+            Err(_) => Err(FrontRefusal::bad_request(StatusCode::REQUEST_TIMEOUT)),
+        }
+    }
+}
+
+/// What is known of a request before its body is read.
+#[derive(Clone, Copy)]
+struct RequestInputs<'a> {
+    plan: &'a RoutingPlan,
+    route: &'a RouteRule,
+    head: &'a CallerHead,
+    started: MonoTime,
+}
+
+fn key_owner<'a>(
+    plan: &'a RoutingPlan,
+    head: &CallerHead,
+) -> Result<&'a OrganisationId, FrontRefusal> {
+    let digest = head.key.ok_or_else(|| FrontRefusal::not_run(RefusalReason::KeyMissing))?;
+    let owner = plan.key_owner(&digest);
+    owner.ok_or_else(|| FrontRefusal::not_run(RefusalReason::KeyRejected))
+}
+
+fn host_name(parts: &http::request::Parts) -> Option<&str> {
+    let named = parts.uri.authority().map(|it| it.as_str());
+    named.or_else(|| parts.headers.get(header::HOST)?.to_str().ok())
+}
+
+fn telemetry_id_header() -> http::HeaderName {
+    http::HeaderName::from_static(crate::upstream::connections::REQUEST_ID)
+}
+
+fn log_end(result: hyper::Result<()>) {
+    if let Err(err) = result {
+        log::debug!(error:% = err; "connection of a caller ended");
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -0,0 +1,223 @@
+//! Follows the store.
+//!
+//! A task reads everything once and then waits for changes; the actor applies them to the core in their order, publishes
+//! the plan, and writes the records of rollouts that are due. After a failed call the task goes on from the same
+//! revision; when the store has dropped that history it reads everything again.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use sapphireknot::{
+    ids::ServiceId,
+    steering::version::{RecordChange, RolloutPhase},
+    time::MonoTime,
+};
+use sapphireknot_platform::{FeedError, FeedPage, StoreError, StoreRevision, WriteOutcome};
+use tokio::time::sleep;
+
+use super::state::EntryState;
+use crate::constants::{FLEET_FIRST_RETRY, FLEET_MAX_RETRY, FLEET_WATCH_PAUSE, FLEET_WATCH_WAIT};
+
+/// Interval at which deadlines are checked.
+const TICK: Duration = Duration::from_millis(250);
+/// Head start of each host over the next one for a write that any of them may do.
+const TURN: Duration = Duration::from_millis(300);
+/// Pause after a write of a rollout's record, in which the watch tells its result.
+const WRITE_PAUSE: Duration = Duration::from_millis(700);
+
+/// Message to the fleet actor.
+#[derive(Debug)]
+pub enum FleetMessage {
+    /// The store was read completely.
+    Read(FeedPage),
+    /// Changes arrived.
+    Changed(FeedPage),
+    /// A call failed.
+    Failed,
+    /// A rollout looks bad on this host.
+    RolloutBad(ServiceId),
+    /// Time has passed.
+    Tick,
+}
+
+/// Actor that follows the store.
+pub struct FleetActor;
+
+/// What the actor needs.
+pub struct FleetArguments {
+    /// Shared state.
+    pub state: Arc<EntryState>,
+}
+
+/// State of the actor.
+pub struct FleetActorState {
+    state: Arc<EntryState>,
+    is_down: bool,
+    /// When this host may write the record of a rollout.
+    turns: HashMap<ServiceId, (RolloutPhase, MonoTime)>,
+}
+
+#[ractor::async_trait]
+impl Actor for FleetActor {
+    type Msg = FleetMessage;
+    type State = FleetActorState;
+    type Arguments = FleetArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<FleetMessage>,
+        arguments: FleetArguments,
+    ) -> Result<FleetActorState, ActorProcessingErr> {
+        let FleetArguments { state } = arguments;
+        myself.send_interval(TICK, || FleetMessage::Tick);
+        tokio::spawn(follow(state.clone(), myself));
+        Ok(FleetActorState { state, is_down: false, turns: HashMap::new() })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<FleetMessage>,
+        message: FleetMessage,
+        actor: &mut FleetActorState,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = actor.state.clock.now();
+        match message {
+            FleetMessage::Read(page) => {
+                log::info!(entries = page.changes.len(), revision:% = page.revision; "store read");
+                actor.regain(now);
+                actor.state.core.lock().replace(page.changes, now);
+                actor.publish();
+            }
+            FleetMessage::Changed(page) => {
+                actor.regain(now);
+                if !page.changes.is_empty() {
+                    log::debug!(changes:? = page.changes, revision:% = page.revision; "store changed");
+                    actor.state.core.lock().take(page.changes, now);
+                    actor.publish();
+                }
+                actor.write_due(now);
+            }
+            FleetMessage::Failed => {
+                if !std::mem::replace(&mut actor.is_down, true) {
+                    log::warn!("store lost");
+                }
+                actor.state.core.lock().record_outage(now);
+            }
+            FleetMessage::RolloutBad(service) => {
+                log::warn!(service:%; "new version looks bad");
+                actor.write_due(now);
+            }
+            FleetMessage::Tick => {
+                actor.state.core.lock().tick(now);
+                actor.write_due(now);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl FleetActorState {
+    fn regain(&mut self, now: MonoTime) {
+        if std::mem::take(&mut self.is_down) {
+            log::info!("store regained");
+            self.state.core.lock().record_outage(now);
+        }
+    }
+
+    fn publish(&self) {
+        let plan = self.state.core.lock().plan().cloned();
+        if let Some(plan) = &plan {
+            self.state.meters.record_plan(plan.generation.0);
+        }
+        self.state.publish_plan(plan);
+    }
+
+    /// Starts writes of records that are due and whose turn it is.
+    fn write_due(&mut self, now: MonoTime) {
+        let (due, position) = {
+            let core = self.state.core.lock();
+            let own = &self.state.record.id;
+            (core.due_rollouts(now), core.hosts().filter(|it| it.id < *own).count())
+        };
+        self.turns.retain(|service, _| due.iter().any(|it| it.record.service == *service));
+        for change in due {
+            let phase = change.record.phase;
+            // A bad version is reverted by whoever notices it, without waiting for others.
+            let head_start = match phase {
+                RolloutPhase::Reverted => Duration::ZERO,
+                _ => TURN * u32::try_from(position).unwrap_or(u32::MAX),
+            };
+            let turn = self.turns.entry(change.record.service.clone());
+            let turn = turn.or_insert((phase, now.after(head_start)));
+            if turn.0 != phase {
+                *turn = (phase, now.after(head_start));
+            }
+            if now >= turn.1 {
+                turn.1 = now.after(WRITE_PAUSE);
+                tokio::spawn(write_rollout(self.state.clone(), change));
+            }
+        }
+    }
+}
+
+async fn write_rollout(state: Arc<EntryState>, change: RecordChange) {
+    let result = state.platform.store.write_rollout(&change).await;
+    let (service, phase) = (&change.record.service, change.record.phase);
+    match result {
+        Ok(WriteOutcome::Written) => {
+            log::info!(service:%, phase:?, target:% = change.record.target; "rollout record written");
+        }
+        Ok(outcome) => log::info!(service:%, phase:?, outcome:?; "rollout record not written"),
+        Err(err) => {
+            state.meters.count_store_failure("write rollout");
+            log::warn!(service:%, phase:?, error:% = err; "write rollout record");
+        }
+    }
+}
+
+/// Reads the store and waits for changes until the actor ends.
+async fn follow(state: Arc<EntryState>, actor: ActorRef<FleetMessage>) {
+    let store = &state.platform.store;
+    let mut known: Option<StoreRevision> = None;
+    let mut pause = FLEET_FIRST_RETRY.0;
+    loop {
+        let result = match known {
+            None => store.read_all().await.map(FleetMessage::Read).map_err(FeedError::Store),
+            Some(revision) => {
+                let page = store.next_changes(revision, FLEET_WATCH_WAIT.0).await;
+                page.map(FleetMessage::Changed)
+            }
+        };
+        let message = match result {
+            Ok(message) => {
+                if let FleetMessage::Read(page) | FleetMessage::Changed(page) = &message {
+                    known = Some(page.revision);
+                }
+                pause = FLEET_FIRST_RETRY.0;
+                message
+            }
+            Err(FeedError::HistoryGone(revision)) => {
+                log::info!(revision:%; "history of the store is gone");
+                known = None;
+                continue;
+            }
+            Err(FeedError::Store(err)) => {
+                let step = match &err {
+                    StoreError::Refused { step, .. } | StoreError::Unanswered { step, .. } => step,
+                };
+                state.meters.count_store_failure(step);
+                log::debug!(error:% = err; "follow the store");
+                if actor.cast(FleetMessage::Failed).is_err() {
+                    return;
+                }
+                sleep(pause).await;
+                pause = (pause * 2).min(FLEET_MAX_RETRY.0);
+                continue;
+            }
+        };
+        if actor.cast(message).is_err() {
+            return;
+        }
+        sleep(FLEET_WATCH_PAUSE.0).await;
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -0,0 +1,352 @@
+//! Forwarding of a request to backend servers.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body_util::Full;
+use opentelemetry::trace::SpanKind;
+use sapphireknot::{
+    ids::{OrganisationId, RegionId, ServerId, ServiceId},
+    picker::ServerOutcome,
+    refusal::{RefusalReason, RequestRefusal, RunState},
+    retry::{AttemptEnd, RetryPolicy, RetryVerdict},
+    steering::{
+        choice::{ChoiceMiss, ChoiceQuery, ChosenServer},
+        core::AttemptReport,
+        plan::{RequestPriority, RouteRule},
+        server_state::ServerLoad,
+    },
+    time::MonoTime,
+};
+use sapphireknot_platform::{AnswerKind, CallerHead, ServerAnswer, ServerHead};
+use tokio::time::timeout_at;
+
+use super::{caller_server::CallerServer, fleet_actor::FleetMessage, state::EntryState};
+use crate::{constants, telemetry::HopSpan, upstream::connections::ExchangeError};
+
+/// Least time after which a caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(60);
+/// Longest such time.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Times of the expected time after which an idempotent request goes to another server.
+const PATIENCE_FACTOR: f64 = 3.0;
+/// Least time after which it does.
+const MIN_PATIENCE: Duration = Duration::from_millis(250);
+/// Part of the remaining time after which it does at the latest, so that another server has time to answer.
+const PATIENCE_PART: f64 = 0.6;
+
+/// Request that was admitted.
+pub(super) struct EntryRequest<'a> {
+    pub(super) route: &'a RouteRule,
+    pub(super) service: &'a ServiceId,
+    pub(super) organisation: Option<&'a OrganisationId>,
+    pub(super) homes: Option<HashSet<RegionId>>,
+    pub(super) priority: RequestPriority,
+    pub(super) head: &'a CallerHead,
+    pub(super) method: Method,
+    pub(super) target: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    /// When the response is due at the latest.
+    pub(super) deadline: MonoTime,
+    /// When the caller no longer waits.
+    pub(super) caller_deadline: Option<MonoTime>,
+}
+
+/// Attempt that ended without a response to pass on.
+struct AttemptFailure {
+    end: AttemptEnd,
+    reason: RefusalReason,
+    /// What the caller gets if no attempt follows.
+    fallback: Option<Response<Bytes>>,
+}
+
+/// Attempt in flight; counted as cancelled when dropped before its end.
+struct AttemptTicket<'a> {
+    state: &'a EntryState,
+    chosen: ChosenServer,
+    target_ms: f64,
+    started: MonoTime,
+    has_ended: bool,
+}
+
+impl AttemptTicket<'_> {
+    /// Reports the outcome, and says whether a rollout looks bad since then.
+    fn finish(&mut self, outcome: ServerOutcome, load: Option<ServerLoad>) -> bool {
+        self.has_ended = true;
+        let now = self.state.clock.now();
+        let elapsed = now.since(self.started);
+        let report = AttemptReport {
+            chosen: &self.chosen,
+            outcome,
+            load,
+            target_ms: self.target_ms,
+            elapsed,
+        };
+        self.state.core.lock().record_attempt(report, now)
+    }
+}
+
+impl Drop for AttemptTicket<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.finish(ServerOutcome::Cancelled, None);
+        }
+    }
+}
+
+impl CallerServer {
+    /// Sends `request` until a response is complete or no further attempt is allowed.
+    pub(super) async fn forward(
+        &self,
+        request: &EntryRequest<'_>,
+        span: Option<&HopSpan>,
+    ) -> Result<Response<Bytes>, RequestRefusal> {
+        let route = request.route;
+        let mut policy = RetryPolicy::new(route.is_idempotent, route.max_attempts);
+        let mut tried: Vec<ServerId> = Vec::new();
+        let mut failure: Option<AttemptFailure> = None;
+        self.state.core.lock().budget_mut(request.service).deposit();
+        loop {
+            let chosen = match self.choose(request, &tried) {
+                Ok(chosen) => chosen,
+                Err(refusal) => {
+                    if failure.is_some() {
+                        self.state.core.lock().budget_mut(request.service).refund();
+                    }
+                    return give_up(&policy, failure, refusal);
+                }
+            };
+            tried.push(chosen.record.id.clone());
+            let may_repeat = route.is_idempotent && tried.len() < route.max_attempts as usize;
+            let ended = match self.attempt(request, chosen, may_repeat, span).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            let now = self.state.clock.now();
+            let verdict = {
+                let mut core = self.state.core.lock();
+                policy.after(ended.end, core.budget_mut(request.service))
+            };
+            let reason = ended.reason;
+            failure = Some(ended);
+            if verdict != RetryVerdict::Again {
+                let refusal = RequestRefusal::not_run(reason);
+                return give_up(&policy, failure, refusal.retry_at(now.after(MIN_RETRY_AFTER)));
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        request: &EntryRequest<'_>,
+        tried: &[ServerId],
+    ) -> Result<ChosenServer, RequestRefusal> {
+        let now = self.state.clock.now();
+        if now >= request.deadline {
+            return Err(RequestRefusal::not_run(RefusalReason::Deadline));
+        }
+        let query = ChoiceQuery {
+            target_ms: target_ms(request.route),
+            priority: request.priority,
+            object: request.head.object.filter(|_| request.route.has_affinity),
+            version: None,
+            homes: request.homes.as_ref(),
+            excluded: tried,
+            deadline: request.deadline,
+        };
+        let chosen = self.state.core.lock().choose(request.service, query, now, &mut rand::rng());
+        chosen.map_err(|miss| match miss {
+            ChoiceMiss::NoServer => RequestRefusal::not_run(RefusalReason::NoServer)
+                .retry_at(now.after(MIN_RETRY_AFTER * 3)),
+            ChoiceMiss::NoRoom { wait } => RequestRefusal::not_run(RefusalReason::NoRoom)
+                .retry_at(now.after(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))),
+        })
+    }
+
+    async fn attempt(
+        &self,
+        request: &EntryRequest<'_>,
+        chosen: ChosenServer,
+        may_repeat: bool,
+        span: Option<&HopSpan>,
+    ) -> Result<Response<Bytes>, AttemptFailure> {
+        let span = span.map(|it| HopSpan::start("attempt", SpanKind::Client, it.context()));
+        if let Some(span) = &span {
+            span.note("server", chosen.record.id.to_string());
+        }
+        let started = self.state.clock.now();
+        let until = attempt_deadline(request, &chosen, may_repeat, started);
+        let record = Arc::clone(&chosen.record);
+        let mut ticket = AttemptTicket {
+            state: &self.state,
+            chosen,
+            target_ms: target_ms(request.route),
+            started,
+            has_ended: false,
+        };
+        let dialect = &self.state.platform.dialect;
+        let request_id = request.head.request_id.as_ref();
+        let read = |head: &http::response::Parts| {
+            dialect.read_response(request_id, head.status, &head.headers)
+        };
+        let check = |head: &http::response::Parts| match read(head).kind {
+            AnswerKind::Foreign => Err("response to another request".to_owned()),
+            AnswerKind::Ran | AnswerKind::NotRun | AnswerKind::OtherServer => Ok(()),
+        };
+        let outgoing = self.outgoing(request, &record.id, started);
+        let exchange = self.connections.exchange_checked(
+            record.address,
+            outgoing,
+            constants::MAX_RESPONSE_BYTES,
+            check,
+        );
+        let result = timeout_at(self.state.clock.instant(until), exchange).await;
+        let (outcome, load, ended) = match result {
+            Ok(Ok(response)) => {
+                let (parts, body) = response.into_parts();
+                let ServerAnswer { kind, load } = read(&parts);
+                let response = Response::from_parts(parts, body);
+                let (outcome, ended) = judge(kind, response, may_repeat);
+                if kind == AnswerKind::OtherServer {
+                    self.state.core.lock().pause_server(&record, self.state.clock.now());
+                }
+                (outcome, load, ended)
+            }
+            Ok(Err(err)) => {
+                let now = self.state.clock.now();
+                let end = match &err {
+                    ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
+                    ExchangeError::Broken { .. } => AttemptEnd::MaybeRan,
+                };
+                if end == AttemptEnd::NotSent {
+                    self.state.core.lock().pause_server(&record, now);
+                }
+                self.log_failure(request, &record.id, &err.to_string(), now);
+                (ServerOutcome::Broken, None, Err(failed(end, RefusalReason::UpstreamFailed)))
+            }
+            Err(_) => {
+                self.log_failure(request, &record.id, "no answer in time", until);
+                let failure = failed(AttemptEnd::MaybeRan, RefusalReason::Deadline);
+                (ServerOutcome::Broken, None, Err(failure))
+            }
+        };
+        self.state.meters.count_attempt(request.service.as_str(), outcome_name(outcome));
+        if ticket.finish(outcome, load)
+            && let Err(err) = self.fleet.cast(FleetMessage::RolloutBad(request.service.clone()))
+        {
+            log::error!(error:% = err; "tell of a bad version");
+        }
+        ended
+    }
+
+    fn log_failure(
+        &self,
+        request: &EntryRequest<'_>,
+        server: &ServerId,
+        cause: &str,
+        now: MonoTime,
+    ) {
+        let Some(dropped) = self.state.decisions.take_line(now) else { return };
+        let id = request.head.request_id.as_ref().and_then(|it| it.to_str().ok());
+        log::info!(
+            request = id, service:% = request.service, server:%, cause,
+            left_ms = now.until(request.deadline).as_millis() as u64, lines_dropped = dropped;
+            "attempt failed"
+        );
+    }
+
+    fn outgoing(
+        &self,
+        request: &EntryRequest<'_>,
+        server: &ServerId,
+        now: MonoTime,
+    ) -> Request<Full<Bytes>> {
+        let mut outgoing = Request::new(Full::new(request.body.clone()));
+        *outgoing.method_mut() = request.method.clone();
+        *outgoing.uri_mut() = request.target.clone();
+        let mut headers = request.headers.clone();
+        let patience = request.caller_deadline.map(|it| now.until(it));
+        let head = ServerHead { server, organisation: request.organisation, patience };
+        self.state.platform.dialect.write_request(&mut headers, &head);
+        *outgoing.headers_mut() = headers;
+        outgoing
+    }
+}
+
+fn target_ms(route: &RouteRule) -> f64 {
+    route.target_latency.as_secs_f64() * 1_000.0
+}
+
+/// When an attempt is given up: an idempotent request leaves time for another one.
+fn attempt_deadline(
+    request: &EntryRequest<'_>,
+    chosen: &ChosenServer,
+    may_repeat: bool,
+    now: MonoTime,
+) -> MonoTime {
+    if !may_repeat {
+        return request.deadline;
+    }
+    let expected = Duration::from_secs_f64(chosen.expected_ms * PATIENCE_FACTOR / 1_000.0);
+    let left = now.until(request.deadline);
+    now.after((expected + MIN_PATIENCE).max(left.mul_f64(PATIENCE_PART))).min(request.deadline)
+}
+
+fn failed(end: AttemptEnd, reason: RefusalReason) -> AttemptFailure {
+    AttemptFailure { end, reason, fallback: None }
+}
+
+/// What a complete response means.
+fn judge(
+    kind: AnswerKind,
+    response: Response<Bytes>,
+    may_repeat: bool,
+) -> (ServerOutcome, Result<Response<Bytes>, AttemptFailure>) {
+    match kind {
+        AnswerKind::NotRun => {
+            (ServerOutcome::Shed, Err(failed(AttemptEnd::Shed, RefusalReason::NoRoom)))
+        }
+        AnswerKind::OtherServer => {
+            (ServerOutcome::Broken, Err(failed(AttemptEnd::Shed, RefusalReason::NoServer)))
+        }
+        AnswerKind::Foreign | AnswerKind::Ran if response.status().is_server_error() => {
+            if !may_repeat {
+                return (ServerOutcome::Failed, Ok(response));
+            }
+            let failure = AttemptFailure {
+                end: AttemptEnd::MaybeRan,
+                reason: RefusalReason::UpstreamFailed,
+                fallback: Some(response),
+            };
+            (ServerOutcome::Failed, Err(failure))
+        }
+        AnswerKind::Foreign | AnswerKind::Ran => (ServerOutcome::Succeeded, Ok(response)),
+    }
+}
+
+/// The result of the last attempt, or `refusal` if there was none.
+fn give_up(
+    policy: &RetryPolicy,
+    failure: Option<AttemptFailure>,
+    refusal: RequestRefusal,
+) -> Result<Response<Bytes>, RequestRefusal> {
+    let Some(failure) = failure else { return Err(refusal) };
+    if let Some(response) = failure.fallback {
+        return Ok(response);
+    }
+    let ran = if policy.may_have_run() { RunState::Unknown } else { RunState::NotRun };
+    let retry_at = refusal.retry_at.filter(|_| ran == RunState::NotRun);
+    Err(RequestRefusal { reason: failure.reason, ran, retry_at })
+}
+
+fn outcome_name(outcome: ServerOutcome) -> &'static str {
+    match outcome {
+        ServerOutcome::Succeeded => "succeeded",
+        ServerOutcome::Failed => "failed",
+        ServerOutcome::Shed => "shed",
+        ServerOutcome::Broken => "broken",
+        ServerOutcome::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/host_actor.rs
@@ -0,0 +1,115 @@
+//! Keeps this host registered.
+//!
+//! The registration is bound to a lease. It starts once a plan is in force, so that callers are sent only to hosts that
+//! can serve them, and ends first thing in a graceful shutdown.
+
+use std::sync::Arc;
+
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use sapphireknot_platform::{LeaseId, StoreError, WriteOutcome};
+
+use super::state::EntryState;
+use crate::constants::{HOST_LEASE, HOST_RENEWAL};
+
+/// Message to the host actor.
+#[derive(Debug)]
+pub enum HostMessage {
+    /// The lease is to be renewed.
+    Renew,
+    /// The host leaves.
+    Leave(RpcReplyPort<()>),
+}
+
+/// Actor that keeps this host registered.
+pub struct HostActor;
+
+/// What the actor needs.
+pub struct HostArguments {
+    /// Shared state.
+    pub state: Arc<EntryState>,
+}
+
+/// State of the actor.
+pub struct HostActorState {
+    state: Arc<EntryState>,
+    lease: Option<LeaseId>,
+    has_left: bool,
+}
+
+#[ractor::async_trait]
+impl Actor for HostActor {
+    type Msg = HostMessage;
+    type State = HostActorState;
+    type Arguments = HostArguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<HostMessage>,
+        arguments: HostArguments,
+    ) -> Result<HostActorState, ActorProcessingErr> {
+        // Soon after the start the plan is read; the first registration need not wait for a whole interval.
+        myself.send_after(HOST_RENEWAL.0 / 10, || HostMessage::Renew);
+        Ok(HostActorState { state: arguments.state, lease: None, has_left: false })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<HostMessage>,
+        message: HostMessage,
+        actor: &mut HostActorState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            HostMessage::Renew if actor.has_left => {}
+            HostMessage::Renew => {
+                let mut pause = HOST_RENEWAL.0;
+                if actor.state.plan.load().is_none() {
+                    pause /= 10;
+                } else if let Err(err) = actor.renew().await {
+                    let (StoreError::Refused { step, .. } | StoreError::Unanswered { step, .. }) =
+                        &err;
+                    actor.state.meters.count_store_failure(step);
+                    log::debug!(error:% = err; "keep this host registered");
+                    let now = actor.state.clock.now();
+                    actor.state.core.lock().record_outage(now);
+                }
+                myself.send_after(pause, || HostMessage::Renew);
+            }
+            HostMessage::Leave(port) => {
+                actor.has_left = true;
+                if let Some(lease) = actor.lease.take()
+                    && let Err(err) = actor.state.platform.store.end_lease(lease).await
+                {
+                    log::warn!(error:% = err; "end the registration of this host");
+                }
+                // The caller may have stopped waiting.
+                drop(port.send(()));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl HostActorState {
+    /// Renews the lease, or registers anew if it has ended.
+    async fn renew(&mut self) -> Result<(), StoreError> {
+        let store = self.state.platform.store.clone();
+        if let Some(lease) = self.lease {
+            if store.renew_lease(lease).await? {
+                return Ok(());
+            }
+            log::warn!(lease:%; "registration of this host lapsed");
+            self.lease = None;
+        }
+        let ttl = HOST_LEASE.0.max(self.state.settings.load().managed.min_lease.0);
+        let lease = store.grant_lease(ttl).await?;
+        match store.register_host(&self.state.record, lease).await? {
+            WriteOutcome::Written => {
+                self.lease = Some(lease);
+                self.state.record_registration();
+                log::info!(lease:%; "host registered");
+            }
+            outcome => log::warn!(lease:%, outcome:?; "host not registered"),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -0,0 +1,67 @@
+//! Metrics of an entry host.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue, global,
+    metrics::{Counter, Gauge, Histogram},
+};
+
+use crate::telemetry::SCOPE;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0];
+
+/// Metrics of an entry host.
+#[derive(Debug, Clone)]
+pub struct EntryMeters {
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    latency: Histogram<f64>,
+    store_failures: Counter<u64>,
+    plan_generation: Gauge<u64>,
+}
+
+impl Default for EntryMeters {
+    fn default() -> Self {
+        let meter = global::meter(SCOPE);
+        Self {
+            requests: meter.u64_counter("sapphireknot.entry.requests").build(),
+            attempts: meter.u64_counter("sapphireknot.entry.attempts").build(),
+            latency: meter
+                .f64_histogram("sapphireknot.entry.latency")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            store_failures: meter.u64_counter("sapphireknot.entry.store_failures").build(),
+            plan_generation: meter.u64_gauge("sapphireknot.entry.plan_generation").build(),
+        }
+    }
+}
+
+impl EntryMeters {
+    /// Counts a request by its result.
+    pub fn count_request(&self, service: &str, result: &'static str, elapsed: Duration) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("result", result)];
+        self.requests.add(1, &labels);
+        self.latency.record(elapsed.as_secs_f64(), &labels);
+    }
+
+    /// Counts an attempt by its outcome.
+    pub fn count_attempt(&self, service: &str, outcome: &'static str) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("outcome", outcome)];
+        self.attempts.add(1, &labels);
+    }
+
+    /// Counts a failed call to the store.
+    pub fn count_store_failure(&self, step: &'static str) {
+        self.store_failures.add(1, &[KeyValue::new("step", step)]);
+    }
+
+    /// Records the generation in force.
+    pub fn record_plan(&self, generation: u64) {
+        self.plan_generation.record(generation, &[]);
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -0,0 +1,163 @@
+//! Settings of an entry host whose platform holds the configuration, the registrations and the list of hosts.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use sapphireknot::{
+    config::ConfigProblem,
+    ids::{DatacentreId, HostId, RegionId},
+    steering::{
+        core::{HostPlace, SharedBounds},
+        shares::QuotaSlack,
+    },
+    time::ClockSpan,
+};
+use serde::{Deserialize, Serialize};
+use serde_with::{DefaultOnNull, serde_as};
+
+use crate::{
+    constants,
+    settings::{LogSettings, TelemetrySettings},
+};
+
+/// Settings of an entry host.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Identifier of this host.
+    pub host: HostId,
+    /// Region of this host.
+    pub region: RegionId,
+    /// Data centre of this host.
+    pub datacentre: DatacentreId,
+    /// Region of each data centre.
+    pub regions: HashMap<DatacentreId, RegionId>,
+    /// Addresses to listen at.
+    pub listen: EntryListen,
+    /// Store of the platform.
+    pub managed: ManagedStore,
+    /// Bounds over all hosts together and of a graceful shutdown.
+    #[serde_as(deserialize_as = "DefaultOnNull")]
+    #[serde(default)]
+    pub bounds: EntryBounds,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Metrics and traces.
+    #[serde(default)]
+    pub telemetry: TelemetrySettings,
+}
+
+/// Addresses to listen at; port 0 takes a free one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryListen {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For the platform, which asks whether the host is ready.
+    pub readiness: SocketAddr,
+    /// For callers that ask where to connect.
+    pub directory: SocketAddr,
+    /// For metrics as text.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Store of the platform.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ManagedStore {
+    /// Address.
+    pub store: SocketAddr,
+    /// Shortest lease that it grants.
+    #[serde(default)]
+    pub min_lease: ClockSpan,
+}
+
+/// Bounds over all hosts together and of a graceful shutdown.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EntryBounds {
+    /// Part by which quotas may be exceeded.
+    pub quota_tolerance: f64,
+    /// Requests by which quotas may be exceeded.
+    pub quota_slack: u32,
+    /// Retries as a part of requests.
+    pub retry_ratio: f64,
+    /// Retries beyond that part in one window.
+    pub retry_slack: u32,
+    /// Longest time for which callers may keep an answer of the directory.
+    pub name_lifetime: ClockSpan,
+    /// Time after SIGTERM at which the process is killed.
+    pub stop_grace: ClockSpan,
+}
+
+impl Default for EntryBounds {
+    fn default() -> Self {
+        Self {
+            quota_tolerance: 0.0,
+            quota_slack: 0,
+            retry_ratio: constants::RETRY_RATIO,
+            retry_slack: constants::RETRY_SLACK,
+            name_lifetime: constants::CACHE_LIFETIME,
+            stop_grace: constants::STOP_GRACE,
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Reads the settings from a tree.
+    pub fn from_tree(tree: serde_json::Value) -> Result<Self, Vec<ConfigProblem>> {
+        let settings: Self = serde_path_to_error::deserialize(&tree).map_err(|err| {
+            let field = err.path().to_string();
+            vec![ConfigProblem::new(field, "", err.into_inner().to_string())]
+        })?;
+        let problems = settings.problems();
+        if problems.is_empty() { Ok(settings) } else { Err(problems) }
+    }
+
+    fn problems(&self) -> Vec<ConfigProblem> {
+        let mut problems = Vec::new();
+        if self.regions.get(&self.datacentre) != Some(&self.region) {
+            let allowed = format!("an entry {}: {}", self.datacentre, self.region);
+            problems.push(ConfigProblem::new("regions", self.regions.len(), allowed));
+        }
+        for (field, part) in [
+            ("bounds.quota_tolerance", self.bounds.quota_tolerance),
+            ("bounds.retry_ratio", self.bounds.retry_ratio),
+        ] {
+            if !(0.0..=1.0).contains(&part) {
+                problems.push(ConfigProblem::new(field, part, "0 to 1"));
+            }
+        }
+        for (field, span) in [
+            ("bounds.name_lifetime", self.bounds.name_lifetime),
+            ("bounds.stop_grace", self.bounds.stop_grace),
+        ] {
+            if span.0.is_zero() {
+                problems.push(ConfigProblem::new(field, span, "more than 0s"));
+            }
+        }
+        if self.log.level.parse::<log::LevelFilter>().is_err() {
+            let allowed = "error, warn, info, debug or trace";
+            problems.push(ConfigProblem::new("log.level", &self.log.level, allowed));
+        }
+        problems
+    }
+
+    /// Place of this host.
+    pub fn place(&self) -> HostPlace {
+        HostPlace { region: self.region.clone(), regions: self.regions.clone() }
+    }
+
+    /// Bounds over all hosts together.
+    pub fn shared_bounds(&self) -> SharedBounds {
+        SharedBounds {
+            quota: QuotaSlack {
+                tolerance: self.bounds.quota_tolerance,
+                requests: self.bounds.quota_slack,
+            },
+            retry_ratio: self.bounds.retry_ratio,
+            retry_slack: self.bounds.retry_slack,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/side_servers.rs
@@ -0,0 +1,146 @@
+//! Listeners beside the one for callers: directory, readiness check and metrics.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use prometheus::{Registry, TextEncoder};
+use sapphireknot::steering::naming::name_hosts;
+use tokio::{net::TcpListener, time::sleep};
+
+use super::state::EntryState;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time in which a question must arrive; also the time for which a connection may be idle.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers callers that ask where to connect.
+pub async fn serve_directory(state: Arc<EntryState>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let state = state.clone();
+        async move { answer_directory(&state, &request) }
+    })
+    .await;
+}
+
+fn answer_directory(state: &EntryState, request: &Request<Incoming>) -> Response<Bytes> {
+    let dialect = &state.platform.dialect;
+    let Some(query) = dialect.read_name_query(request.uri()) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let region = query.region.unwrap_or_else(|| state.record.region.clone());
+    let plan = state.plan.load();
+    let addresses = {
+        let core = state.core.lock();
+        name_hosts(core.hosts(), plan.as_deref(), &query.host_name, &region)
+    };
+    if addresses.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let lifetime = state.settings.load().bounds.name_lifetime.0;
+    let mut response = Response::new(dialect.write_names(&addresses, lifetime));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Answers the platform's question whether this host is ready.
+pub async fn serve_readiness(state: Arc<EntryState>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let state = state.clone();
+        async move {
+            if !state.platform.dialect.is_readiness_query(request.uri()) {
+                return status(StatusCode::NOT_FOUND);
+            }
+            status(if state.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+        }
+    })
+    .await;
+}
+
+/// Serves metrics as text.
+pub async fn serve_metrics(state: Arc<EntryState>, registry: Registry, listener: TcpListener) {
+    serve(listener, move |_| {
+        let text = metrics_text(&state, &registry);
+        async move { Response::new(Bytes::from(text)) }
+    })
+    .await;
+}
+
+fn metrics_text(state: &EntryState, registry: &Registry) -> String {
+    let mut text = match TextEncoder::new().encode_to_string(&registry.gather()) {
+        Ok(text) => text,
+        Err(err) => {
+            log::warn!(error:% = err; "encode metrics");
+            String::new()
+        }
+    };
+    for count in state.platform.store.call_counts() {
+        let call = count.call.replace(' ', "_");
+        let results = [("answered", count.answered), ("failed", count.failed)];
+        for (result, value) in results {
+            let line = format!(
+                "sapphireknot_entry_store_calls{{call=\"{call}\",result=\"{result}\"}} {value}\n"
+            );
+            text.push_str(&line);
+        }
+    }
+    let now = state.clock.now();
+    let core = state.core.lock();
+    let share = core.share(now);
+    text.push_str(&format!("sapphireknot_entry_hosts {}\n", share.hosts));
+    text.push_str(&format!("sapphireknot_entry_traffic_share {}\n", share.traffic.as_fraction()));
+    for (service, picker) in core.pickers() {
+        let usable = picker.servers().iter().filter(|it| it.is_usable(now)).count();
+        text.push_str(&format!(
+            "sapphireknot_entry_usable_servers{{service=\"{service}\"}} {usable}\n"
+        ));
+        text.push_str(&format!(
+            "sapphireknot_entry_home_share{{service=\"{service}\"}} {:.3}\n",
+            picker.home_share()
+        ));
+    }
+    text
+}
+
+fn status(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response
+}
+
+async fn serve<F, R>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Bytes>> + Send,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!(error:% = err; "accept connection");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let answer = answer.clone();
+                async move { Ok::<_, Infallible>(answer(request).await.map(Full::new)) }
+            });
+            let result = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(READ_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(err) = result {
+                log::debug!(error:% = err; "connection ended");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -0,0 +1,86 @@
+//! State of an entry host that requests, actors and listeners share.
+
+use std::{
+    sync::Arc,
+    sync::atomic::{AtomicBool, Ordering},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use parking_lot::Mutex;
+use sapphireknot::steering::{core::SteeringCore, fleet::HostRecord, plan::RoutingPlan};
+use tokio::sync::watch;
+
+use super::{
+    EntryPlatform, decision_log::DecisionLog, meters::EntryMeters, settings::EntrySettings,
+};
+use crate::{clock::HostClock, context::DrainStage};
+
+/// State of an entry host.
+pub struct EntryState {
+    /// Settings in force.
+    pub settings: ArcSwap<EntrySettings>,
+    /// Platform.
+    pub platform: EntryPlatform,
+    /// Clocks.
+    pub clock: HostClock,
+    /// This host as it registers itself.
+    pub record: HostRecord,
+    /// Decisions; locked for the time of one question.
+    pub core: Mutex<SteeringCore>,
+    /// Plan in force; `None` until the first one was read.
+    pub plan: ArcSwapOption<RoutingPlan>,
+    /// Stage of the graceful shutdown.
+    pub drain: watch::Sender<DrainStage>,
+    /// Metrics.
+    pub meters: EntryMeters,
+    /// Log of decisions.
+    pub decisions: DecisionLog,
+    is_registered: AtomicBool,
+}
+
+impl EntryState {
+    /// State of a host that knows nothing yet.
+    pub fn new(
+        settings: EntrySettings,
+        platform: EntryPlatform,
+        clock: HostClock,
+        record: HostRecord,
+    ) -> Self {
+        let core = SteeringCore::new(settings.place(), settings.shared_bounds());
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            platform,
+            clock,
+            record,
+            core: Mutex::new(core),
+            plan: ArcSwapOption::empty(),
+            drain: watch::Sender::new(DrainStage::Serving),
+            meters: EntryMeters::default(),
+            decisions: DecisionLog::new(clock.now()),
+            is_registered: AtomicBool::new(false),
+        }
+    }
+
+    /// Publishes the plan of the core for requests.
+    pub fn publish_plan(&self, plan: Option<Arc<RoutingPlan>>) {
+        let known = self.plan.load().as_ref().map(|it| it.generation);
+        let Some(plan) = plan.filter(|it| Some(it.generation) != known) else { return };
+        log::info!(generation:% = plan.generation, was:? = known.map(|it| it.0); "plan in force");
+        self.plan.store(Some(plan));
+    }
+
+    /// Notes that the store has this host's registration.
+    pub fn record_registration(&self) {
+        self.is_registered.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.plan.load().is_some() && *self.drain.borrow() == DrainStage::Serving
+    }
+
+    /// Whether the store had this host's registration once.
+    pub fn is_registered(&self) -> bool {
+        self.is_registered.load(Ordering::Relaxed)
+    }
+}
--- a/crates/sapphireknotd/src/front/headers.rs
+++ b/crates/sapphireknotd/src/front/headers.rs
@@ -77,7 +77,8 @@
     drop_host_headers(headers);
 }
 
-fn drop_hop_by_hop(headers: &mut HeaderMap) {
+/// Drops what belongs to one connection.
+pub fn drop_hop_by_hop(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod daemon;
 pub mod directory;
+pub mod entry;
 pub mod front;
 pub mod logging;
 pub mod operator;
--- a/crates/sapphireknotd/src/logging.rs
+++ b/crates/sapphireknotd/src/logging.rs
@@ -22,16 +22,23 @@
 pub fn install(settings: &LogSettings) -> Result<(), LogError> {
     let level = settings.level.parse().unwrap_or(LevelFilter::Info);
     fern::Dispatch::new()
-        .level(level)
+        // The level is checked before a record is built; a reload may change it.
+        .level(LevelFilter::Trace)
         // Connection libraries log single frames below this level, which drowns the host's own lines.
         .level_for("h2", LevelFilter::Warn)
         .level_for("hyper", LevelFilter::Warn)
         .format(|out, _, record| out.finish(format_args!("{}", format_line(record))))
         .chain(std::io::stdout())
         .apply()?;
+    log::set_max_level(level);
     Ok(())
 }
 
+/// Changes the level of the logs that are being written.
+pub fn set_level(settings: &LogSettings) {
+    log::set_max_level(settings.level.parse().unwrap_or(LevelFilter::Info));
+}
+
 /// One record as a JSON object.
 pub fn format_line(record: &Record<'_>) -> String {
     let time = WallTime::from(std::time::SystemTime::now());
--- a/crates/sapphireknotd/src/main.rs
+++ b/crates/sapphireknotd/src/main.rs
@@ -16,17 +16,10 @@
     if options.check {
         return ExitCode::SUCCESS;
     }
-    if let Err(err) = logging::install(&options.settings.log) {
+    if let Err(err) = logging::install(options.settings.log()) {
         return fail(&err);
     }
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(err) => return fail(&err),
-    };
-    let result = runtime.block_on(daemon::run(options.settings));
-    // A second signal must not wait for blocking tasks.
-    runtime.shutdown_background();
-    match result {
+    match daemon::run_process(options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!(error:% = err; "daemon ended");
--- a/crates/sapphireknotd/src/options.rs
+++ b/crates/sapphireknotd/src/options.rs
@@ -10,7 +10,10 @@
 use serde_json::{Map, Value};
 use thiserror::Error;
 
-use crate::settings::HostSettings;
+use crate::{
+    entry::settings::EntrySettings,
+    settings::{HostSettings, LogSettings},
+};
 
 /// Arguments that override one field: name, path in the tree, help.
 const OVERRIDES: [(&str, &str, &str); 12] = [
@@ -28,11 +31,41 @@
     ("otlp", "telemetry.otlp", "Address of an OTLP receiver"),
 ];
 
+/// Settings of either kind of platform.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DaemonSettings {
+    /// The system keeps configuration and membership itself.
+    Own(HostSettings),
+    /// The platform holds configuration, registrations and hosts.
+    Managed(EntrySettings),
+}
+
+impl DaemonSettings {
+    /// Settings of logs.
+    pub fn log(&self) -> &LogSettings {
+        match self {
+            Self::Own(settings) => &settings.log,
+            Self::Managed(settings) => &settings.log,
+        }
+    }
+
+    /// Checks a tree; a field `managed` tells the kinds apart.
+    pub fn from_tree(tree: Value) -> Result<Self, Vec<ConfigProblem>> {
+        if tree.get("managed").is_some() {
+            EntrySettings::from_tree(tree).map(Self::Managed)
+        } else {
+            HostSettings::from_tree(tree).map(Self::Own)
+        }
+    }
+}
+
 /// What the command line asks for.
 #[derive(Debug)]
 pub struct DaemonOptions {
     /// Settings from the command line, the file and the defaults.
-    pub settings: HostSettings,
+    pub settings: DaemonSettings,
+    /// Settings file.
+    pub path: PathBuf,
     /// Whether to check the settings only.
     pub check: bool,
 }
@@ -91,11 +124,12 @@
 {
     let matches = command().try_get_matches_from(arguments)?;
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    let text = fs::read_to_string(&path).map_err(|source| OptionError::File { path, source })?;
+    let text = fs::read_to_string(&path);
+    let text = text.map_err(|source| OptionError::File { path: path.clone(), source })?;
     let mut tree = HostSettings::parse_tree(&text).map_err(OptionError::Settings)?;
     override_fields(&matches, &mut tree);
-    let settings = HostSettings::from_tree(tree).map_err(OptionError::Settings)?;
-    Ok(DaemonOptions { settings, check: matches.get_flag("check") })
+    let settings = DaemonSettings::from_tree(tree).map_err(OptionError::Settings)?;
+    Ok(DaemonOptions { settings, path, check: matches.get_flag("check") })
 }
 
 fn override_fields(matches: &ArgMatches, tree: &mut Value) {
--- a/crates/sapphireknotd/src/telemetry.rs
+++ b/crates/sapphireknotd/src/telemetry.rs
@@ -3,7 +3,7 @@
 //! Spans and counters are always produced, so that trace identifiers are passed on. They leave the process only if the
 //! settings name an OTLP receiver. No span or metric carries a key, a query or a body.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use http::{HeaderMap, HeaderValue};
 use opentelemetry::{
@@ -17,10 +17,10 @@
     Resource, metrics::SdkMeterProvider, propagation::TraceContextPropagator,
     trace::SdkTracerProvider,
 };
+use prometheus::Registry;
+use sapphireknot::ids::{HostId, RegionId};
 use thiserror::Error;
 
-use crate::settings::HostSettings;
-
 /// Name under which spans and metrics are produced.
 pub const SCOPE: &str = "sapphireknotd";
 /// Headers of the W3C trace context.
@@ -37,6 +37,9 @@
         /// Cause.
         source: opentelemetry_otlp::ExporterBuildError,
     },
+    /// Metrics cannot be read as text.
+    #[error("register metrics: {0}")]
+    Registry(#[source] opentelemetry_sdk::error::OTelSdkError),
 }
 
 /// Providers of this process; ended by [`TelemetryGuard::shutdown`].
@@ -46,16 +49,36 @@
     metrics: SdkMeterProvider,
 }
 
-/// Starts telemetry for the host of `settings`.
-pub fn install(settings: &HostSettings) -> Result<TelemetryGuard, TelemetryError> {
+/// What telemetry says of the host, and where it goes.
+#[derive(Debug)]
+pub struct TelemetryTarget<'a> {
+    /// Host.
+    pub host: &'a HostId,
+    /// Region.
+    pub region: &'a RegionId,
+    /// OTLP receiver.
+    pub otlp: Option<SocketAddr>,
+    /// Registry from which metrics are read as text.
+    pub registry: Option<&'a Registry>,
+}
+
+/// Starts telemetry for a host.
+pub fn install(target: &TelemetryTarget<'_>) -> Result<TelemetryGuard, TelemetryError> {
     let resource = Resource::builder()
         .with_service_name(SCOPE)
-        .with_attribute(KeyValue::new("host.name", settings.host.to_string()))
-        .with_attribute(KeyValue::new("region", settings.region.to_string()))
+        .with_attribute(KeyValue::new("host.name", target.host.to_string()))
+        .with_attribute(KeyValue::new("region", target.region.to_string()))
         .build();
     let mut traces = SdkTracerProvider::builder().with_resource(resource.clone());
     let mut metrics = SdkMeterProvider::builder().with_resource(resource);
-    if let Some(receiver) = settings.telemetry.otlp {
+    if let Some(registry) = target.registry {
+        let reader = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build();
+        metrics = metrics.with_reader(reader.map_err(TelemetryError::Registry)?);
+    }
+    if let Some(receiver) = target.otlp {
         let endpoint = format!("http://{receiver}");
         let describe = |source| TelemetryError::Exporter { receiver: receiver.to_string(), source };
         let exporter = SpanExporter::builder().with_tonic().with_endpoint(&endpoint).build();
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -6,24 +6,51 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response, header, response};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use crate::buffers::{BufferBudget, MemoryWait};
 
-/// Idle connections that are kept per backend server.
-const MAX_IDLE: usize = 16;
-/// Time to open a connection; far above a round trip between regions of 24 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time before a backend server closes an idle connection at which the connection is no longer used.
+const CLOSE_MARGIN: Duration = Duration::from_secs(1);
+/// Header with the time after which an idle connection is closed.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Limits of the connections to backend servers.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolLimits {
+    /// Idle connections that are kept per backend server.
+    pub max_idle: usize,
+    /// Time to open a connection.
+    pub connect_timeout: Duration,
+    /// Time for which an idle connection is used again unless its server tells a shorter one.
+    pub idle_timeout: Duration,
+    /// Time for which sent bytes may stay unacknowledged; `None` for the system's own.
+    pub unacknowledged: Option<Duration>,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self {
+            max_idle: 16,
+            // Far above a round trip between regions of 24 ms.
+            connect_timeout: Duration::from_millis(500),
+            idle_timeout: Duration::from_secs(60),
+            unacknowledged: None,
+        }
+    }
+}
+
 /// Header of the correlation with a response.
 pub const REQUEST_ID: &str = "x-request-id";
 
@@ -53,6 +80,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Until when it may be used again once idle.
+    usable_until: Instant,
 }
 
 impl Drop for Connection {
@@ -66,14 +95,20 @@
 pub struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     buffers: BufferBudget,
+    limits: PoolLimits,
 }
 
 impl ConnectionPool {
     /// A pool whose responses together hold at most `max_buffered_bytes`.
     pub fn new(max_buffered_bytes: usize) -> Self {
+        Self::with_limits(max_buffered_bytes, PoolLimits::default())
+    }
+
+    /// A pool with other limits.
+    pub fn with_limits(max_buffered_bytes: usize, limits: PoolLimits) -> Self {
         // The request ran, so its response waits for memory rather than being lost.
         let buffers = BufferBudget::new(max_buffered_bytes, MemoryWait::Wait);
-        Self { idle: Mutex::default(), buffers }
+        Self { idle: Mutex::default(), buffers, limits }
     }
 
     /// Sends `request` and reads the whole response, whose body has at most `max_bytes`.
@@ -84,7 +119,31 @@
         max_bytes: usize,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let request_id = request.headers().get(REQUEST_ID).cloned();
-        let method = request.method().clone();
+        let has_body = request.method() != http::Method::HEAD;
+        let check = |head: &response::Parts| {
+            if request_id.is_some() && head.headers.get(REQUEST_ID) != request_id.as_ref() {
+                return Err("response carries another request id".to_owned());
+            }
+            let has_body = has_body && !matches!(head.status.as_u16(), 204 | 304);
+            if has_body && !has_framing(&head.headers) {
+                return Err("response does not tell its length".to_owned());
+            }
+            Ok(())
+        };
+        self.exchange_checked(peer, request, max_bytes, check).await
+    }
+
+    /// Like [`Self::exchange`], with a check of the response's head; a response that fails it closes the connection.
+    pub async fn exchange_checked<C>(
+        &self,
+        peer: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        check: C,
+    ) -> Result<Response<Bytes>, ExchangeError>
+    where
+        C: Fn(&response::Parts) -> Result<(), String>,
+    {
         let mut request = request;
         let (mut connection, response) = loop {
             let (mut connection, is_new) = self.connection(peer).await?;
@@ -109,15 +168,10 @@
         if head.status.is_informational() {
             return Err(broken("unexpected change of protocol".to_owned()));
         }
-        if request_id.is_some() && head.headers.get(REQUEST_ID) != request_id.as_ref() {
-            return Err(broken("response carries another request id".to_owned()));
-        }
-        let has_body = method != http::Method::HEAD && !matches!(head.status.as_u16(), 204 | 304);
-        if has_body && !has_framing(&head.headers) {
-            return Err(broken("response does not tell its length".to_owned()));
-        }
+        check(&head).map_err(broken)?;
         let body = self.buffers.collect(body, max_bytes).await;
         let body = body.map_err(|err| broken(err.to_string()))?;
+        connection.usable_until = Instant::now() + self.idle_time(&head.headers);
         // The connection is ready once the last byte was read; if it is not, it is closing.
         if connection.sender.ready().await.is_ok() {
             self.keep(peer, connection);
@@ -132,22 +186,37 @@
 
     async fn connection(&self, peer: SocketAddr) -> Result<(Connection, bool), ExchangeError> {
         while let Some(connection) = self.take_idle(peer) {
-            if connection.sender.is_ready() {
+            if connection.sender.is_ready() && Instant::now() < connection.usable_until {
                 return Ok((connection, false));
             }
         }
         let not_sent = |cause: String| ExchangeError::NotSent { peer, cause };
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+        let connecting = TcpStream::connect(peer);
+        let connecting = tokio::time::timeout(self.limits.connect_timeout, connecting).await;
         let stream = connecting
             .map_err(|_| not_sent("no answer in time".to_owned()))?
             .map_err(|err| not_sent(err.to_string()))?;
         stream.set_nodelay(true).map_err(|err| not_sent(err.to_string()))?;
+        if let Some(limit) = self.limits.unacknowledged {
+            let result = SockRef::from(&stream).set_tcp_user_timeout(Some(limit));
+            result.map_err(|err| not_sent(err.to_string()))?;
+        }
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|err| not_sent(err.to_string()))?;
         // Errors of the connection reach the request that waits on it.
         let driver = tokio::spawn(async move { drop(driver.await) }).abort_handle();
-        Ok((Connection { sender, driver }, true))
+        let usable_until = Instant::now() + self.limits.idle_timeout;
+        Ok((Connection { sender, driver, usable_until }, true))
+    }
+
+    /// Time for which a connection may be used again after a response with `headers`.
+    fn idle_time(&self, headers: &HeaderMap) -> Duration {
+        let text = headers.get(KEEP_ALIVE).and_then(|it| it.to_str().ok()).unwrap_or_default();
+        let mut parameters = text.split(',').filter_map(|it| it.trim().strip_prefix("timeout="));
+        let told = parameters.next().and_then(|it| it.parse().ok()).map(Duration::from_secs);
+        let told = told.map(|it| it.saturating_sub(CLOSE_MARGIN));
+        told.unwrap_or(self.limits.idle_timeout).min(self.limits.idle_timeout)
     }
 
     fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
@@ -157,7 +226,7 @@
     fn keep(&self, peer: SocketAddr, connection: Connection) {
         let mut idle = self.idle.lock();
         let connections = idle.entry(peer).or_default();
-        if connections.len() < MAX_IDLE {
+        if connections.len() < self.limits.max_idle {
             connections.push(connection);
         }
     }
