--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -280,6 +280,20 @@
         }
     }
 
+    /// Takes back a request that was counted and not sent.
+    pub fn withdraw(&mut self, id: &ServerId) {
+        if let Some(server) = self.server_mut(id) {
+            server.record_abandoned();
+        }
+    }
+
+    /// Whether a server has not been heard of since requests were sent to it.
+    pub fn is_silent(&self, id: &ServerId, now: MonoTime) -> bool {
+        let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id));
+        let server = idx.ok().and_then(|it| self.servers.get(it));
+        server.is_none_or(|it| it.silence(now) > SILENCE)
+    }
+
     /// Takes a load report of `id`.
     pub fn record_load(&mut self, id: &ServerId, load: ServerLoad, now: MonoTime) {
         let Some(server) = self.server_mut(id) else { return };
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -335,6 +335,19 @@
         self.versions.record_outcome(&record.service, &record.version, is_bad)
     }
 
+    /// Takes back a choice to which nothing was sent.
+    pub fn withdraw_choice(&mut self, chosen: &ChosenServer) {
+        if let Some(picker) = self.pickers.get_mut(&chosen.record.service) {
+            picker.withdraw(&chosen.record.id);
+        }
+    }
+
+    /// Whether a server has not been heard of for longer than its requests take.
+    pub fn is_silent(&self, record: &ServerRecord, now: MonoTime) -> bool {
+        let picker = self.pickers.get(&record.service);
+        picker.is_some_and(|it| it.is_silent(&record.id, now))
+    }
+
     /// Leaves a server out for a while, as it cannot be reached or another one has its address.
     pub fn pause_server(&mut self, record: &ServerRecord, now: MonoTime) {
         if let Some(picker) = self.pickers.get_mut(&record.service) {
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -14,6 +14,7 @@
     steering::{
         choice::{ChoiceMiss, ChoiceQuery, ChosenServer},
         core::AttemptReport,
+        fleet::ServerRecord,
         plan::{RequestPriority, RouteRule},
         server_state::ServerLoad,
     },
@@ -202,7 +203,12 @@
             constants::MAX_RESPONSE_BYTES,
             check,
         );
-        let result = timeout_at(self.state.clock.instant(until), exchange).await;
+        tokio::pin!(exchange);
+        let mut result = timeout_at(self.state.clock.instant(until), exchange.as_mut()).await;
+        if result.is_err() && until < request.deadline && !self.should_abandon(request, &record) {
+            let until = self.state.clock.instant(request.deadline);
+            result = timeout_at(until, exchange).await;
+        }
         let (outcome, load, ended) = match result {
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
@@ -241,6 +247,19 @@
         ended
     }
 
+    /// Whether an attempt that takes long is better made at another server.
+    fn should_abandon(&self, request: &EntryRequest<'_>, record: &ServerRecord) -> bool {
+        // A server that answers other requests is at work on this one too.
+        if !self.state.core.lock().is_silent(record, self.state.clock.now()) {
+            return false;
+        }
+        let other = self.choose(request, std::slice::from_ref(&record.id));
+        if let Ok(chosen) = &other {
+            self.state.core.lock().withdraw_choice(chosen);
+        }
+        other.is_ok()
+    }
+
     fn log_failure(
         &self,
         request: &EntryRequest<'_>,
