steering: overflow to servers that do not know an object only while they have room

Cause: at scale, services stayed overloaded after the start though the work of warm servers needs half of their slots. Ruled out: the rollout, as the load was the same before it. Further servers in the rank of an object take requests only below a load per slot.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -30,6 +30,11 @@
 /// Chance that a server does not know an object, by its rank for the object. Requests overflow to the next ranks, so that
 /// these know a part of the objects too.
 const UNKNOWN_BY_RANK: [f64; 4] = [0.0, 0.3, 0.6, 0.85];
+/// Requests per slot up to which a server takes a request, by its rank for the object. Work at a server that does not
+/// know the object takes several times as long, so that overflow in an overload would only lengthen all queues.
+const MAX_LOAD_BY_RANK: [f64; 3] = [f64::INFINITY, 1.2, 0.9];
+/// The same for further ranks and other regions.
+const MAX_OVERFLOW_LOAD: f64 = 0.75;
 /// Time that a server in another region than that of the object costs, in milliseconds: a round trip between regions.
 const AWAY_MS: f64 = 30.0;
 /// Work at a server that knows the object, as a part of the target latency, until it was measured.
@@ -228,6 +233,13 @@
                 shortest_wait = shortest_wait.min(wait.max(work_ms));
                 continue;
             }
+            let max_load = match home {
+                Some(_) if is_home => {
+                    max_load.min(MAX_LOAD_BY_RANK.get(rank).copied().unwrap_or(MAX_OVERFLOW_LOAD))
+                }
+                Some(_) => max_load.min(MAX_OVERFLOW_LOAD),
+                None => max_load,
+            };
             if load >= max_load * server.slots() || expected_ms > left_ms * TIME_PART {
                 shortest_wait = shortest_wait.min(wait.max(work.warm));
                 continue;
@@ -337,6 +349,18 @@
         }
     }
 
+    /// What this host believes of the service.
+    pub fn summary(&self, now: MonoTime) -> PickerSummary {
+        let usable = || self.servers.iter().filter(|it| self.may_get(it, now));
+        PickerSummary {
+            registered: self.servers.len(),
+            usable: usable().count(),
+            cold: usable().filter(|it| it.is_cold(now)).count(),
+            load_per_slot: self.usual_load,
+            home_share: self.place.home_share(),
+        }
+    }
+
     /// Servers with their state.
     pub fn servers(&self) -> &[ServerState] {
         &self.servers
@@ -353,6 +377,21 @@
     }
 }
 
+/// What a host believes of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PickerSummary {
+    /// Registered servers.
+    pub registered: usize,
+    /// Servers that may get requests.
+    pub usable: usize,
+    /// Those of them that are cold.
+    pub cold: usize,
+    /// Requests that run or wait per slot, by recent reports.
+    pub load_per_slot: f64,
+    /// Share of objects that is kept in the callers' region.
+    pub home_share: f64,
+}
+
 /// Expected wait for a slot at a server with `load` requests that run or wait, in milliseconds.
 fn wait_ms(load: f64, slots: f64, work_ms: f64) -> f64 {
     if load < slots {
--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -12,9 +12,9 @@
     units::SlotCount,
 };
 
-/// Time after the store's return within which a server that lives has registered again, with a margin for the way of
-/// the news to this host.
-const REGISTER_AGAIN: Duration = Duration::from_millis(2_300);
+/// Time after the store was first read again within which a server that lives has registered again. Servers take about two
+/// seconds from the return of the store, which this host notices a little later.
+const REGISTER_AGAIN: Duration = Duration::from_millis(1_900);
 /// Time for which a host that left the list still counts in the division of shares; it may be cut off and serve on.
 const HOST_RETENTION: Duration = Duration::from_secs(60);
 
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -20,6 +20,8 @@
 
 /// Interval at which deadlines are checked.
 const TICK: Duration = Duration::from_millis(250);
+/// Interval at which the state of the services is logged, at level debug.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Head start of each host over the next one for a write that any of them may do.
 const TURN: Duration = Duration::from_millis(300);
 /// Pause after a write of a rollout's record, in which the watch tells its result.
@@ -53,6 +55,7 @@
 pub struct FleetActorState {
     state: Arc<EntryState>,
     is_down: bool,
+    next_report: MonoTime,
     /// When this host may write the record of a rollout.
     turns: HashMap<ServiceId, (RolloutPhase, MonoTime)>,
 }
@@ -71,7 +74,12 @@
         let FleetArguments { state } = arguments;
         myself.send_interval(TICK, || FleetMessage::Tick);
         tokio::spawn(follow(state.clone(), myself));
-        Ok(FleetActorState { state, is_down: false, turns: HashMap::new() })
+        Ok(FleetActorState {
+            state,
+            is_down: false,
+            next_report: MonoTime::default(),
+            turns: HashMap::new(),
+        })
     }
 
     async fn handle(
@@ -109,6 +117,7 @@
             }
             FleetMessage::Tick => {
                 actor.state.core.lock().tick(now);
+                actor.report(now);
                 actor.write_due(now);
             }
         }
@@ -132,6 +141,20 @@
         self.state.publish_plan(plan);
     }
 
+    /// Logs what this host believes of each service.
+    fn report(&mut self, now: MonoTime) {
+        if now < self.next_report || !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        self.next_report = now.after(REPORT_INTERVAL);
+        let core = self.state.core.lock();
+        for (service, picker) in core.pickers() {
+            let summary = picker.summary(now);
+            let version = core.usual_version(service, now);
+            log::debug!(service:%, version:? = version, summary:? = summary; "service state");
+        }
+    }
+
     /// Starts writes of records that are due and whose turn it is.
     fn write_due(&mut self, now: MonoTime) {
         let (due, position) = {
