--- /dev/null
+++ b/crates/sapphireknot/tests/steering/affinity_choice.rs
@@ -0,0 +1,223 @@
+//! Choice of a backend server.
+
+use std::{collections::HashSet, time::Duration};
+
+use rand::{SeedableRng, rngs::StdRng};
+use sapphireknot::{
+    ids::{RegionId, ServerId},
+    picker::ServerOutcome,
+    steering::{
+        choice::{ChoiceMiss, ChoiceQuery, ChosenServer, ServicePicker},
+        fleet::{FleetTable, ServerRecord},
+        plan::RequestPriority,
+        server_state::ServerLoad,
+    },
+    time::MonoTime,
+};
+
+use crate::support::{at, id, server, service_rule};
+
+const TARGET_MS: f64 = 200.0;
+
+fn region_of(record: &ServerRecord) -> RegionId {
+    id(record.datacentre.as_str().trim_end_matches("-a"))
+}
+
+fn picker(own: &str, records: &[ServerRecord]) -> ServicePicker {
+    let mut table = FleetTable::default();
+    for record in records {
+        table.register(record.clone(), at(0));
+    }
+    let mut picker = ServicePicker::new(service_rule(), id(own));
+    picker.set_servers(table.servers().map(|it| (it, region_of(&it.record))));
+    picker.set_rule(service_rule(), RequestPriority(2), 12);
+    picker.rebalance(at(0));
+    picker
+}
+
+fn east(count: usize) -> Vec<ServerRecord> {
+    (0..count).map(|it| server(&format!("s{it}"), "east")).collect()
+}
+
+fn query(object: Option<u64>, now: MonoTime) -> ChoiceQuery<'static> {
+    ChoiceQuery {
+        target_ms: TARGET_MS,
+        priority: RequestPriority(2),
+        object,
+        version: None,
+        homes: None,
+        excluded: &[],
+        deadline: now.after(Duration::from_millis(1_200)),
+    }
+}
+
+fn choose(picker: &ServicePicker, object: u64, now: MonoTime) -> Result<ChosenServer, ChoiceMiss> {
+    picker.choose(&query(Some(object), now), now, &mut StdRng::seed_from_u64(object))
+}
+
+fn name(chosen: &ChosenServer) -> String {
+    chosen.record.id.to_string()
+}
+
+/// Hosts that send an object to different servers make each of them do the work of a first request.
+#[test]
+fn hosts_agree() {
+    let (first, second) = (picker("east", &east(8)), picker("east", &east(8)));
+    for object in 0..200 {
+        let (a, b) = (choose(&first, object, at(1)), choose(&second, object, at(1)));
+        assert_eq!(name(&a.unwrap()), name(&b.unwrap()));
+    }
+}
+
+/// When a server leaves, only its own objects may move; all others would be unknown to their new servers.
+#[test]
+fn stable_on_leave() {
+    let (before, after) = (picker("east", &east(8)), picker("east", &east(7)));
+    for object in 0..500 {
+        let old = name(&choose(&before, object, at(1)).unwrap());
+        let new = name(&choose(&after, object, at(1)).unwrap());
+        assert!(old == new || old == "s7", "object {object} moved from {old} to {new}");
+    }
+}
+
+/// Objects spread over all servers, so that none gets a multiple of its part.
+#[test]
+fn even_spread() {
+    let picker = picker("east", &east(8));
+    let mut counts = std::collections::HashMap::<String, u32>::new();
+    for object in 0..4_000u64 {
+        let object = object.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        *counts.entry(name(&choose(&picker, object, at(1)).unwrap())).or_default() += 1;
+    }
+    assert!(counts.values().all(|it| (350..650).contains(it)), "{counts:?}");
+}
+
+/// A full server is passed over while another one has room.
+#[test]
+fn full_server() {
+    let mut picker = picker("east", &east(4));
+    let first = choose(&picker, 7, at(1)).unwrap();
+    picker.record_load(&first.record.id, ServerLoad { running: 4, waiting: 12 }, at(2));
+    let second = choose(&picker, 7, at(3)).unwrap();
+    assert_ne!(name(&first), name(&second));
+}
+
+/// When all servers are full, a request is refused with a time to come back instead of lengthening the queues.
+#[test]
+fn all_full() {
+    let mut picker = picker("east", &east(4));
+    for record in east(4) {
+        picker.record_load(&record.id, ServerLoad { running: 4, waiting: 12 }, at(2));
+    }
+    let miss = choose(&picker, 7, at(3)).unwrap_err();
+    assert!(matches!(miss, ChoiceMiss::NoRoom { wait } if wait > Duration::from_millis(10)));
+}
+
+/// An urgent request finds room where a less urgent one of the same service is refused.
+#[test]
+fn urgent_first() {
+    let mut picker = picker("east", &east(1));
+    picker.record_load(&id("s0"), ServerLoad { running: 4, waiting: 4 }, at(2));
+    let mut rng = StdRng::seed_from_u64(1);
+    let urgent = ChoiceQuery { priority: RequestPriority(0), ..query(Some(7), at(3)) };
+    assert!(picker.choose(&urgent, at(3), &mut rng).is_ok());
+    assert!(picker.choose(&query(Some(7), at(3)), at(3), &mut rng).is_err());
+}
+
+/// A request that cannot be answered in time anywhere is refused before it is sent.
+#[test]
+fn too_late() {
+    let picker = picker("east", &east(2));
+    let late = ChoiceQuery { deadline: at(5), ..query(Some(7), at(1)) };
+    let miss = picker.choose(&late, at(1), &mut StdRng::seed_from_u64(1)).unwrap_err();
+    assert!(matches!(miss, ChoiceMiss::NoRoom { .. }));
+}
+
+/// A server that fails its requests loses them to others although it reports no load.
+#[test]
+fn failing_server() {
+    let mut picker = picker("east", &east(4));
+    let first = choose(&picker, 7, at(1)).unwrap();
+    for step in 0..10 {
+        picker.record_sent(&first.record.id, at(step));
+        let now = at(step + 1);
+        let elapsed = Duration::from_millis(20);
+        picker.record_end(&first, ServerOutcome::Failed, TARGET_MS, elapsed, now);
+    }
+    assert_ne!(name(&first), name(&choose(&picker, 7, at(12)).unwrap()));
+    assert_eq!(name(&first), name(&choose(&picker, 7, at(30_000)).unwrap()), "tried again later");
+}
+
+/// A server that answers nothing any more keeps its requests waiting until their deadlines.
+#[test]
+fn silent_server() {
+    let mut picker = picker("east", &east(4));
+    let first = choose(&picker, 7, at(1)).unwrap();
+    picker.record_sent(&first.record.id, at(1));
+    assert!(!picker.is_silent(&first.record.id, at(200)));
+    assert!(picker.is_silent(&first.record.id, at(1_500)));
+    assert_ne!(name(&first), name(&choose(&picker, 7, at(1_500)).unwrap()));
+}
+
+/// Servers that cannot be reached, drain, stand in an evacuated data centre or had the request already get nothing.
+#[test]
+fn unusable_servers() {
+    let mut records = east(3);
+    records[0].is_draining = true;
+    let mut picker = picker("east", &records);
+    picker.pause(&id("s1"), at(0));
+    for object in 0..50 {
+        assert_eq!(name(&choose(&picker, object, at(1)).unwrap()), "s2");
+    }
+    let tried: [ServerId; 1] = [id("s2")];
+    let again = ChoiceQuery { excluded: &tried, ..query(Some(1), at(1)) };
+    let mut rng = StdRng::seed_from_u64(1);
+    assert_eq!(picker.choose(&again, at(1), &mut rng).unwrap_err(), ChoiceMiss::NoServer);
+    picker.set_evacuated(HashSet::from([id("east-a")]));
+    assert_eq!(choose(&picker, 1, at(1)).unwrap_err(), ChoiceMiss::NoServer);
+}
+
+/// Requests that are bound to a region are not served elsewhere, not even when their region has no server.
+#[test]
+fn bound_regions() {
+    let picker = picker("east", &[server("s0", "east"), server("s1", "west")]);
+    let homes: HashSet<RegionId> = HashSet::from([id("west")]);
+    let mut rng = StdRng::seed_from_u64(1);
+    for object in 0..50 {
+        let bound = ChoiceQuery { homes: Some(&homes), ..query(Some(object), at(1)) };
+        assert_eq!(name(&picker.choose(&bound, at(1), &mut rng).unwrap()), "s1");
+    }
+    let nowhere = HashSet::from([id("north")]);
+    let bound = ChoiceQuery { homes: Some(&nowhere), ..query(Some(1), at(1)) };
+    assert_eq!(picker.choose(&bound, at(1), &mut rng).unwrap_err(), ChoiceMiss::NoServer);
+}
+
+/// A cold server takes single requests at a pace that all hosts together keep; more of them crash it.
+#[test]
+fn cold_server() {
+    let cold = ServerRecord { warmup_left: Duration::from_secs(3), ..server("s0", "east") };
+    let mut picker = picker("east", &[cold]);
+    let mut sent = 0;
+    for step in 0..2_000 {
+        if choose(&picker, step, at(step)).is_ok() {
+            picker.record_sent(&id("s0"), at(step));
+            sent += 1;
+        }
+    }
+    assert!((2..=3).contains(&sent), "{sent} requests of this host in two seconds");
+    assert!(choose(&picker, 1, at(3_100)).is_ok(), "warm again");
+}
+
+/// Requests of a caller that left are no failure of the server, and the server is not counted as busy with them.
+#[test]
+fn cancelled_requests() {
+    let mut picker = picker("east", &east(1));
+    let chosen = choose(&picker, 7, at(1)).unwrap();
+    for step in 0..10 {
+        picker.record_sent(&chosen.record.id, at(step));
+        let elapsed = Duration::from_millis(5);
+        picker.record_end(&chosen, ServerOutcome::Cancelled, TARGET_MS, elapsed, at(step));
+    }
+    let state = &picker.servers()[0];
+    assert_eq!((state.in_flight(), state.failure_rate(at(20))), (0, 0.0));
+}
--- /dev/null
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -0,0 +1,11 @@
+//! Steering on a platform that holds configuration, registrations and hosts.
+
+mod affinity_choice;
+mod core_state;
+mod fleet_table;
+mod host_naming;
+mod object_place;
+mod route_index;
+mod share_bounds;
+mod support;
+mod version_ramp;
--- /dev/null
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -0,0 +1,120 @@
+//! Plans, servers and hosts for tests.
+
+use std::{collections::HashMap, net::SocketAddr, str::FromStr, time::Duration};
+
+use sapphireknot::{
+    ids::{ConfigGeneration, IncarnationId},
+    quota::QuotaLimits,
+    steering::{
+        core::{HostPlace, SharedBounds, SteeringCore},
+        fleet::{HostRecord, ServerRecord},
+        plan::{
+            CallerLimits, OrganisationRule, RequestPriority, RouteRule, RoutingPlan, ServiceRule,
+            SplitPart,
+        },
+        shares::QuotaSlack,
+    },
+    time::MonoTime,
+    units::{BurstSize, RequestRate, SlotCount},
+};
+
+/// Regions, each with one data centre whose name ends in `-a`.
+pub(crate) const REGIONS: [&str; 3] = ["east", "north", "west"];
+
+pub(crate) fn id<T>(text: &str) -> T
+where
+    T: FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+/// A point in time, in milliseconds after the start of the test.
+pub(crate) fn at(millis: u64) -> MonoTime {
+    MonoTime(1_000_000 + millis * 1_000)
+}
+
+pub(crate) fn server(name: &str, region: &str) -> ServerRecord {
+    ServerRecord {
+        id: id(name),
+        service: id("reports"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        datacentre: id(&format!("{region}-a")),
+        version: id("v1"),
+        slots: SlotCount(4),
+        is_draining: false,
+        warmup_left: Duration::ZERO,
+        started: 1,
+    }
+}
+
+pub(crate) fn host(name: &str, region: &str) -> HostRecord {
+    HostRecord {
+        id: id(name),
+        incarnation: IncarnationId(1),
+        region: id(region),
+        datacentre: id(&format!("{region}-a")),
+        address: format!("127.0.0.1:{}", 8_000 + name.len()).parse().unwrap(),
+    }
+}
+
+pub(crate) fn service_rule() -> ServiceRule {
+    ServiceRule {
+        max_connections: 400,
+        warmup: Duration::from_secs(3),
+        warmup_rate: RequestRate::per_second(15),
+    }
+}
+
+pub(crate) fn route(name: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        id: id(name),
+        host_name: "survey.example".to_owned(),
+        prefix: prefix.to_owned(),
+        is_idempotent: true,
+        timeout: Duration::from_millis(1_200),
+        target_latency: Duration::from_millis(200),
+        priority: RequestPriority(2),
+        split: vec![SplitPart { service: id("reports"), weight: 1 }],
+        max_attempts: 2,
+        is_open: false,
+        has_affinity: true,
+        homes: Vec::new(),
+    }
+}
+
+pub(crate) fn plan(generation: u64) -> RoutingPlan {
+    let limits = CallerLimits {
+        max_header_bytes: 16 << 10,
+        max_body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let mut plan = RoutingPlan::new(ConfigGeneration(generation), limits);
+    plan.services.insert(id("reports"), service_rule());
+    plan.add_route(route("fetch", "/reports/"));
+    plan
+}
+
+pub(crate) fn organisation(rate: u64, burst: u64) -> OrganisationRule {
+    let quota = QuotaLimits { rate: RequestRate::per_second(rate), burst: BurstSize(burst) };
+    OrganisationRule { quota: Some(quota), priority: None, homes: Vec::new() }
+}
+
+pub(crate) fn place(region: &str) -> HostPlace {
+    let regions: HashMap<_, _> =
+        REGIONS.iter().map(|it| (id(&format!("{it}-a")), id(it))).collect();
+    HostPlace { region: id(region), regions }
+}
+
+pub(crate) fn bounds() -> SharedBounds {
+    SharedBounds {
+        quota: QuotaSlack { tolerance: 0.1, requests: 20 },
+        retry_ratio: 0.2,
+        retry_slack: 64,
+    }
+}
+
+pub(crate) fn core(region: &str) -> SteeringCore {
+    SteeringCore::new(place(region), bounds())
+}
