--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -7,5 +7,6 @@
 mod object_place;
 mod route_index;
 mod share_bounds;
+#[cfg(test)]
 mod support;
 mod version_ramp;
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -26,7 +26,7 @@
     T: FromStr,
     T::Err: std::fmt::Debug,
 {
-    text.parse().unwrap()
+    text.parse().expect("identifier")
 }
 
 /// A point in time, in milliseconds after the start of the test.
@@ -54,7 +54,7 @@
         incarnation: IncarnationId(1),
         region: id(region),
         datacentre: id(&format!("{region}-a")),
-        address: format!("127.0.0.1:{}", 8_000 + name.len()).parse().unwrap(),
+        address: format!("127.0.0.1:{}", 8_000 + name.len()).parse().expect("address"),
     }
 }
 
--- a/crates/sapphireknot/tests/steering/version_ramp.rs
+++ b/crates/sapphireknot/tests/steering/version_ramp.rs
@@ -98,7 +98,7 @@
 #[test]
 fn common_failures() {
     let mut table = running();
-    let is_bad = |step: u32| step % 3 == 0;
+    let is_bad = |step: u32| step.is_multiple_of(3);
     let bad = (0..600).any(|step| {
         let version = id(if step % 2 == 0 { "v1" } else { "v2" });
         table.record_outcome(&reports(), &version, is_bad(step / 2))
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -99,6 +99,7 @@
     caller_address: SocketAddr,
     directory_address: SocketAddr,
     readiness_address: SocketAddr,
+    metrics_address: Option<SocketAddr>,
 }
 
 async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
@@ -132,11 +133,13 @@
             datacentre: settings.datacentre.clone(),
             address: caller_address,
         };
+        let mut metrics_address = None;
         let metrics = settings.listen.metrics;
         let state = Arc::new(EntryState::new(settings, platform, clock, record));
         let mut tasks = Vec::new();
         if let Some(address) = metrics {
             let listener = bind("metrics", address).await?;
+            metrics_address = Some(bound("metrics", &listener)?);
             let task = side_servers::serve_metrics(state.clone(), registry, listener);
             tasks.push(tokio::spawn(task));
         }
@@ -157,29 +160,10 @@
             caller_address,
             directory_address,
             readiness_address,
+            metrics_address,
         })
     }
 
-    /// State that requests read.
-    pub fn state(&self) -> &Arc<EntryState> {
-        &self.state
-    }
-
-    /// Address for callers.
-    pub fn caller_address(&self) -> SocketAddr {
-        self.caller_address
-    }
-
-    /// Address of the directory.
-    pub fn directory_address(&self) -> SocketAddr {
-        self.directory_address
-    }
-
-    /// Address of the readiness check.
-    pub fn readiness_address(&self) -> SocketAddr {
-        self.readiness_address
-    }
-
     /// Ends the host by a graceful shutdown.
     pub async fn stop(self) {
         let state = &self.state;
@@ -236,7 +220,11 @@
     let host = settings.host.clone();
     let entry = RunningEntry::start(settings, platform, registry).await?;
     let reloading = tokio::spawn(reload::run(entry.state.clone(), path, hangup));
-    log::info!(host:%, callers:% = entry.caller_address; "started");
+    log::info!(
+        host:%, callers:% = entry.caller_address, directory:% = entry.directory_address,
+        readiness:% = entry.readiness_address, metrics:? = entry.metrics_address;
+        "started"
+    );
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -135,9 +135,6 @@
 
     fn publish(&self) {
         let plan = self.state.core.lock().plan().cloned();
-        if let Some(plan) = &plan {
-            self.state.meters.record_plan(plan.generation.0);
-        }
         self.state.publish_plan(plan);
     }
 
@@ -206,10 +203,13 @@
     loop {
         let result = match known {
             None => store.read_all().await.map(FleetMessage::Read).map_err(FeedError::Store),
-            Some(revision) => {
-                let page = store.next_changes(revision, FLEET_WATCH_WAIT.0).await;
-                page.map(FleetMessage::Changed)
-            }
+            Some(revision) => tokio::select! {
+                page = store.next_changes(revision, FLEET_WATCH_WAIT.0) => {
+                    page.map(FleetMessage::Changed)
+                }
+                // A watch that waits at a store that answers nothing else may wait for ever.
+                err = state.store_failure() => Err(FeedError::Store(err)),
+            },
         };
         let message = match result {
             Ok(message) => {
--- a/crates/sapphireknotd/src/entry/host_actor.rs
+++ b/crates/sapphireknotd/src/entry/host_actor.rs
@@ -69,8 +69,7 @@
                         &err;
                     actor.state.meters.count_store_failure(step);
                     log::debug!(error:% = err; "keep this host registered");
-                    let now = actor.state.clock.now();
-                    actor.state.core.lock().record_outage(now);
+                    actor.state.report_store_failure(err);
                 }
                 myself.send_after(pause, || HostMessage::Renew);
             }
@@ -105,7 +104,6 @@
         match store.register_host(&self.state.record, lease).await? {
             WriteOutcome::Written => {
                 self.lease = Some(lease);
-                self.state.record_registration();
                 log::info!(lease:%; "host registered");
             }
             outcome => log::warn!(lease:%, outcome:?; "host not registered"),
--- a/crates/sapphireknotd/src/entry/meters.rs
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::{
     KeyValue, global,
-    metrics::{Counter, Gauge, Histogram},
+    metrics::{Counter, Histogram},
 };
 
 use crate::telemetry::SCOPE;
@@ -19,7 +19,6 @@
     attempts: Counter<u64>,
     latency: Histogram<f64>,
     store_failures: Counter<u64>,
-    plan_generation: Gauge<u64>,
 }
 
 impl Default for EntryMeters {
@@ -34,7 +33,6 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             store_failures: meter.u64_counter("sapphireknot.entry.store_failures").build(),
-            plan_generation: meter.u64_gauge("sapphireknot.entry.plan_generation").build(),
         }
     }
 }
@@ -59,9 +57,4 @@
     pub fn count_store_failure(&self, step: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("step", step)]);
     }
-
-    /// Records the generation in force.
-    pub fn record_plan(&self, generation: u64) {
-        self.plan_generation.record(generation, &[]);
-    }
 }
--- a/crates/sapphireknotd/src/entry/side_servers.rs
+++ b/crates/sapphireknotd/src/entry/side_servers.rs
@@ -36,7 +36,10 @@
     let plan = state.plan.load();
     let addresses = {
         let core = state.core.lock();
-        name_hosts(core.hosts(), plan.as_deref(), &query.host_name, &region)
+        // A host that can serve is named although its registration has not come back to it yet.
+        let own = state.is_ready().then_some(&state.record);
+        let own = own.filter(|own| core.hosts().all(|it| it.id != own.id));
+        name_hosts(core.hosts().chain(own), plan.as_deref(), &query.host_name, &region)
     };
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
@@ -92,6 +95,9 @@
     let now = state.clock.now();
     let core = state.core.lock();
     let share = core.share(now);
+    if let Some(plan) = core.plan() {
+        text.push_str(&format!("sapphireknot_entry_plan_generation {}\n", plan.generation));
+    }
     text.push_str(&format!("sapphireknot_entry_hosts {}\n", share.hosts));
     text.push_str(&format!("sapphireknot_entry_traffic_share {}\n", share.traffic.as_fraction()));
     for (service, picker) in core.pickers() {
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -1,13 +1,11 @@
 //! State of an entry host that requests, actors and listeners share.
 
-use std::{
-    sync::Arc,
-    sync::atomic::{AtomicBool, Ordering},
-};
+use std::sync::Arc;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
 use sapphireknot::steering::{core::SteeringCore, fleet::HostRecord, plan::RoutingPlan};
+use sapphireknot_platform::StoreError;
 use tokio::sync::watch;
 
 use super::{
@@ -35,7 +33,7 @@
     pub meters: EntryMeters,
     /// Log of decisions.
     pub decisions: DecisionLog,
-    is_registered: AtomicBool,
+    store_failures: watch::Sender<Option<StoreError>>,
 }
 
 impl EntryState {
@@ -57,7 +55,7 @@
             drain: watch::Sender::new(DrainStage::Serving),
             meters: EntryMeters::default(),
             decisions: DecisionLog::new(clock.now()),
-            is_registered: AtomicBool::new(false),
+            store_failures: watch::Sender::new(None),
         }
     }
 
@@ -69,18 +67,27 @@
         self.plan.store(Some(plan));
     }
 
-    /// Notes that the store has this host's registration.
-    pub fn record_registration(&self) {
-        self.is_registered.store(true, Ordering::Relaxed);
+    /// Tells of a call that the store did not answer.
+    pub fn report_store_failure(&self, err: StoreError) {
+        self.store_failures.send_replace(Some(err));
+    }
+
+    /// Waits for a call that the store does not answer from now on.
+    pub async fn store_failure(&self) -> StoreError {
+        let mut failures = self.store_failures.subscribe();
+        loop {
+            // The sender lives as long as this state.
+            if failures.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            if let Some(err) = failures.borrow_and_update().clone() {
+                return err;
+            }
+        }
     }
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         self.plan.load().is_some() && *self.drain.borrow() == DrainStage::Serving
     }
-
-    /// Whether the store had this host's registration once.
-    pub fn is_registered(&self) -> bool {
-        self.is_registered.load(Ordering::Relaxed)
-    }
 }
