--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -222,7 +222,7 @@
         DaemonSettings::Own(settings) => {
             let runtime = build(tokio::runtime::Builder::new_multi_thread());
             let runtime = runtime.map_err(DaemonError::Runtime)?;
-            let result = runtime.block_on(run(settings));
+            let result = runtime.block_on(run(*settings));
             // A second signal must not wait for blocking tasks.
             runtime.shutdown_background();
             result
--- a/crates/sapphireknotd/src/options.rs
+++ b/crates/sapphireknotd/src/options.rs
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum DaemonSettings {
     /// The system keeps configuration and membership itself.
-    Own(HostSettings),
+    Own(Box<HostSettings>),
     /// The platform holds configuration, registrations and hosts.
     Managed(EntrySettings),
 }
@@ -54,7 +54,7 @@
         if tree.get("managed").is_some() {
             EntrySettings::from_tree(tree).map(Self::Managed)
         } else {
-            HostSettings::from_tree(tree).map(Self::Own)
+            HostSettings::from_tree(tree).map(|it| Self::Own(Box::new(it)))
         }
     }
 }
