--- a/crates/sapphireknotd/src/options.rs
+++ b/crates/sapphireknotd/src/options.rs
@@ -37,7 +37,7 @@
     /// The system keeps configuration and membership itself.
     Own(Box<HostSettings>),
     /// The platform holds configuration, registrations and hosts.
-    Managed(EntrySettings),
+    Managed(Box<EntrySettings>),
 }
 
 impl DaemonSettings {
@@ -52,7 +52,7 @@
     /// Checks a tree; a field `managed` tells the kinds apart.
     pub fn from_tree(tree: Value) -> Result<Self, Vec<ConfigProblem>> {
         if tree.get("managed").is_some() {
-            EntrySettings::from_tree(tree).map(Self::Managed)
+            EntrySettings::from_tree(tree).map(|it| Self::Managed(Box::new(it)))
         } else {
             HostSettings::from_tree(tree).map(|it| Self::Own(Box::new(it)))
         }
