--- /dev/null
+++ b/crates/sapphireknotd/tests/entry_settings.rs
@@ -0,0 +1,59 @@
+//! Settings of an entry host on a managed platform.
+
+use std::path::PathBuf;
+
+use sapphireknotd::{
+    entry::settings::EntrySettings,
+    options::{self, DaemonSettings, OptionError},
+};
+
+fn sample() -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../samples/entry-host.yaml");
+    std::fs::read_to_string(path).unwrap()
+}
+
+fn load(name: &str, text: &str, rest: &[&str]) -> Result<EntrySettings, OptionError> {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("the directory of tests is writable");
+    let path = path.to_str().expect("the path is text").to_owned();
+    let first = ["sapphireknotd".to_owned(), "--settings".to_owned(), path];
+    let arguments = first.into_iter().chain(rest.iter().map(|it| (*it).to_owned()));
+    match options::load(arguments)?.settings {
+        DaemonSettings::Managed(settings) => Ok(*settings),
+        DaemonSettings::Own(_) => panic!("settings of the own platform"),
+    }
+}
+
+/// The sample of the documentation must stay valid.
+#[test]
+fn valid_sample() {
+    let settings = load("entry-sample.yaml", &sample(), &["--log-level", "warn"]).unwrap();
+    assert_eq!(settings.host.as_str(), "entry-1");
+    assert_eq!(settings.log.level, "warn");
+}
+
+/// A deployment without a bound leaves its field out, and all of them if it has none.
+#[test]
+fn empty_bounds() {
+    let text: String = sample()
+        .lines()
+        .take_while(|it| !it.starts_with("bounds"))
+        .fold(String::new(), |text, line| format!("{text}{line}\n"));
+    let settings = load("entry-bounds.yaml", &format!("{text}bounds:\n"), &[]).unwrap();
+    assert_eq!(settings.bounds.quota_slack, 0);
+}
+
+/// Every problem is reported with its field.
+#[test]
+fn wrong_fields() {
+    let text = sample().replace("quota_tolerance: 0.1", "quota_tolerance: 7");
+    let text = text.replace("level: info", "level: loud");
+    let text = text.replace("datacentre: dub-a", "datacentre: nowhere");
+    let err = load("entry-wrong.yaml", &text, &[]).unwrap_err().to_string();
+    for field in ["bounds.quota_tolerance", "log.level", "regions"] {
+        assert!(err.contains(field), "{field} is missing in {err}");
+    }
+    let unknown = sample().replace("listen:", "colour: red\nlisten:");
+    let err = load("entry-unknown.yaml", &unknown, &[]).unwrap_err().to_string();
+    assert!(err.contains("colour"), "{err}");
+}
--- a/crates/sapphireknotd/tests/settings_order.rs
+++ b/crates/sapphireknotd/tests/settings_order.rs
@@ -4,7 +4,8 @@
 
 use sapphireknotd::{
     logging,
-    options::{self, OptionError},
+    options::{self, DaemonSettings, OptionError},
+    settings::HostSettings,
 };
 
 fn settings_file(name: &str, extra: &str) -> PathBuf {
@@ -25,17 +26,25 @@
     ["sapphireknotd", "--settings", path].into_iter().chain(rest.iter().copied()).collect()
 }
 
+fn own(settings: DaemonSettings) -> HostSettings {
+    match settings {
+        DaemonSettings::Own(settings) => *settings,
+        DaemonSettings::Managed(_) => panic!("settings of a managed platform"),
+    }
+}
+
 /// Guards against a default or the file that overrides a more specific source.
 #[test]
 fn prefers_command_line_then_file_then_defaults() {
     let path = settings_file("order.yaml", "log: {level: warn}\n");
-    let settings = options::load(arguments(&path, &[])).unwrap().settings;
+    let settings = own(options::load(arguments(&path, &[])).unwrap().settings);
     assert_eq!((settings.log.level.as_str(), settings.telemetry.otlp), ("warn", None));
     let rest = ["--log-level", "debug", "--otlp", "127.0.0.1:4317", "--check"];
     let options = options::load(arguments(&path, &rest)).unwrap();
-    assert_eq!(options.settings.log.level, "debug");
-    assert_eq!(options.settings.telemetry.otlp, Some("127.0.0.1:4317".parse().unwrap()));
     assert!(options.check);
+    let settings = own(options.settings);
+    assert_eq!(settings.log.level, "debug");
+    assert_eq!(settings.telemetry.otlp, Some("127.0.0.1:4317".parse().unwrap()));
 }
 
 /// Guards against arguments that escape the check, and against reports of the first problem only.
