--- a/crates/sapphireknotd/tests/entry_settings.rs
+++ b/crates/sapphireknotd/tests/entry_settings.rs
@@ -9,7 +9,7 @@
 
 fn sample() -> String {
     let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../samples/entry-host.yaml");
-    std::fs::read_to_string(path).unwrap()
+    std::fs::read_to_string(path).expect("the sample is there")
 }
 
 fn load(name: &str, text: &str, rest: &[&str]) -> Result<EntrySettings, OptionError> {
