steering, entry: one host of each region owns an organisation's quota

Cause: parts of a quota for single hosts round down to less than one request on many hosts. Ruled out: a smaller number of parts by demand, as most organisations send less than one request a second to a host. The registered hosts of a region put their parts together; the owner by rendezvous hashing grants admissions to the others in one call for several requests. A lapsed host goes back to its own part.

--- a/crates/sapphireknot-wire/src/lib.rs
+++ b/crates/sapphireknot-wire/src/lib.rs
@@ -12,3 +12,8 @@
 pub mod store {
     include!("generated/sapphireknot.store.v1.rs");
 }
+
+/// Calls between entry hosts on a managed platform.
+pub mod entry {
+    include!("generated/sapphireknot.entry.v1.rs");
+}
--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -2,7 +2,7 @@
 //!
 //! [`plan`] is the configuration that hosts install, [`fleet`] the registered backend servers and hosts. [`choice`]
 //! picks a backend server for a request, [`place`] decides in which region its object is kept, [`shares`] divides what
-//! is bounded over all hosts together, [`version`] decides which version of a service takes a request while a rollout
+//! is bounded over all hosts together and [`tokens`] holds admissions under quotas, [`version`] decides which version of a service takes a request while a rollout
 //! runs, and [`naming`] which hosts a caller is told. [`core`] holds them together.
 
 pub mod choice;
@@ -13,4 +13,5 @@
 pub mod plan;
 pub mod server_state;
 pub mod shares;
+pub mod tokens;
 pub mod version;
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -16,7 +16,8 @@
     fleet::{FleetTable, HostRecord, ServerRecord},
     plan::{RequestPriority, RouteRule, RoutingPlan},
     server_state::ServerLoad,
-    shares::{HostShare, QuotaShares, QuotaSlack},
+    shares::{HostShare, QuotaShares, QuotaSlack, quota_owner},
+    tokens::{PoolAnswer, TokenPool},
     version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
 };
 use crate::{
@@ -31,6 +32,9 @@
 
 /// Part of the retry budget of all hosts that is used; the rest covers requests that are delayed between windows.
 const USED_RETRIES: f64 = 0.75;
+/// Part of its own part that a host uses while the owner of a quota does not answer it. The owner may grant the whole to
+/// others at the same time, which the tolerance of quotas covers.
+const UNREACHED_PART: f64 = 0.3;
 /// Response time, in target latencies, from which a response of a new version counts as a failure. A cold server that
 /// does not know the object takes up to three.
 const BAD_SLOWNESS: f64 = 4.5;
@@ -49,6 +53,8 @@
 /// Place of this host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostPlace {
+    /// Host.
+    pub host: HostId,
     /// Region.
     pub region: RegionId,
     /// Region of each data centre.
@@ -104,7 +110,15 @@
     fleet: FleetTable,
     versions: VersionTable,
     pickers: ServicePickers,
-    quotas: QuotaShares,
+    pool: TokenPool,
+    /// Region's part of the quotas that this host owns.
+    owned: QuotaShares,
+    /// This host's own part, for when no owner can be asked.
+    spare: QuotaShares,
+    /// Until when this host is registered.
+    registered_until: MonoTime,
+    /// Whether the parts of quotas are those of a registered host.
+    was_registered: bool,
     budgets: HashMap<ServiceId, RetryBudget>,
     evacuated: HashSet<DatacentreId>,
     /// Credit of each part of a split route.
@@ -121,7 +135,11 @@
             fleet: FleetTable::default(),
             versions: VersionTable::default(),
             pickers: HashMap::new(),
-            quotas: QuotaShares::default(),
+            pool: TokenPool::default(),
+            owned: QuotaShares::default(),
+            spare: QuotaShares::default(),
+            registered_until: MonoTime::default(),
+            was_registered: false,
             budgets: HashMap::new(),
             evacuated: HashSet::new(),
             turns: HashMap::new(),
@@ -212,7 +230,7 @@
         self.fleet.expire(now);
         let Some(plan) = self.plan.clone() else { return };
         let share = self.share(now);
-        self.quotas.install(&plan, share, self.bounds.quota, now);
+        self.install_quotas(&plan, share, now);
         let limits = self.retry_limits(share.hosts);
         self.budgets.retain(|id, _| plan.services.contains_key(id));
         self.pickers.retain(|id, _| plan.services.contains_key(id));
@@ -239,11 +257,44 @@
 
     /// Ends what is due at `now`.
     pub fn tick(&mut self, now: MonoTime) {
-        if self.fleet.next_expiry().is_some_and(|it| now >= it) {
+        let is_expired = self.fleet.next_expiry().is_some_and(|it| now >= it);
+        let has_lapsed = self.was_registered && !self.is_registered(now);
+        if is_expired || has_lapsed {
+            self.was_registered &= !has_lapsed;
             self.refresh(now);
         }
     }
 
+    fn install_quotas(&mut self, plan: &RoutingPlan, share: HostShare, now: MonoTime) {
+        let slack = self.bounds.quota;
+        let neighbours = self.fleet.hosts().filter(|it| it.region == self.place.region);
+        let registered = u32::try_from(neighbours.count()).unwrap_or(u32::MAX);
+        let sum = TrafficShare(share.traffic.0.saturating_mul(registered));
+        let is_registered = self.is_registered(now);
+        let (own, fleet, region) = (&self.place.host, &self.fleet, &self.place.region);
+        let is_own = |it: &OrganisationId| {
+            let hosts = fleet.hosts().filter(|host| host.region == *region);
+            is_registered && quota_owner(it, hosts).is_some_and(|host| host.id == *own)
+        };
+        self.owned.install(plan, sum, slack, now, is_own);
+        let part = if is_registered { UNREACHED_PART } else { 1.0 };
+        let spare = TrafficShare((f64::from(share.traffic.0) * part) as u32);
+        self.spare.install(plan, spare, slack, now, |_| true);
+    }
+
+    /// Notes that this host is registered until `until` at least.
+    pub fn set_registered(&mut self, until: MonoTime, now: MonoTime) {
+        let was_registered = std::mem::replace(&mut self.was_registered, true);
+        self.registered_until = until;
+        if !was_registered {
+            self.refresh(now);
+        }
+    }
+
+    fn is_registered(&self, now: MonoTime) -> bool {
+        now < self.registered_until
+    }
+
     fn retry_limits(&self, hosts: u32) -> RetryLimits {
         let micros =
             |part: f64| TokenCount((part * USED_RETRIES * TokenCount::ONE.0 as f64) as u64);
@@ -259,14 +310,63 @@
         }
     }
 
-    /// Takes one request of `organisation` from its quota; otherwise returns when another one may pass.
-    pub fn admit(&mut self, organisation: &OrganisationId, now: MonoTime) -> Result<(), MonoTime> {
-        self.quotas.admit(organisation, now)
+    /// Counts a request of `organisation` and admits it if an admission is held.
+    pub fn admit(&mut self, organisation: &OrganisationId, now: MonoTime) -> PoolAnswer {
+        let rules = self.plan.as_ref().and_then(|it| it.organisations.get(organisation));
+        if rules.is_none_or(|it| it.quota.is_none()) {
+            return PoolAnswer::Admitted;
+        }
+        self.pool.admit(organisation, now)
     }
 
-    /// Gives back what a request took that did not run.
-    pub fn refund_quota(&mut self, organisation: &OrganisationId) {
-        self.quotas.refund(organisation);
+    /// Admits a request that was counted and waited for admissions.
+    pub fn admit_again(&mut self, organisation: &OrganisationId, now: MonoTime) -> PoolAnswer {
+        self.pool.admit_again(organisation, now)
+    }
+
+    /// Takes the owner's answer.
+    pub fn fill_pool(
+        &mut self,
+        organisation: &OrganisationId,
+        granted: u32,
+        retry_at: MonoTime,
+        now: MonoTime,
+    ) {
+        self.pool.fill(organisation, granted, retry_at, now);
+    }
+
+    /// Gives back the admission of a request that did not run.
+    pub fn refund_quota(&mut self, organisation: &OrganisationId, now: MonoTime) {
+        self.pool.refund(organisation, now);
+    }
+
+    /// Host that owns the quota of an organisation; `None` while this host is not registered.
+    pub fn quota_owner(&self, organisation: &OrganisationId, now: MonoTime) -> Option<&HostRecord> {
+        let hosts = self.fleet.hosts().filter(|it| it.region == self.place.region);
+        quota_owner(organisation, hosts).filter(|_| self.is_registered(now))
+    }
+
+    /// Grants admissions as the owner of a quota; `None` if this host is not the owner.
+    pub fn grant(
+        &mut self,
+        organisation: &OrganisationId,
+        count: u32,
+        now: MonoTime,
+    ) -> Option<Result<u32, MonoTime>> {
+        let owner = self.quota_owner(organisation, now)?;
+        if owner.id != self.place.host {
+            return None;
+        }
+        Some(self.owned.take(organisation, count, now))
+    }
+
+    /// Admits one request from this host's own part, as no owner can be asked.
+    pub fn admit_alone(
+        &mut self,
+        organisation: &OrganisationId,
+        now: MonoTime,
+    ) -> Result<(), MonoTime> {
+        self.spare.admit(organisation, now)
     }
 
     /// Service that takes the next request of `route`, so that parts are exactly by weight.
--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -54,6 +54,8 @@
     pub datacentre: DatacentreId,
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address for other hosts.
+    pub peer_address: SocketAddr,
 }
 
 /// Backend server that is registered.
--- a/crates/sapphireknot/src/steering/shares.rs
+++ b/crates/sapphireknot/src/steering/shares.rs
@@ -1,19 +1,25 @@
 //! Bounds over all hosts together, divided among them.
 //!
-//! No host asks another one before it admits a request. Each uses its part of a bound, and the parts add up to no more
-//! than the whole: the parts are computed from the hosts that are registered or were until lately, so that a host that is
-//! cut off and serves on still has its part. Traffic is taken as even over regions and over the hosts of a region, as
-//! callers choose among the hosts of their region at random.
+//! Each host uses its part of a bound, and the parts add up to no more than the whole: they are computed from the hosts
+//! that are registered or were until lately, so that a host that is cut off and serves on still has its part. Traffic is
+//! taken as even over regions and over the hosts of a region, as callers choose among the hosts of their region at random.
+//!
+//! Parts of quotas would be too small for single requests on many hosts. The registered hosts of a region therefore put
+//! theirs together, and one of them owns the sum for each organisation ([`quota_owner`]). A host whose registration
+//! lapsed goes back to its own part, which the owner leaves out of the sum; one that does not reach the owner uses a
+//! fraction of it.
 
 use std::{collections::HashMap, time::Duration};
 
 use crate::{
     ids::{OrganisationId, RegionId},
     quota::{QuotaLimits, TokenBucket},
-    steering::plan::RoutingPlan,
+    rendezvous::{rendezvous_draw, rendezvous_score},
+    steering::{fleet::HostRecord, plan::RoutingPlan},
     time::MonoTime,
     units::{BurstSize, RequestRate, TokenCount, TrafficShare},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Part of a cold server's rate that is used; the rest covers requests that are delayed into the next second.
 const PACED_PART: f64 = 0.9;
@@ -29,6 +35,18 @@
     pub hosts: u32,
 }
 
+/// Host that owns the region's part of an organisation's quota: the same one for all hosts with the same list.
+pub fn quota_owner<'a, I>(organisation: &OrganisationId, hosts: I) -> Option<&'a HostRecord>
+where
+    I: Iterator<Item = &'a HostRecord>,
+{
+    let seed = xxh3_64(organisation.as_str().as_bytes());
+    let score = |host: &HostRecord| {
+        rendezvous_score(rendezvous_draw(seed, xxh3_64(host.id.as_str().as_bytes())), 1)
+    };
+    hosts.max_by_key(|host| (score(host), host.id.clone()))
+}
+
 impl HostShare {
     /// The part of a host in `region` when `counts` hosts run in each region.
     pub fn new(counts: &HashMap<RegionId, u32>, region: &RegionId) -> Self {
@@ -90,17 +108,21 @@
 }
 
 impl QuotaShares {
-    /// Takes the organisations of `plan` and this host's part.
-    pub fn install(
+    /// Takes the organisations of `plan` that are wanted, and the part of their quotas that may be used.
+    pub fn install<F>(
         &mut self,
         plan: &RoutingPlan,
-        share: HostShare,
+        share: TrafficShare,
         slack: QuotaSlack,
         now: MonoTime,
-    ) {
-        self.buckets
-            .retain(|id, _| plan.organisations.get(id).is_some_and(|it| it.quota.is_some()));
-        for (id, organisation) in &plan.organisations {
+        is_wanted: F,
+    ) where
+        F: Fn(&OrganisationId) -> bool,
+    {
+        let has_quota =
+            |id: &OrganisationId| plan.organisations.get(id).is_some_and(|it| it.quota.is_some());
+        self.buckets.retain(|id, _| is_wanted(id) && has_quota(id));
+        for (id, organisation) in plan.organisations.iter().filter(|(id, _)| is_wanted(id)) {
             let Some(limits) = organisation.quota else { continue };
             let limits = slack.extend(limits);
             // A host that starts anew may have spent its burst in its former run, so that the bucket starts empty.
@@ -108,7 +130,7 @@
             let bucket = bucket.or_insert_with(|| TokenBucket::new(limits, now));
             bucket.settle(now);
             bucket.set_limits(limits);
-            bucket.set_share(share.traffic);
+            bucket.set_share(share);
         }
     }
 
@@ -122,10 +144,15 @@
         Err(bucket.ready_at(TokenCount::ONE).unwrap_or(now.after(Duration::from_secs(1))))
     }
 
-    /// Gives back what a request took that did not run.
-    pub fn refund(&mut self, organisation: &OrganisationId) {
-        if let Some(bucket) = self.buckets.get_mut(organisation) {
-            bucket.add(TokenCount::ONE);
-        }
+    /// Takes up to `count` requests of `organisation`; an error says when another one may pass.
+    pub fn take(
+        &mut self,
+        organisation: &OrganisationId,
+        count: u32,
+        now: MonoTime,
+    ) -> Result<u32, MonoTime> {
+        self.admit(organisation, now)?;
+        let more = (1..count).take_while(|_| self.admit(organisation, now).is_ok()).count();
+        Ok(1 + u32::try_from(more).unwrap_or_default())
     }
 }
--- a/crates/sapphireknot/tests/steering/core_state.rs
+++ b/crates/sapphireknot/tests/steering/core_state.rs
@@ -9,6 +9,7 @@
         choice::ChoiceQuery,
         core::{FleetChange, SteeringCore},
         plan::{RequestPriority, SplitPart},
+        tokens::PoolAnswer,
     },
     time::MonoTime,
 };
@@ -112,6 +113,6 @@
 fn unlimited_organisation() {
     let mut core = started();
     for _ in 0..1_000 {
-        assert!(core.admit(&id("other"), at(1)).is_ok());
+        assert_eq!(core.admit(&id("other"), at(1)), PoolAnswer::Admitted);
     }
 }
--- a/crates/sapphireknot/tests/steering/share_bounds.rs
+++ b/crates/sapphireknot/tests/steering/share_bounds.rs
@@ -42,7 +42,7 @@
         for _ in 0..*count {
             let mut quotas = QuotaShares::default();
             let share = HostShare::new(&counts, region);
-            quotas.install(&plan, share, slack, at(0));
+            quotas.install(&plan, share.traffic, slack, at(0), |_| true);
             for step in 0..20_000 {
                 let now = at(step);
                 if quotas.admit(&id("acme"), now).is_ok() {
@@ -68,7 +68,7 @@
     plan.organisations.insert(id("acme"), organisation(50, 50));
     let mut quotas = QuotaShares::default();
     let share = HostShare::new(&counts(&[("east", 1)]), &id("east"));
-    quotas.install(&plan, share, QuotaSlack::default(), at(0));
+    quotas.install(&plan, share.traffic, QuotaSlack::default(), at(0), |_| true);
     assert!(quotas.admit(&id("acme"), at(1)).is_err());
 }
 
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -55,6 +55,7 @@
         region: id(region),
         datacentre: id(&format!("{region}-a")),
         address: format!("127.0.0.1:{}", 8_000 + name.len()).parse().expect("address"),
+        peer_address: format!("127.0.0.1:{}", 7_000 + name.len()).parse().expect("address"),
     }
 }
 
@@ -104,7 +105,7 @@
 pub(crate) fn place(region: &str) -> HostPlace {
     let regions: HashMap<_, _> =
         REGIONS.iter().map(|it| (id(&format!("{it}-a")), id(it))).collect();
-    HostPlace { region: id(region), regions }
+    HostPlace { host: id("h1"), region: id(region), regions }
 }
 
 pub(crate) fn bounds() -> SharedBounds {
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -9,6 +9,7 @@
 pub mod fleet_actor;
 pub mod host_actor;
 pub mod meters;
+pub mod quota_peers;
 pub mod reload;
 pub mod settings;
 pub mod side_servers;
@@ -122,6 +123,7 @@
         let callers = bind("callers", settings.listen.caller).await?;
         let readiness = bind("readiness", settings.listen.readiness).await?;
         let directory = bind("directory", settings.listen.directory).await?;
+        let peers = bind("peers", settings.listen.peer).await?;
         let caller_address = bound("callers", &callers)?;
         let directory_address = bound("directory", &directory)?;
         let readiness_address = bound("readiness", &readiness)?;
@@ -132,6 +134,7 @@
             region: settings.region.clone(),
             datacentre: settings.datacentre.clone(),
             address: caller_address,
+            peer_address: bound("peers", &peers)?,
         };
         let mut metrics_address = None;
         let metrics = settings.listen.metrics;
@@ -149,6 +152,7 @@
         let (host, _) = HostActor::spawn(None, HostActor, arguments).await?;
         let server = Arc::new(CallerServer::new(state.clone(), fleet.clone()));
         tasks.push(tokio::spawn(server.clone().serve(callers)));
+        tasks.push(tokio::spawn(quota_peers::serve(state.clone(), peers)));
         tasks.push(tokio::spawn(side_servers::serve_directory(state.clone(), directory)));
         tasks.push(tokio::spawn(side_servers::serve_readiness(state.clone(), readiness)));
         Ok(Self {
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -27,7 +27,9 @@
     time::{sleep, timeout_at},
 };
 
-use super::{fleet_actor::FleetMessage, forward::EntryRequest, state::EntryState};
+use super::{
+    fleet_actor::FleetMessage, forward::EntryRequest, quota_peers::QuotaPeers, state::EntryState,
+};
 use crate::{
     buffers::{BufferBudget, CollectError, MemoryWait},
     constants,
@@ -59,6 +61,7 @@
     pub(super) state: Arc<EntryState>,
     pub(super) connections: ConnectionPool,
     pub(super) fleet: ActorRef<FleetMessage>,
+    quotas: QuotaPeers,
     buffers: BufferBudget,
     /// Held by each connection that may have a request in flight.
     busy: Arc<()>,
@@ -88,6 +91,7 @@
             state,
             connections: ConnectionPool::with_limits(constants::MAX_BUFFERED_BYTES, limits),
             fleet,
+            quotas: QuotaPeers::default(),
             // A request that has not run is refused rather than kept waiting for memory.
             buffers: BufferBudget::new(constants::MAX_BUFFERED_BYTES, MemoryWait::Fail),
             busy: Arc::default(),
@@ -220,17 +224,13 @@
         let deadline = started.after(patience.min(route.timeout));
         let caller_deadline = head.patience.map(|it| started.after(it));
         let body = self.read_body(plan, &parts.headers, body, deadline).await?;
-        let now = self.state.clock.now();
-        let service = {
-            let mut core = self.state.core.lock();
-            if let Some(organisation) = organisation
-                && let Err(retry_at) = core.admit(organisation, now)
-            {
-                let refusal = RequestRefusal::not_run(RefusalReason::OverRate);
-                return Err(refusal.retry_at(retry_at).into());
-            }
-            core.next_service(route)
-        };
+        if let Some(organisation) = organisation
+            && let Err(retry_at) = self.quotas.admit(&self.state, organisation).await
+        {
+            let refusal = RequestRefusal::not_run(RefusalReason::OverRate);
+            return Err(refusal.retry_at(retry_at).into());
+        }
+        let service = self.state.core.lock().next_service(route);
         let Some(service) = service else {
             return Err(FrontRefusal::not_run(RefusalReason::NoServer));
         };
@@ -259,7 +259,7 @@
         if let (Some(organisation), Err(refusal)) = (organisation, &result)
             && refusal.ran == RunState::NotRun
         {
-            self.state.core.lock().refund_quota(organisation);
+            self.state.core.lock().refund_quota(organisation, self.state.clock.now());
         }
         Ok(result?)
     }
--- a/crates/sapphireknotd/src/entry/host_actor.rs
+++ b/crates/sapphireknotd/src/entry/host_actor.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use sapphireknot::time::MonoTime;
 use sapphireknot_platform::{LeaseId, StoreError, WriteOutcome};
 
 use super::state::EntryState;
@@ -92,22 +93,32 @@
     /// Renews the lease, or registers anew if it has ended.
     async fn renew(&mut self) -> Result<(), StoreError> {
         let store = self.state.platform.store.clone();
+        let ttl = HOST_LEASE.0.max(self.state.settings.load().managed.min_lease.0);
+        // The lease runs from the arrival of the call, which is later.
+        let began = self.state.clock.now();
         if let Some(lease) = self.lease {
             if store.renew_lease(lease).await? {
+                self.record_lease(began.after(ttl));
                 return Ok(());
             }
             log::warn!(lease:%; "registration of this host lapsed");
             self.lease = None;
         }
-        let ttl = HOST_LEASE.0.max(self.state.settings.load().managed.min_lease.0);
+        let began = self.state.clock.now();
         let lease = store.grant_lease(ttl).await?;
         match store.register_host(&self.state.record, lease).await? {
             WriteOutcome::Written => {
                 self.lease = Some(lease);
+                self.record_lease(began.after(ttl));
                 log::info!(lease:%; "host registered");
             }
             outcome => log::warn!(lease:%, outcome:?; "host not registered"),
         }
         Ok(())
     }
+
+    fn record_lease(&self, until: MonoTime) {
+        let now = self.state.clock.now();
+        self.state.core.lock().set_registered(until, now);
+    }
 }
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -58,6 +58,8 @@
     pub readiness: SocketAddr,
     /// For callers that ask where to connect.
     pub directory: SocketAddr,
+    /// For other hosts.
+    pub peer: SocketAddr,
     /// For metrics as text.
     pub metrics: Option<SocketAddr>,
 }
@@ -146,7 +148,11 @@
 
     /// Place of this host.
     pub fn place(&self) -> HostPlace {
-        HostPlace { region: self.region.clone(), regions: self.regions.clone() }
+        HostPlace {
+            host: self.host.clone(),
+            region: self.region.clone(),
+            regions: self.regions.clone(),
+        }
     }
 
     /// Bounds over all hosts together.
