--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -282,16 +282,19 @@
         self.spare.install(plan, spare, slack, now, |_| true);
     }
 
-    /// Notes that this host is registered until `until` at least.
-    pub fn set_registered(&mut self, until: MonoTime, now: MonoTime) {
+    /// Notes that this host is registered with `record` until `until` at least.
+    pub fn set_registered(&mut self, record: &HostRecord, until: MonoTime, now: MonoTime) {
         let was_registered = std::mem::replace(&mut self.was_registered, true);
         self.registered_until = until;
         if !was_registered {
+            // The store tells of the registration only with the next changes.
+            self.fleet.add_host(record.clone(), now);
             self.refresh(now);
         }
     }
 
-    fn is_registered(&self, now: MonoTime) -> bool {
+    /// Whether this host is registered as far as it knows.
+    pub fn is_registered(&self, now: MonoTime) -> bool {
         now < self.registered_until
     }
 
@@ -466,6 +469,11 @@
         HostShare::new(&self.fleet.host_counts(now), &self.place.region)
     }
 
+    /// This host.
+    pub fn host(&self) -> &HostId {
+        &self.place.host
+    }
+
     /// The plan in force.
     pub fn plan(&self) -> Option<&Arc<RoutingPlan>> {
         self.plan.as_ref()
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -5,6 +5,7 @@
 mod fleet_table;
 mod host_naming;
 mod object_place;
+mod quota_owners;
 mod route_index;
 mod share_bounds;
 #[cfg(test)]
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -154,6 +154,10 @@
 
     /// Starts writes of records that are due and whose turn it is.
     fn write_due(&mut self, now: MonoTime) {
+        if self.is_down {
+            // Another host may have written the record, which this one will see first after the outage.
+            return;
+        }
         let (due, position) = {
             let core = self.state.core.lock();
             let own = &self.state.record.id;
--- a/crates/sapphireknotd/src/entry/host_actor.rs
+++ b/crates/sapphireknotd/src/entry/host_actor.rs
@@ -119,6 +119,6 @@
 
     fn record_lease(&self, until: MonoTime) {
         let now = self.state.clock.now();
-        self.state.core.lock().set_registered(until, now);
+        self.state.core.lock().set_registered(&self.state.record, until, now);
     }
 }
--- a/crates/sapphireknotd/src/entry/side_servers.rs
+++ b/crates/sapphireknotd/src/entry/side_servers.rs
@@ -35,9 +35,9 @@
     let region = query.region.unwrap_or_else(|| state.record.region.clone());
     let plan = state.plan.load();
     let addresses = {
-        let core = state.core.lock();
         // A host that can serve is named although its registration has not come back to it yet.
         let own = state.is_ready().then_some(&state.record);
+        let core = state.core.lock();
         let own = own.filter(|own| core.hosts().all(|it| it.id != own.id));
         name_hosts(core.hosts().chain(own), plan.as_deref(), &query.host_name, &region)
     };
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -1,10 +1,13 @@
 //! State of an entry host that requests, actors and listeners share.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
-use sapphireknot::steering::{core::SteeringCore, fleet::HostRecord, plan::RoutingPlan};
+use sapphireknot::{
+    steering::{core::SteeringCore, fleet::HostRecord, plan::RoutingPlan},
+    time::MonoTime,
+};
 use sapphireknot_platform::StoreError;
 use tokio::sync::watch;
 
@@ -13,6 +16,9 @@
 };
 use crate::{clock::HostClock, context::DrainStage};
 
+/// Time for which a host that starts waits for its registration before it is ready.
+const REGISTER_LIMIT: Duration = Duration::from_secs(2);
+
 /// State of an entry host.
 pub struct EntryState {
     /// Settings in force.
@@ -34,6 +40,8 @@
     /// Log of decisions.
     pub decisions: DecisionLog,
     store_failures: watch::Sender<Option<StoreError>>,
+    /// Until when a host that starts waits for its registration.
+    register_by: MonoTime,
 }
 
 impl EntryState {
@@ -56,6 +64,7 @@
             meters: EntryMeters::default(),
             decisions: DecisionLog::new(clock.now()),
             store_failures: watch::Sender::new(None),
+            register_by: clock.now().after(REGISTER_LIMIT),
         }
     }
 
@@ -87,7 +96,12 @@
     }
 
     /// Whether callers may be sent here.
+    ///
+    /// A host that is not registered yet has only a small part of the quotas, so that callers would be refused for a
+    /// moment; one that cannot register serves all the same.
     pub fn is_ready(&self) -> bool {
-        self.plan.load().is_some() && *self.drain.borrow() == DrainStage::Serving
+        let now = self.clock.now();
+        let has_quotas = now >= self.register_by || self.core.lock().is_registered(now);
+        has_quotas && self.plan.load().is_some() && *self.drain.borrow() == DrainStage::Serving
     }
 }
