--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -141,10 +141,15 @@
         let state = Arc::new(EntryState::new(settings, platform, clock, record));
         let mut tasks = Vec::new();
         if let Some(address) = metrics {
-            let listener = bind("metrics", address).await?;
-            metrics_address = Some(bound("metrics", &listener)?);
-            let task = side_servers::serve_metrics(state.clone(), registry, listener);
-            tasks.push(tokio::spawn(task));
+            // Requests are served without metrics rather than not at all.
+            match bind("metrics", address).await {
+                Ok(listener) => {
+                    metrics_address = Some(bound("metrics", &listener)?);
+                    let task = side_servers::serve_metrics(state.clone(), registry, listener);
+                    tasks.push(tokio::spawn(task));
+                }
+                Err(err) => log::error!(error:% = err; "serve metrics"),
+            }
         }
         let arguments = FleetArguments { state: state.clone() };
         let (fleet, _) = FleetActor::spawn(None, FleetActor, arguments).await?;
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -28,7 +28,11 @@
 };
 
 use super::{
-    fleet_actor::FleetMessage, forward::EntryRequest, quota_peers::QuotaPeers, state::EntryState,
+    decision_log::LineKind,
+    fleet_actor::FleetMessage,
+    forward::{AttemptNotes, EntryRequest},
+    quota_peers::QuotaPeers,
+    state::EntryState,
 };
 use crate::{
     buffers::{BufferBudget, CollectError, MemoryWait},
@@ -75,6 +79,7 @@
     route: Option<&'a RouteRule>,
     organisation: Option<&'a OrganisationId>,
     service: Option<ServiceId>,
+    notes: AttemptNotes,
 }
 
 impl CallerServer {
@@ -191,6 +196,7 @@
             route: route.as_deref(),
             organisation: None,
             service: None,
+            notes: AttemptNotes::default(),
         };
         let result = match (&plan, &route) {
             (None, _) => {
@@ -255,7 +261,7 @@
             deadline,
             caller_deadline,
         };
-        let result = self.forward(&request, span).await;
+        let result = self.forward(&request, &mut trail.notes, span).await;
         if let (Some(organisation), Err(refusal)) = (organisation, &result)
             && refusal.ran == RunState::NotRun
         {
@@ -280,21 +286,30 @@
         };
         let service = trail.service.as_ref().map_or("", |it| it.as_str());
         self.state.meters.count_request(service, name, elapsed);
-        let is_good = name == "passed";
-        let is_wanted = if is_good {
-            self.state.decisions.is_sampled(trail.head.request_id.as_ref())
-        } else {
-            true
+        let kind = match (&result, trail.route) {
+            (Ok(response), Some(route)) if response.status().is_success() => {
+                if elapsed > route.target_latency { LineKind::Late } else { LineKind::Good }
+            }
+            _ => LineKind::Failed,
         };
-        if is_wanted && let Some(dropped) = self.state.decisions.take_line(now) {
-            let request = trail.head.request_id.as_ref().and_then(|it| it.to_str().ok());
-            let route = trail.route.map(|it| it.id.as_str());
-            let organisation = trail.organisation.map(|it| it.as_str());
-            let ran = result.as_ref().err().map(|it| it.refusal.ran.to_string());
+        let request_id = trail.head.request_id.as_ref();
+        if let Some(dropped) = self.state.decisions.take_line(kind, request_id, now) {
+            let retry_at = result.as_ref().err().and_then(|it| it.refusal.retry_at);
+            let notes = &trail.notes;
             log::info!(
-                request, route, organisation, service, result = name, ran,
+                request = request_id.and_then(|it| it.to_str().ok()),
+                route = trail.route.map(|it| it.id.as_str()),
+                organisation = trail.organisation.map(|it| it.as_str()),
+                service, result = name, is_late = kind == LineKind::Late,
+                ran = result.as_ref().err().map(|it| it.refusal.ran.to_string()),
                 elapsed_ms = elapsed.as_millis() as u64,
+                target_ms = trail.route.map(|it| it.target_latency.as_millis() as u64),
                 patience_ms = trail.head.patience.map(|it| it.as_millis() as u64),
+                retry_ms = retry_at.map(|it| now.until(it).as_millis() as u64),
+                attempts = notes.attempts,
+                server = notes.server.as_ref().map(|it| it.as_str()),
+                expected_ms = notes.expected_ms, server_load = notes.server_load,
+                is_warm = notes.is_warm,
                 plan = self.state.plan.load().as_ref().map(|it| it.generation.0),
                 lines_dropped = dropped;
                 "request ended"
@@ -309,7 +324,7 @@
                 let dialect = &self.state.platform.dialect;
                 let mut response = dialect.refuse(&refusal.refusal, refusal.status, now);
                 if let Some(id) = &trail.head.request_id {
-                    response.headers_mut().insert(telemetry_id_header(), id.clone());
+                    response.headers_mut().insert(request_id_header(), id.clone());
                 }
                 response
             }
@@ -371,7 +386,7 @@
     named.or_else(|| parts.headers.get(header::HOST)?.to_str().ok())
 }
 
-fn telemetry_id_header() -> http::HeaderName {
+fn request_id_header() -> http::HeaderName {
     http::HeaderName::from_static(crate::upstream::connections::REQUEST_ID)
 }
 
--- a/crates/sapphireknotd/src/entry/decision_log.rs
+++ b/crates/sapphireknotd/src/entry/decision_log.rs
@@ -1,55 +1,91 @@
 //! Log lines of single requests, at a bounded rate.
 //!
-//! Requests that end well are sampled by their identifier, so that every host and every line of a request decide alike.
-//! Others are logged up to a rate; what is left out is counted and reported with the next line.
+//! Requests that are answered in time are sampled by their identifier, so that every host and every line of a request
+//! decide alike. Late and failed ones are logged up to a rate each, so that one kind does not crowd out the other; what is
+//! left out is counted and reported with the next line of the kind.
 
 use http::HeaderValue;
 use parking_lot::Mutex;
 use sapphireknot::time::MonoTime;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// One in this many requests that end well is logged.
+/// One in this many requests that are answered in time is logged.
 const SAMPLE: u64 = 128;
-/// Lines of a second for requests that do not end well.
-const LINES_PER_SECOND: f64 = 20.0;
-/// Lines that may be written at once.
-const BURST: f64 = 40.0;
+/// Lines of a second for late requests.
+const LATE_PER_SECOND: f64 = 4.0;
+/// Lines of a second for refused and failed requests.
+const FAILED_PER_SECOND: f64 = 20.0;
+/// Seconds for which lines may be saved up.
+const BURST_SECONDS: f64 = 2.0;
+
+/// Kind of request that a line tells of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LineKind {
+    /// Answered in time.
+    Good,
+    /// Answered with success after the target latency.
+    Late,
+    /// Refused or failed.
+    Failed,
+}
 
 #[derive(Debug)]
 struct LineBudget {
+    per_second: f64,
     lines: f64,
     settled: MonoTime,
     dropped: u64,
 }
 
+impl LineBudget {
+    fn new(per_second: f64, now: MonoTime) -> Self {
+        Self { per_second, lines: per_second * BURST_SECONDS, settled: now, dropped: 0 }
+    }
+
+    fn take(&mut self, now: MonoTime) -> Option<u64> {
+        let elapsed = now.since(self.settled).as_secs_f64();
+        let most = self.per_second * BURST_SECONDS;
+        self.lines = (self.lines + elapsed * self.per_second).min(most);
+        self.settled = self.settled.max(now);
+        if self.lines < 1.0 {
+            self.dropped += 1;
+            return None;
+        }
+        self.lines -= 1.0;
+        Some(std::mem::take(&mut self.dropped))
+    }
+}
+
 /// Log of decisions.
 #[derive(Debug)]
 pub struct DecisionLog {
-    budget: Mutex<LineBudget>,
+    late: Mutex<LineBudget>,
+    failed: Mutex<LineBudget>,
 }
 
 impl DecisionLog {
     /// A log with its full burst.
     pub fn new(now: MonoTime) -> Self {
-        Self { budget: Mutex::new(LineBudget { lines: BURST, settled: now, dropped: 0 }) }
-    }
-
-    /// Whether a request that ends well is logged.
-    pub fn is_sampled(&self, request_id: Option<&HeaderValue>) -> bool {
-        request_id.is_some_and(|it| xxh3_64(it.as_bytes()).is_multiple_of(SAMPLE))
+        Self {
+            late: Mutex::new(LineBudget::new(LATE_PER_SECOND, now)),
+            failed: Mutex::new(LineBudget::new(FAILED_PER_SECOND, now)),
+        }
     }
 
-    /// Takes a line; the number tells how many were left out before it.
-    pub fn take_line(&self, now: MonoTime) -> Option<u64> {
-        let mut budget = self.budget.lock();
-        let elapsed = now.since(budget.settled).as_secs_f64();
-        budget.lines = (budget.lines + elapsed * LINES_PER_SECOND).min(BURST);
-        budget.settled = now;
-        if budget.lines < 1.0 {
-            budget.dropped += 1;
-            return None;
+    /// Takes a line; the number tells how many of the kind were left out before it.
+    pub fn take_line(
+        &self,
+        kind: LineKind,
+        request_id: Option<&HeaderValue>,
+        now: MonoTime,
+    ) -> Option<u64> {
+        match kind {
+            LineKind::Good => {
+                let hash = xxh3_64(request_id?.as_bytes());
+                hash.is_multiple_of(SAMPLE).then_some(0)
+            }
+            LineKind::Late => self.late.lock().take(now),
+            LineKind::Failed => self.failed.lock().take(now),
         }
-        budget.lines -= 1.0;
-        Some(std::mem::take(&mut budget.dropped))
     }
 }
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -23,7 +23,10 @@
 use sapphireknot_platform::{AnswerKind, CallerHead, ServerAnswer, ServerHead};
 use tokio::time::timeout_at;
 
-use super::{caller_server::CallerServer, fleet_actor::FleetMessage, state::EntryState};
+use super::{
+    caller_server::CallerServer, decision_log::LineKind, fleet_actor::FleetMessage,
+    state::EntryState,
+};
 use crate::{constants, telemetry::HopSpan, upstream::connections::ExchangeError};
 
 /// Least time after which a caller is asked to come back.
@@ -55,6 +58,31 @@
     pub(super) caller_deadline: Option<MonoTime>,
 }
 
+/// What decided the attempts of a request, for its log line.
+#[derive(Debug, Default)]
+pub(super) struct AttemptNotes {
+    /// Attempts so far.
+    pub(super) attempts: u32,
+    /// Server of the last one.
+    pub(super) server: Option<ServerId>,
+    /// Time to the response that was expected of it, in milliseconds.
+    pub(super) expected_ms: u64,
+    /// Requests that were taken to run or wait there.
+    pub(super) server_load: u64,
+    /// Whether it was taken to know the object.
+    pub(super) is_warm: bool,
+}
+
+impl AttemptNotes {
+    fn record(&mut self, chosen: &ChosenServer) {
+        self.attempts += 1;
+        self.server = Some(chosen.record.id.clone());
+        self.expected_ms = chosen.expected_ms as u64;
+        self.server_load = chosen.load as u64;
+        self.is_warm = chosen.is_warm;
+    }
+}
+
 /// Attempt that ended without a response to pass on.
 struct AttemptFailure {
     end: AttemptEnd,
@@ -102,6 +130,7 @@
     pub(super) async fn forward(
         &self,
         request: &EntryRequest<'_>,
+        notes: &mut AttemptNotes,
         span: Option<&HopSpan>,
     ) -> Result<Response<Bytes>, RequestRefusal> {
         let route = request.route;
@@ -120,6 +149,7 @@
                 }
             };
             tried.push(chosen.record.id.clone());
+            notes.record(&chosen);
             let may_repeat = route.is_idempotent && tried.len() < route.max_attempts as usize;
             let ended = match self.attempt(request, chosen, may_repeat, span).await {
                 Ok(response) => return Ok(response),
@@ -267,8 +297,10 @@
         cause: &str,
         now: MonoTime,
     ) {
-        let Some(dropped) = self.state.decisions.take_line(now) else { return };
-        let id = request.head.request_id.as_ref().and_then(|it| it.to_str().ok());
+        let request_id = request.head.request_id.as_ref();
+        let line = self.state.decisions.take_line(LineKind::Failed, request_id, now);
+        let Some(dropped) = line else { return };
+        let id = request_id.and_then(|it| it.to_str().ok());
         log::info!(
             request = id, service:% = request.service, server:%, cause,
             left_ms = now.until(request.deadline).as_millis() as u64, lines_dropped = dropped;
