--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -263,7 +263,8 @@
                 (ServerOutcome::Broken, None, Err(failed(end, RefusalReason::UpstreamFailed)))
             }
             Err(_) => {
-                self.log_failure(request, &record.id, "no answer in time", until);
+                let now = self.state.clock.now();
+                self.log_failure(request, &record.id, "no answer in time", now);
                 let failure = failed(AttemptEnd::MaybeRan, RefusalReason::Deadline);
                 (ServerOutcome::Broken, None, Err(failure))
             }
