entry: ask the owners of other regions' parts of a quota

Another region's owner is asked only after a refusal of the own one, and a refusal holds for 80 ms at least.

--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -4,7 +4,7 @@
 //! owner of this state; the request path locks it for the time of one question.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -343,12 +343,26 @@
         self.pool.refund(organisation, now);
     }
 
-    /// Host that owns the quota of an organisation; `None` while this host is not registered.
+    /// Host that owns the own region's part of a quota; `None` while this host is not registered.
     pub fn quota_owner(&self, organisation: &OrganisationId, now: MonoTime) -> Option<&HostRecord> {
         let hosts = self.fleet.hosts().filter(|it| it.region == self.place.region);
         quota_owner(organisation, hosts).filter(|_| self.is_registered(now))
     }
 
+    /// Owners of the parts of other regions; none while this host is not registered.
+    pub fn far_owners(&self, organisation: &OrganisationId, now: MonoTime) -> Vec<HostRecord> {
+        let regions: BTreeSet<&RegionId> = self
+            .fleet
+            .hosts()
+            .map(|it| &it.region)
+            .filter(|it| **it != self.place.region && self.is_registered(now))
+            .collect();
+        let owner = |region: &RegionId| {
+            quota_owner(organisation, self.fleet.hosts().filter(|it| it.region == *region))
+        };
+        regions.into_iter().filter_map(owner).cloned().collect()
+    }
+
     /// Grants admissions as the owner of a quota; `None` if this host is not the owner.
     pub fn grant(
         &mut self,
--- a/crates/sapphireknot/tests/steering/quota_owners.rs
+++ b/crates/sapphireknot/tests/steering/quota_owners.rs
@@ -182,3 +182,22 @@
     pool.fill(&acme(), 0, at(2_500), at(1_700));
     assert_eq!(pool.admit(&acme(), at(1_800)), PoolAnswer::Denied(at(2_500)));
 }
+
+/// One owner of each other region is asked when the own part is used up; all parts together are the whole quota.
+#[test]
+fn far_owners() {
+    let records = records(9);
+    let mut cores = cores(&records);
+    let far = cores[0].far_owners(&acme(), at(10));
+    let regions: Vec<_> = far.iter().map(|it| it.region.to_string()).collect();
+    assert_eq!(regions, ["north", "west"]);
+    let mut granted = 0;
+    for step in 0..5_000 {
+        for owner in 0..cores.len() {
+            granted += u32::from(matches!(cores[owner].grant(&acme(), 1, at(step)), Some(Ok(1))));
+        }
+    }
+    assert!((180..=allowed() as u32).contains(&granted), "{granted} in 5 s");
+    cores[0].tick(at(3_600_001));
+    assert!(cores[0].far_owners(&acme(), at(3_600_001)).is_empty(), "lapsed");
+}
--- a/crates/sapphireknotd/src/entry/quota_peers.rs
+++ b/crates/sapphireknotd/src/entry/quota_peers.rs
@@ -5,7 +5,7 @@
 use parking_lot::Mutex;
 use sapphireknot::{
     ids::{HostId, OrganisationId},
-    steering::tokens::PoolAnswer,
+    steering::{fleet::HostRecord, tokens::PoolAnswer},
     time::MonoTime,
 };
 use sapphireknot_wire::entry::{
@@ -24,6 +24,8 @@
 
 /// Time in which an owner answers; a host of the same region is a few milliseconds away.
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
+/// Least time for which an organisation is refused without a call, so that one that sends far too much costs few calls.
+const MIN_DENIAL: Duration = Duration::from_millis(80);
 /// Time for which an owner that did not answer is not asked again.
 const AVOID: Duration = Duration::from_millis(500);
 
@@ -65,7 +67,9 @@
         }
     }
 
-    /// What the owner grants, and when more is expected; `None` if it cannot be asked.
+    /// What owners grant, and when more is expected; `None` if the region's own one cannot be asked.
+    ///
+    /// Regions are busy at different times, so that another region's part may be free while the own one is used up.
     async fn ask(
         &self,
         state: &EntryState,
@@ -73,13 +77,39 @@
         count: u32,
     ) -> Option<(u32, MonoTime)> {
         let now = state.clock.now();
-        let owner = {
+        let (own_grant, owner, far) = {
             let mut core = state.core.lock();
-            if let Some(grant) = core.grant(organisation, count, now) {
-                return Some(grant.map_or_else(|retry_at| (0, retry_at), |it| (it, now)));
-            }
-            core.quota_owner(organisation, now)?.clone()
+            let grant = core.grant(organisation, count, now);
+            let owner = core.quota_owner(organisation, now)?.clone();
+            (grant, owner, core.far_owners(organisation, now))
+        };
+        let near = match own_grant {
+            Some(grant) => grant,
+            None => self.ask_owner(state, &owner, organisation, count).await?,
+        };
+        let mut retry_at = match near {
+            Ok(granted) => return Some((granted, now)),
+            Err(retry_at) => retry_at,
         };
+        for owner in far {
+            match self.ask_owner(state, &owner, organisation, count).await {
+                Some(Ok(granted)) => return Some((granted, now)),
+                Some(Err(other)) => retry_at = retry_at.min(other),
+                None => {}
+            }
+        }
+        Some((0, retry_at.max(state.clock.now().after(MIN_DENIAL))))
+    }
+
+    /// What one owner grants, or when more is expected; `None` if it cannot be asked.
+    async fn ask_owner(
+        &self,
+        state: &EntryState,
+        owner: &HostRecord,
+        organisation: &OrganisationId,
+        count: u32,
+    ) -> Option<Result<u32, MonoTime>> {
+        let now = state.clock.now();
         if self.avoided.lock().get(&owner.id).is_some_and(|until| now < *until) {
             return None;
         }
@@ -89,8 +119,9 @@
             Ok(Ok(reply)) => {
                 let TakeTokensReply { is_owner, granted, retry_ms } = reply.into_inner();
                 let retry_at = state.clock.now().after(Duration::from_millis(retry_ms.into()));
+                let result = if granted > 0 { Ok(granted) } else { Err(retry_at) };
                 // A host that sees another owner does so for a moment only.
-                return is_owner.then_some((granted, retry_at));
+                return is_owner.then_some(result);
             }
             Ok(Err(status)) => status.message().to_owned(),
             Err(_) => "no answer in time".to_owned(),
