--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -19,6 +19,7 @@
     place::{PlaceTable, sum_rooms},
     plan::{RequestPriority, ServiceRule},
     server_state::{ServerLoad, ServerState},
+    shares::ColdHosts,
 };
 use crate::{
     ids::{DatacentreId, RegionId, ServerId, ServiceId, VersionId},
@@ -124,8 +125,8 @@
     usual_load: f64,
     evacuated: HashSet<DatacentreId>,
     rule: ServiceRule,
-    /// Hosts that share the rate of a cold server.
-    hosts: u32,
+    /// Hosts that share the rates of cold servers.
+    hosts: ColdHosts,
     /// Rank of the least urgent requests.
     least_urgent: RequestPriority,
 }
@@ -140,7 +141,7 @@
             usual_load: 0.3,
             evacuated: HashSet::new(),
             rule,
-            hosts: 1,
+            hosts: ColdHosts::default(),
             least_urgent: RequestPriority::default(),
         }
     }
@@ -165,8 +166,8 @@
         self.servers.sort_by(|a, b| a.record.id.cmp(&b.record.id));
     }
 
-    /// Takes what the plan says, and the number of hosts.
-    pub fn set_rule(&mut self, rule: ServiceRule, least_urgent: RequestPriority, hosts: u32) {
+    /// Takes what the plan says, and the hosts.
+    pub fn set_rule(&mut self, rule: ServiceRule, least_urgent: RequestPriority, hosts: ColdHosts) {
         self.rule = rule;
         self.least_urgent = least_urgent;
         self.hosts = hosts;
@@ -189,6 +190,11 @@
         self.place.step(&rooms, now);
     }
 
+    /// Whether a cold server may get a request of this host.
+    fn may_warm(&self, server: &ServerState, now: MonoTime) -> bool {
+        server.gate.is_open(now) && self.hosts.is_sender(server.hash, self.rule.warmup_rate)
+    }
+
     fn may_get(&self, server: &ServerState, now: MonoTime) -> bool {
         server.is_usable(now) && !self.evacuated.contains(&server.record.datacentre)
     }
@@ -229,7 +235,7 @@
             let work_ms = (work.warm + (work.cold - work.warm) * unknown) * server.slowness(now);
             let wait = wait_ms(load, server.slots(), work.warm * server.slowness(now));
             let expected_ms = away + wait + work_ms;
-            if server.is_cold(now) && !server.gate.is_open(now) {
+            if server.is_cold(now) && !self.may_warm(server, now) {
                 shortest_wait = shortest_wait.min(wait.max(work_ms));
                 continue;
             }
@@ -284,11 +290,11 @@
 
     /// Counts a request that is being sent to `id`.
     pub fn record_sent(&mut self, id: &ServerId, now: MonoTime) {
-        let (rate, hosts) = (self.rule.warmup_rate, self.hosts);
-        let Some(server) = self.server_mut(id) else { return };
+        let Ok(idx) = self.servers.binary_search_by(|it| it.record.id.cmp(id)) else { return };
+        let server = &mut self.servers[idx];
         server.record_sent(now);
         if server.is_cold(now) {
-            server.gate.pass(rate, hosts, now);
+            server.gate.pass(self.rule.warmup_rate, &self.hosts, now);
         }
     }
 
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -16,7 +16,7 @@
     fleet::{FleetTable, HostRecord, ServerRecord},
     plan::{RequestPriority, RouteRule, RoutingPlan},
     server_state::ServerLoad,
-    shares::{HostShare, QuotaShares, QuotaSlack, quota_owner},
+    shares::{ColdHosts, HostShare, QuotaShares, QuotaSlack, quota_owner},
     tokens::{PoolAnswer, TokenPool},
     version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
 };
@@ -235,6 +235,7 @@
         self.budgets.retain(|id, _| plan.services.contains_key(id));
         self.pickers.retain(|id, _| plan.services.contains_key(id));
         let least_urgent = least_urgent_ranks(&plan);
+        let cold_hosts = ColdHosts::new(&self.place.host, self.fleet.hosts().map(|it| &it.id));
         for (id, rule) in &plan.services {
             let budget = self.budgets.entry(id.clone());
             budget.or_insert_with(|| RetryBudget::new(limits)).set_limits(limits);
@@ -243,7 +244,7 @@
                 .entry(id.clone())
                 .or_insert_with(|| ServicePicker::new(rule.clone(), self.place.region.clone()));
             let rank = least_urgent.get(id).copied().unwrap_or_default();
-            picker.set_rule(rule.clone(), rank, share.hosts);
+            picker.set_rule(rule.clone(), rank, cold_hosts.clone());
             picker.set_evacuated(self.evacuated.clone());
             let servers = self.fleet.servers().filter(|it| it.record.service == *id);
             let placed = servers.clone().filter_map(|it| {
--- a/crates/sapphireknot/src/steering/shares.rs
+++ b/crates/sapphireknot/src/steering/shares.rs
@@ -12,7 +12,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use crate::{
-    ids::{OrganisationId, RegionId},
+    ids::{HostId, OrganisationId, RegionId},
     quota::{QuotaLimits, TokenBucket},
     rendezvous::{rendezvous_draw, rendezvous_score},
     steering::{fleet::HostRecord, plan::RoutingPlan},
@@ -23,6 +23,9 @@
 
 /// Part of a cold server's rate that is used; the rest covers requests that are delayed into the next second.
 const PACED_PART: f64 = 0.9;
+/// Hosts that share the rate of a cold server, per request a second of it. Each may send twice within a second, so that
+/// more of them could exceed the rate by half.
+const SENDER_PART: f64 = 0.7;
 /// Part of the slack of a quota that is used.
 const USED_SLACK: f64 = 0.6;
 
@@ -58,6 +61,41 @@
     }
 }
 
+/// Hosts that may send requests to cold servers, by their hashes.
+///
+/// Each of many hosts would send its first request to a cold server at once. A few hosts per server, by rendezvous
+/// hashing, share its rate instead.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct ColdHosts {
+    own: u64,
+    others: Vec<u64>,
+}
+
+impl ColdHosts {
+    /// This host among `hosts`, in which it may be missing.
+    pub fn new<'a, I>(own: &HostId, hosts: I) -> Self
+    where
+        I: Iterator<Item = &'a HostId>,
+    {
+        let hash = |id: &HostId| xxh3_64(id.as_str().as_bytes());
+        let others = hosts.filter(|it| *it != own).map(hash).collect();
+        Self { own: hash(own), others }
+    }
+
+    /// Hosts that share the rate of one cold server.
+    fn senders(&self, rate: RequestRate) -> usize {
+        let most = (rate.0 as f64 / 1_000.0 * SENDER_PART) as usize;
+        most.clamp(1, self.others.len() + 1)
+    }
+
+    /// Whether this host may send requests to the cold server with the hash `server`.
+    pub fn is_sender(&self, server: u64, rate: RequestRate) -> bool {
+        let own = rendezvous_draw(server, self.own);
+        let before = self.others.iter().filter(|it| rendezvous_draw(server, **it) > own).count();
+        before < self.senders(rate)
+    }
+}
+
 /// Lets single requests pass at a steady pace.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PacedGate {
@@ -70,9 +108,10 @@
         now >= self.next
     }
 
-    /// Counts a request that passes, when `hosts` hosts share `rate`.
-    pub fn pass(&mut self, rate: RequestRate, hosts: u32, now: MonoTime) {
-        let per_second = rate.0 as f64 / 1_000.0 * PACED_PART / f64::from(hosts.max(1));
+    /// Counts a request that passes to a cold server with `rate`.
+    pub fn pass(&mut self, rate: RequestRate, hosts: &ColdHosts, now: MonoTime) {
+        let senders = hosts.senders(rate) as f64;
+        let per_second = rate.0 as f64 / 1_000.0 * PACED_PART / senders;
         // A server without a rate takes one request a second.
         let per_second = if per_second > 0.0 { per_second } else { 1.0 };
         self.next = now.after(Duration::from_secs_f64(1.0 / per_second));
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -62,9 +62,10 @@
 pub const FLEET_CALL_TIMEOUT: ClockSpan = ClockSpan::from_millis(1_000);
 /// Longest wait of one watch; a silent connection is noticed by its keep-alive probes, not by this limit.
 pub const FLEET_WATCH_WAIT: ClockSpan = ClockSpan::from_secs(20);
-/// Pause between watches, in which changes gather, as each call is paid for; a third of the time in which a change is to be
-/// in force.
-pub const FLEET_WATCH_PAUSE: ClockSpan = ClockSpan::from_millis(600);
+/// Time in which a change in the store takes effect on every host.
+pub const APPLY_TIME: ClockSpan = ClockSpan::from_secs(2);
+/// Part of that time for which a host waits between watches: changes gather meanwhile, as each call is paid for.
+pub const FLEET_WATCH_PAUSE: f64 = 0.3;
 /// First pause after a failed call to the store.
 pub const FLEET_FIRST_RETRY: ClockSpan = ClockSpan::from_millis(200);
 /// Longest pause after failed calls; short enough that a host follows soon after the store's return.
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -245,6 +245,7 @@
         if actor.cast(message).is_err() {
             return;
         }
-        sleep(FLEET_WATCH_PAUSE.0).await;
+        let apply_time = state.settings.load().bounds.apply_time.0;
+        sleep(apply_time.mul_f64(FLEET_WATCH_PAUSE)).await;
     }
 }
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -89,6 +89,8 @@
     pub retry_slack: u32,
     /// Longest time for which callers may keep an answer of the directory.
     pub name_lifetime: ClockSpan,
+    /// Time in which a change in the store takes effect on every host.
+    pub apply_time: ClockSpan,
     /// Time after SIGTERM at which the process is killed.
     pub stop_grace: ClockSpan,
 }
@@ -101,6 +103,7 @@
             retry_ratio: constants::RETRY_RATIO,
             retry_slack: constants::RETRY_SLACK,
             name_lifetime: constants::CACHE_LIFETIME,
+            apply_time: constants::APPLY_TIME,
             stop_grace: constants::STOP_GRACE,
         }
     }
@@ -133,6 +136,7 @@
         }
         for (field, span) in [
             ("bounds.name_lifetime", self.bounds.name_lifetime),
+            ("bounds.apply_time", self.bounds.apply_time),
             ("bounds.stop_grace", self.bounds.stop_grace),
         ] {
             if span.0.is_zero() {
