--- a/crates/sapphireknotd/src/logging.rs
+++ b/crates/sapphireknotd/src/logging.rs
@@ -1,5 +1,9 @@
 //! Logs of the daemon: one JSON object per line on standard output.
 
+pub mod queue;
+
+use std::{sync::OnceLock, time::Duration};
+
 use log::{
     LevelFilter, Record,
     kv::{self, Key, Value, VisitSource},
@@ -8,6 +12,7 @@
 use serde_json::{Map, json};
 use thiserror::Error;
 
+use self::queue::LineQueue;
 use crate::settings::LogSettings;
 
 /// Why logs cannot be written.
@@ -16,10 +21,23 @@
     /// A logger is in place already.
     #[error("install logger: {0}")]
     Install(#[from] log::SetLoggerError),
+    /// The thread that writes cannot be started.
+    #[error("start log writer: {0}")]
+    Writer(#[from] std::io::Error),
 }
 
+/// Lines that wait for the writer at most, about half a megabyte.
+const QUEUED_LINES: usize = 2_048;
+/// Time to write the last lines at the end of the process.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Queue of the installed logger.
+static QUEUE: OnceLock<LineQueue> = OnceLock::new();
+
 /// Starts writing logs at the level of `settings`.
 pub fn install(settings: &LogSettings) -> Result<(), LogError> {
+    let queue = LineQueue::start(std::io::stdout(), QUEUED_LINES)?;
+    let lines = QUEUE.get_or_init(|| queue).clone();
     let level = settings.level.parse().unwrap_or(LevelFilter::Info);
     fern::Dispatch::new()
         // The level is checked before a record is built; a reload may change it.
@@ -28,12 +46,19 @@
         .level_for("h2", LevelFilter::Warn)
         .level_for("hyper", LevelFilter::Warn)
         .format(|out, _, record| out.finish(format_args!("{}", format_line(record))))
-        .chain(std::io::stdout())
+        .chain(fern::Output::call(move |record| lines.push(record.args().to_string())))
         .apply()?;
     log::set_max_level(level);
     Ok(())
 }
 
+/// Writes what is queued, at the end of the process.
+pub fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        queue.flush(FLUSH_TIMEOUT);
+    }
+}
+
 /// Changes the level of the logs that are being written.
 pub fn set_level(settings: &LogSettings) {
     log::set_max_level(settings.level.parse().unwrap_or(LevelFilter::Info));
--- /dev/null
+++ b/crates/sapphireknotd/src/logging/queue.rs
@@ -0,0 +1,91 @@
+//! Queue between the threads that log and the one that writes.
+//!
+//! A reader of the output that stops reading must not stop the process: a full queue drops lines and counts them, and the
+//! count is written before the next line.
+
+use std::{
+    io::Write,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+    thread,
+    time::Duration,
+};
+
+use serde_json::json;
+
+/// What goes to the writer.
+enum QueueItem {
+    /// One line without its end.
+    Line(String),
+    /// The sender is told when all lines before were written.
+    Flush(SyncSender<()>),
+}
+
+/// Queue of lines.
+#[derive(Debug, Clone)]
+pub struct LineQueue {
+    sender: SyncSender<QueueItem>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineQueue {
+    /// Starts a thread that writes to `writer`; up to `capacity` lines wait for it.
+    pub fn start<W>(writer: W, capacity: usize) -> std::io::Result<Self>
+    where
+        W: Write + Send + 'static,
+    {
+        let (sender, receiver) = sync_channel(capacity);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
+        let write = move || write_lines(writer, &receiver, &counter);
+        thread::Builder::new().name("log".to_owned()).spawn(write)?;
+        Ok(Self { sender, dropped })
+    }
+
+    /// Adds a line, or drops it if the queue is full.
+    pub fn push(&self, line: String) {
+        // A writer that has ended cannot be told of anything.
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(QueueItem::Line(line)) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits until the lines so far are written, for at most `limit`.
+    pub fn flush(&self, limit: Duration) {
+        let (done, written) = sync_channel(1);
+        // A full queue means that nobody reads, so that waiting is of no use.
+        if self.sender.try_send(QueueItem::Flush(done)).is_ok() {
+            let _ = written.recv_timeout(limit);
+        }
+    }
+}
+
+fn write_lines<W>(mut writer: W, receiver: &Receiver<QueueItem>, dropped: &AtomicU64)
+where
+    W: Write,
+{
+    for item in receiver {
+        let result = match item {
+            QueueItem::Line(line) => {
+                let count = dropped.swap(0, Ordering::Relaxed);
+                let note = (count > 0).then(
+                    || json!({ "level": "warn", "message": "lines dropped", "count": count }),
+                );
+                let note = note.map(|it| format!("{it}\n")).unwrap_or_default();
+                writer.write_all(format!("{note}{line}\n").as_bytes()).and_then(|()| writer.flush())
+            }
+            QueueItem::Flush(done) => {
+                // The caller may have stopped waiting.
+                let _ = done.try_send(());
+                Ok(())
+            }
+        };
+        if result.is_err() {
+            // Nobody can read what is written from here on.
+            return;
+        }
+    }
+}
--- a/crates/sapphireknotd/src/main.rs
+++ b/crates/sapphireknotd/src/main.rs
@@ -19,13 +19,12 @@
     if let Err(err) = logging::install(options.settings.log()) {
         return fail(&err);
     }
-    match daemon::run_process(options) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            log::error!(error:% = err; "daemon ended");
-            fail(&err)
-        }
+    let result = daemon::run_process(options);
+    if let Err(err) = &result {
+        log::error!(error:% = err; "daemon ended");
     }
+    logging::flush();
+    result.map_or_else(|err| fail(&err), |()| ExitCode::SUCCESS)
 }
 
 fn fail(err: &dyn Error) -> ExitCode {
