--- a/crates/sapphireknotd/tests/entry_settings.rs
+++ b/crates/sapphireknotd/tests/entry_settings.rs
@@ -8,7 +8,7 @@
 };
 
 fn sample() -> String {
-    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../samples/entry-host.yaml");
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy/sample-settings.yaml");
     std::fs::read_to_string(path).expect("the sample is there")
 }
 
