steering, front: move quotas out of the core and share the reading of bodies

No behaviour changes: the part of the core that keeps quotas has a module of its own, and both servers for callers read bodies with one function.

--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -3,27 +3,27 @@
 //! The core takes what the store tells as [`FleetChange`]s and answers the questions of the request path. It is the only
 //! owner of this state; the request path locks it for the time of one question.
 
+mod quotas;
+
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
 
 use rand::Rng;
 
+use self::quotas::QuotaState;
 use super::{
     choice::{ChoiceMiss, ChoiceQuery, ChosenServer, ServicePicker, ServicePickers},
     fleet::{FleetTable, HostRecord, ServerRecord},
     plan::{RequestPriority, RouteRule, RoutingPlan},
     server_state::ServerLoad,
-    shares::{ColdHosts, HostShare, QuotaShares, QuotaSlack, quota_owner},
-    tokens::{PoolAnswer, TokenPool},
+    shares::{ColdHosts, HostShare, QuotaSlack},
     version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
 };
 use crate::{
-    ids::{
-        DatacentreId, HostId, OrganisationId, RegionId, RouteId, ServerId, ServiceId, VersionId,
-    },
+    ids::{DatacentreId, HostId, RegionId, RouteId, ServerId, ServiceId, VersionId},
     picker::ServerOutcome,
     retry::{RetryBudget, RetryLimits},
     time::MonoTime,
@@ -32,9 +32,6 @@
 
 /// Part of the retry budget of all hosts that is used; the rest covers requests that are delayed between windows.
 const USED_RETRIES: f64 = 0.75;
-/// Part of its own part that a host uses while the owner of a quota does not answer it. The owner may grant the whole to
-/// others at the same time, which the tolerance of quotas covers.
-const UNREACHED_PART: f64 = 0.3;
 /// Response time, in target latencies, from which a response of a new version counts as a failure. A cold server that
 /// does not know the object takes up to three.
 const BAD_SLOWNESS: f64 = 4.5;
@@ -110,15 +107,7 @@
     fleet: FleetTable,
     versions: VersionTable,
     pickers: ServicePickers,
-    pool: TokenPool,
-    /// Region's part of the quotas that this host owns.
-    owned: QuotaShares,
-    /// This host's own part, for when no owner can be asked.
-    spare: QuotaShares,
-    /// Until when this host is registered.
-    registered_until: MonoTime,
-    /// Whether the parts of quotas are those of a registered host.
-    was_registered: bool,
+    quotas: QuotaState,
     budgets: HashMap<ServiceId, RetryBudget>,
     evacuated: HashSet<DatacentreId>,
     /// Credit of each part of a split route.
@@ -135,11 +124,7 @@
             fleet: FleetTable::default(),
             versions: VersionTable::default(),
             pickers: HashMap::new(),
-            pool: TokenPool::default(),
-            owned: QuotaShares::default(),
-            spare: QuotaShares::default(),
-            registered_until: MonoTime::default(),
-            was_registered: false,
+            quotas: QuotaState::default(),
             budgets: HashMap::new(),
             evacuated: HashSet::new(),
             turns: HashMap::new(),
@@ -259,46 +244,11 @@
     /// Ends what is due at `now`.
     pub fn tick(&mut self, now: MonoTime) {
         let is_expired = self.fleet.next_expiry().is_some_and(|it| now >= it);
-        let has_lapsed = self.was_registered && !self.is_registered(now);
-        if is_expired || has_lapsed {
-            self.was_registered &= !has_lapsed;
+        if self.quotas.end_registration(now) || is_expired {
             self.refresh(now);
         }
     }
 
-    fn install_quotas(&mut self, plan: &RoutingPlan, share: HostShare, now: MonoTime) {
-        let slack = self.bounds.quota;
-        let neighbours = self.fleet.hosts().filter(|it| it.region == self.place.region);
-        let registered = u32::try_from(neighbours.count()).unwrap_or(u32::MAX);
-        let sum = TrafficShare(share.traffic.0.saturating_mul(registered));
-        let is_registered = self.is_registered(now);
-        let (own, fleet, region) = (&self.place.host, &self.fleet, &self.place.region);
-        let is_own = |it: &OrganisationId| {
-            let hosts = fleet.hosts().filter(|host| host.region == *region);
-            is_registered && quota_owner(it, hosts).is_some_and(|host| host.id == *own)
-        };
-        self.owned.install(plan, sum, slack, now, is_own);
-        let part = if is_registered { UNREACHED_PART } else { 1.0 };
-        let spare = TrafficShare((f64::from(share.traffic.0) * part) as u32);
-        self.spare.install(plan, spare, slack, now, |_| true);
-    }
-
-    /// Notes that this host is registered with `record` until `until` at least.
-    pub fn set_registered(&mut self, record: &HostRecord, until: MonoTime, now: MonoTime) {
-        let was_registered = std::mem::replace(&mut self.was_registered, true);
-        self.registered_until = until;
-        if !was_registered {
-            // The store tells of the registration only with the next changes.
-            self.fleet.add_host(record.clone(), now);
-            self.refresh(now);
-        }
-    }
-
-    /// Whether this host is registered as far as it knows.
-    pub fn is_registered(&self, now: MonoTime) -> bool {
-        now < self.registered_until
-    }
-
     fn retry_limits(&self, hosts: u32) -> RetryLimits {
         let micros =
             |part: f64| TokenCount((part * USED_RETRIES * TokenCount::ONE.0 as f64) as u64);
@@ -314,79 +264,6 @@
         }
     }
 
-    /// Counts a request of `organisation` and admits it if an admission is held.
-    pub fn admit(&mut self, organisation: &OrganisationId, now: MonoTime) -> PoolAnswer {
-        let rules = self.plan.as_ref().and_then(|it| it.organisations.get(organisation));
-        if rules.is_none_or(|it| it.quota.is_none()) {
-            return PoolAnswer::Admitted;
-        }
-        self.pool.admit(organisation, now)
-    }
-
-    /// Admits a request that was counted and waited for admissions.
-    pub fn admit_again(&mut self, organisation: &OrganisationId, now: MonoTime) -> PoolAnswer {
-        self.pool.admit_again(organisation, now)
-    }
-
-    /// Takes the owner's answer.
-    pub fn fill_pool(
-        &mut self,
-        organisation: &OrganisationId,
-        granted: u32,
-        retry_at: MonoTime,
-        now: MonoTime,
-    ) {
-        self.pool.fill(organisation, granted, retry_at, now);
-    }
-
-    /// Gives back the admission of a request that did not run.
-    pub fn refund_quota(&mut self, organisation: &OrganisationId, now: MonoTime) {
-        self.pool.refund(organisation, now);
-    }
-
-    /// Host that owns the own region's part of a quota; `None` while this host is not registered.
-    pub fn quota_owner(&self, organisation: &OrganisationId, now: MonoTime) -> Option<&HostRecord> {
-        let hosts = self.fleet.hosts().filter(|it| it.region == self.place.region);
-        quota_owner(organisation, hosts).filter(|_| self.is_registered(now))
-    }
-
-    /// Owners of the parts of other regions; none while this host is not registered.
-    pub fn far_owners(&self, organisation: &OrganisationId, now: MonoTime) -> Vec<HostRecord> {
-        let regions: BTreeSet<&RegionId> = self
-            .fleet
-            .hosts()
-            .map(|it| &it.region)
-            .filter(|it| **it != self.place.region && self.is_registered(now))
-            .collect();
-        let owner = |region: &RegionId| {
-            quota_owner(organisation, self.fleet.hosts().filter(|it| it.region == *region))
-        };
-        regions.into_iter().filter_map(owner).cloned().collect()
-    }
-
-    /// Grants admissions as the owner of a quota; `None` if this host is not the owner.
-    pub fn grant(
-        &mut self,
-        organisation: &OrganisationId,
-        count: u32,
-        now: MonoTime,
-    ) -> Option<Result<u32, MonoTime>> {
-        let owner = self.quota_owner(organisation, now)?;
-        if owner.id != self.place.host {
-            return None;
-        }
-        Some(self.owned.take(organisation, count, now))
-    }
-
-    /// Admits one request from this host's own part, as no owner can be asked.
-    pub fn admit_alone(
-        &mut self,
-        organisation: &OrganisationId,
-        now: MonoTime,
-    ) -> Result<(), MonoTime> {
-        self.spare.admit(organisation, now)
-    }
-
     /// Service that takes the next request of `route`, so that parts are exactly by weight.
     pub fn next_service(&mut self, route: &RouteRule) -> Option<ServiceId> {
         if let [part] = route.split.as_slice() {
--- /dev/null
+++ b/crates/sapphireknot/src/steering/core/quotas.rs
@@ -0,0 +1,151 @@
+//! Quotas on one host: admissions that it holds, the parts that it owns, and its own part.
+
+use std::collections::BTreeSet;
+
+use super::SteeringCore;
+use crate::{
+    ids::{OrganisationId, RegionId},
+    steering::{
+        fleet::HostRecord,
+        plan::RoutingPlan,
+        shares::{HostShare, QuotaShares, quota_owner},
+        tokens::{PoolAnswer, TokenPool},
+    },
+    time::MonoTime,
+    units::TrafficShare,
+};
+
+/// Part of its own part that a host uses while the owner of a quota does not answer it. The owner may grant the whole to
+/// others at the same time, which the tolerance of quotas covers.
+const UNREACHED_PART: f64 = 0.3;
+
+/// Quotas on one host.
+#[derive(Debug, Default)]
+pub(super) struct QuotaState {
+    pool: TokenPool,
+    /// Region's part of the quotas that this host owns.
+    owned: QuotaShares,
+    /// This host's own part, for when no owner can be asked.
+    spare: QuotaShares,
+    /// Until when this host is registered.
+    registered_until: MonoTime,
+    /// Whether the parts of quotas are those of a registered host.
+    was_registered: bool,
+}
+
+impl QuotaState {
+    /// Notes that the registration has lapsed, and says whether it was there before.
+    pub(super) fn end_registration(&mut self, now: MonoTime) -> bool {
+        let has_lapsed = self.was_registered && now >= self.registered_until;
+        self.was_registered &= !has_lapsed;
+        has_lapsed
+    }
+}
+
+impl SteeringCore {
+    pub(super) fn install_quotas(&mut self, plan: &RoutingPlan, share: HostShare, now: MonoTime) {
+        let slack = self.bounds.quota;
+        let neighbours = self.fleet.hosts().filter(|it| it.region == self.place.region);
+        let registered = u32::try_from(neighbours.count()).unwrap_or(u32::MAX);
+        let sum = TrafficShare(share.traffic.0.saturating_mul(registered));
+        let is_registered = self.is_registered(now);
+        let (own, fleet, region) = (&self.place.host, &self.fleet, &self.place.region);
+        let is_own = |it: &OrganisationId| {
+            let hosts = fleet.hosts().filter(|host| host.region == *region);
+            is_registered && quota_owner(it, hosts).is_some_and(|host| host.id == *own)
+        };
+        self.quotas.owned.install(plan, sum, slack, now, is_own);
+        let part = if is_registered { UNREACHED_PART } else { 1.0 };
+        let spare = TrafficShare((f64::from(share.traffic.0) * part) as u32);
+        self.quotas.spare.install(plan, spare, slack, now, |_| true);
+    }
+
+    /// Notes that this host is registered with `record` until `until` at least.
+    pub fn set_registered(&mut self, record: &HostRecord, until: MonoTime, now: MonoTime) {
+        let was_registered = std::mem::replace(&mut self.quotas.was_registered, true);
+        self.quotas.registered_until = until;
+        if !was_registered {
+            // The store tells of the registration only with the next changes.
+            self.fleet.add_host(record.clone(), now);
+            self.refresh(now);
+        }
+    }
+
+    /// Whether this host is registered as far as it knows.
+    pub fn is_registered(&self, now: MonoTime) -> bool {
+        now < self.quotas.registered_until
+    }
+
+    /// Counts a request of `organisation` and admits it if an admission is held.
+    pub fn admit(&mut self, organisation: &OrganisationId, now: MonoTime) -> PoolAnswer {
+        let rules = self.plan.as_ref().and_then(|it| it.organisations.get(organisation));
+        if rules.is_none_or(|it| it.quota.is_none()) {
+            return PoolAnswer::Admitted;
+        }
+        self.quotas.pool.admit(organisation, now)
+    }
+
+    /// Admits a request that was counted and waited for admissions.
+    pub fn admit_again(&mut self, organisation: &OrganisationId, now: MonoTime) -> PoolAnswer {
+        self.quotas.pool.admit_again(organisation, now)
+    }
+
+    /// Takes the owner's answer.
+    pub fn fill_pool(
+        &mut self,
+        organisation: &OrganisationId,
+        granted: u32,
+        retry_at: MonoTime,
+        now: MonoTime,
+    ) {
+        self.quotas.pool.fill(organisation, granted, retry_at, now);
+    }
+
+    /// Gives back the admission of a request that did not run.
+    pub fn refund_quota(&mut self, organisation: &OrganisationId, now: MonoTime) {
+        self.quotas.pool.refund(organisation, now);
+    }
+
+    /// Host that owns the own region's part of a quota; `None` while this host is not registered.
+    pub fn quota_owner(&self, organisation: &OrganisationId, now: MonoTime) -> Option<&HostRecord> {
+        let hosts = self.fleet.hosts().filter(|it| it.region == self.place.region);
+        quota_owner(organisation, hosts).filter(|_| self.is_registered(now))
+    }
+
+    /// Owners of the parts of other regions; none while this host is not registered.
+    pub fn far_owners(&self, organisation: &OrganisationId, now: MonoTime) -> Vec<HostRecord> {
+        let regions: BTreeSet<&RegionId> = self
+            .fleet
+            .hosts()
+            .map(|it| &it.region)
+            .filter(|it| **it != self.place.region && self.is_registered(now))
+            .collect();
+        let owner = |region: &RegionId| {
+            quota_owner(organisation, self.fleet.hosts().filter(|it| it.region == *region))
+        };
+        regions.into_iter().filter_map(owner).cloned().collect()
+    }
+
+    /// Grants admissions as the owner of a quota; `None` if this host is not the owner.
+    pub fn grant(
+        &mut self,
+        organisation: &OrganisationId,
+        count: u32,
+        now: MonoTime,
+    ) -> Option<Result<u32, MonoTime>> {
+        let owner = self.quota_owner(organisation, now)?;
+        if owner.id != self.place.host {
+            return None;
+        }
+        Some(self.quotas.owned.take(organisation, count, now))
+    }
+
+    /// Admits one request from this host's own part, as no owner can be asked.
+    pub fn admit_alone(
+        &mut self,
+        organisation: &OrganisationId,
+        now: MonoTime,
+    ) -> Result<(), MonoTime> {
+        self.quotas.spare.admit(organisation, now)
+    }
+}
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -24,7 +24,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::{sleep, timeout_at},
+    time::sleep,
 };
 
 use super::{
@@ -35,10 +35,12 @@
     state::EntryState,
 };
 use crate::{
-    buffers::{BufferBudget, CollectError, MemoryWait},
+    buffers::{BufferBudget, MemoryWait},
     constants,
     context::DrainStage,
-    front::{headers::drop_hop_by_hop, refusals::FrontRefusal, streams::PromptStream},
+    front::{
+        bodies::read_body, headers::drop_hop_by_hop, refusals::FrontRefusal, streams::PromptStream,
+    },
     telemetry::{self, HopSpan},
     upstream::connections::{ConnectionPool, PoolLimits},
 };
@@ -229,7 +231,8 @@
         let patience = head.patience.unwrap_or(route.timeout);
         let deadline = started.after(patience.min(route.timeout));
         let caller_deadline = head.patience.map(|it| started.after(it));
-        let body = self.read_body(plan, &parts.headers, body, deadline).await?;
+        let (max_bytes, until) = (plan.limits.max_body_bytes, self.state.clock.instant(deadline));
+        let body = read_body(&self.buffers, &parts.headers, body, max_bytes, until).await?;
         if let Some(organisation) = organisation
             && let Err(retry_at) = self.quotas.admit(&self.state, organisation).await
         {
@@ -335,32 +338,6 @@
         }
         response
     }
-
-    async fn read_body(
-        &self,
-        plan: &RoutingPlan,
-        headers: &HeaderMap,
-        body: Incoming,
-        deadline: MonoTime,
-    ) -> Result<Bytes, FrontRefusal> {
-        let max_bytes = plan.limits.max_body_bytes;
-        let too_large = || FrontRefusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE);
-        let declared = headers.get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok());
-        let declared = declared.and_then(|it| it.parse::<u64>().ok());
-        if declared.is_some_and(|it| it > max_bytes as u64) {
-            return Err(too_large());
-        }
-        let reading = self.buffers.collect(body, max_bytes);
-        match timeout_at(self.state.clock.instant(deadline), reading).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(CollectError::TooLarge(_))) => Err(too_large()),
-            Ok(Err(CollectError::NoMemory)) => Err(FrontRefusal::not_run(RefusalReason::NoRoom)),
-            Ok(Err(CollectError::Broken(_))) => {
-                Err(FrontRefusal::bad_request(StatusCode::BAD_REQUEST))
-            }
-            Err(_) => Err(FrontRefusal::bad_request(StatusCode::REQUEST_TIMEOUT)),
-        }
-    }
 }
 
 /// What is known of a request before its body is read.
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -1,5 +1,6 @@
 //! Caller side: look-up, gate, forwarding and refusals.
 
+pub mod bodies;
 pub mod gate;
 pub mod headers;
 pub mod lookups;
@@ -35,12 +36,12 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::{sleep, timeout_at},
+    time::sleep,
 };
 
 use self::{forward::AdmittedRequest, refusals::FrontRefusal, streams::PromptStream};
 use crate::{
-    buffers::{BufferBudget, CollectError, MemoryWait},
+    buffers::{BufferBudget, MemoryWait},
     context::{DrainStage, HostContext, QuotaVerdict},
     telemetry::{self, HopSpan, PathMeters},
     upstream::connections::{ConnectionPool, REQUEST_ID},
@@ -285,23 +286,9 @@
         deadline: MonoTime,
     ) -> Result<Bytes, FrontRefusal> {
         let limits = &self.context.settings.limits;
-        let too_large = || FrontRefusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE);
-        let declared = headers.get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok());
-        let declared = declared.and_then(|it| it.parse::<u64>().ok());
-        if declared.is_some_and(|it| it > limits.max_body_bytes as u64) {
-            return Err(too_large());
-        }
         let until = self.context.clock.now().after(limits.body_timeout.0).min(deadline);
-        let reading = self.buffers.collect(body, limits.max_body_bytes);
-        match timeout_at(self.context.clock.instant(until), reading).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(CollectError::TooLarge(_))) => Err(too_large()),
-            Ok(Err(CollectError::NoMemory)) => Err(FrontRefusal::not_run(RefusalReason::NoRoom)),
-            Ok(Err(CollectError::Broken(_))) => {
-                Err(FrontRefusal::bad_request(StatusCode::BAD_REQUEST))
-            }
-            Err(_) => Err(FrontRefusal::bad_request(StatusCode::REQUEST_TIMEOUT)),
-        }
+        let until = self.context.clock.instant(until);
+        bodies::read_body(&self.buffers, headers, body, limits.max_body_bytes, until).await
     }
 }
 
