--- a/crates/sapphireknot/src/steering/plan.rs
+++ b/crates/sapphireknot/src/steering/plan.rs
@@ -61,8 +61,6 @@
 /// Service of a plan.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceRule {
-    /// Connections that one backend server accepts from all hosts together.
-    pub max_connections: u32,
     /// Time for which a backend server is cold after it starts.
     pub warmup: Duration,
     /// Requests per second that a cold backend server tolerates from all hosts together.
--- a/crates/sapphireknot/src/steering/server_state.rs
+++ b/crates/sapphireknot/src/steering/server_state.rs
@@ -161,11 +161,6 @@
         (believed + fresh).max(f64::from(self.in_flight))
     }
 
-    /// The latest report, if it is recent.
-    pub fn recent_load(&self, now: MonoTime) -> Option<f64> {
-        (now.since(self.load_at) < REPORT_MEMORY * 2).then_some(self.load)
-    }
-
     /// Share of this host's recent requests that failed there.
     pub fn failure_rate(&self, now: MonoTime) -> f64 {
         let rate = self.failure_rate * decay(now.since(self.failed_at), FAILURE_MEMORY);
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -60,11 +60,7 @@
 }
 
 pub(crate) fn service_rule() -> ServiceRule {
-    ServiceRule {
-        max_connections: 400,
-        warmup: Duration::from_secs(3),
-        warmup_rate: RequestRate::per_second(15),
-    }
+    ServiceRule { warmup: Duration::from_secs(3), warmup_rate: RequestRate::per_second(15) }
 }
 
 pub(crate) fn route(name: &str, prefix: &str) -> RouteRule {
