--- a/crates/sapphireknot-platform/src/fleet.rs
+++ b/crates/sapphireknot-platform/src/fleet.rs
@@ -31,6 +31,15 @@
     Store(#[from] StoreError),
 }
 
+/// How recent the result of a read must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadRecency {
+    /// All changes that were acknowledged before the call.
+    Latest,
+    /// Changes of the last seconds may be missing; such a read is cheaper.
+    MayLag,
+}
+
 /// Result of a write under a lease or a condition.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -59,7 +68,7 @@
 #[async_trait]
 pub trait FleetStore: Send + Sync {
     /// Reads everything.
-    async fn read_all(&self) -> Result<FeedPage, StoreError>;
+    async fn read_all(&self, recency: ReadRecency) -> Result<FeedPage, StoreError>;
 
     /// Waits for changes after `after` for at most `wait`; none may have come.
     async fn next_changes(
--- a/crates/sapphireknot-platform/src/lib.rs
+++ b/crates/sapphireknot-platform/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     dialect::{AnswerKind, CallerHead, NameQuery, RequestDialect, ServerAnswer, ServerHead},
-    fleet::{CallCount, FeedError, FeedPage, FleetStore, WriteOutcome},
+    fleet::{CallCount, FeedError, FeedPage, FleetStore, ReadRecency, WriteOutcome},
     grpc::{GrpcHosts, GrpcStore},
     hosts::{HostList, ListedHost},
     store::{
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -69,7 +69,7 @@
 /// First pause after a failed call to the store.
 pub const FLEET_FIRST_RETRY: ClockSpan = ClockSpan::from_millis(200);
 /// Longest pause after failed calls; short enough that a host follows soon after the store's return.
-pub const FLEET_MAX_RETRY: ClockSpan = ClockSpan::from_millis(300);
+pub const FLEET_MAX_RETRY: ClockSpan = ClockSpan::from_millis(500);
 /// Lease of a host's registration; callers are told of a host that died for no longer than this.
 pub const HOST_LEASE: ClockSpan = ClockSpan::from_millis(3_500);
 /// Interval at which the lease is renewed; a lost renewal is followed by two more before the lease ends.
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -1,8 +1,9 @@
 //! Follows the store.
 //!
-//! A task reads everything once and then waits for changes; the actor applies them to the core in their order, publishes
-//! the plan, and writes the records of rollouts that are due. After a failed call the task goes on from the same
-//! revision; when the store has dropped that history it reads everything again.
+//! A task reads everything once and then waits for changes. The first read may lag, which is cheaper, and is followed at
+//! once by the changes since; nothing is published before these have arrived. The actor applies changes to the core
+//! in their order, publishes the plan, and writes the records of rollouts that are due. After a failed call the task goes
+//! on from the same revision; when the store has dropped that history it reads the latest state.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -12,7 +13,9 @@
     steering::version::{RecordChange, RolloutPhase},
     time::MonoTime,
 };
-use sapphireknot_platform::{FeedError, FeedPage, StoreError, StoreRevision, WriteOutcome};
+use sapphireknot_platform::{
+    FeedError, FeedPage, ReadRecency, StoreError, StoreRevision, WriteOutcome,
+};
 use tokio::time::sleep;
 
 use super::state::EntryState;
@@ -31,7 +34,7 @@
 #[derive(Debug)]
 pub enum FleetMessage {
     /// The store was read completely.
-    Read(FeedPage),
+    Read(FeedPage, ReadRecency),
     /// Changes arrived.
     Changed(FeedPage),
     /// A call failed.
@@ -90,19 +93,24 @@
     ) -> Result<(), ActorProcessingErr> {
         let now = actor.state.clock.now();
         match message {
-            FleetMessage::Read(page) => {
-                log::info!(entries = page.changes.len(), revision:% = page.revision; "store read");
+            FleetMessage::Read(page, recency) => {
+                log::info!(
+                    entries = page.changes.len(), revision:% = page.revision, recency:?;
+                    "store read"
+                );
                 actor.regain(now);
                 actor.state.core.lock().replace(page.changes, now);
-                actor.publish();
+                if recency == ReadRecency::Latest {
+                    actor.publish();
+                }
             }
             FleetMessage::Changed(page) => {
                 actor.regain(now);
                 if !page.changes.is_empty() {
                     log::debug!(changes:? = page.changes, revision:% = page.revision; "store changed");
                     actor.state.core.lock().take(page.changes, now);
-                    actor.publish();
                 }
+                actor.publish();
                 actor.write_due(now);
             }
             FleetMessage::Failed => {
@@ -203,29 +211,42 @@
 async fn follow(state: Arc<EntryState>, actor: ActorRef<FleetMessage>) {
     let store = &state.platform.store;
     let mut known: Option<StoreRevision> = None;
+    let mut recency = ReadRecency::MayLag;
     let mut pause = FLEET_FIRST_RETRY.0;
     loop {
         let result = match known {
-            None => store.read_all().await.map(FleetMessage::Read).map_err(FeedError::Store),
-            Some(revision) => tokio::select! {
-                page = store.next_changes(revision, FLEET_WATCH_WAIT.0) => {
-                    page.map(FleetMessage::Changed)
+            None => {
+                let page = store.read_all(recency).await.map_err(FeedError::Store);
+                page.map(|page| FleetMessage::Read(page, recency))
+            }
+            Some(revision) => {
+                let wait = match recency {
+                    ReadRecency::Latest => FLEET_WATCH_WAIT.0,
+                    ReadRecency::MayLag => Duration::ZERO,
+                };
+                tokio::select! {
+                    page = store.next_changes(revision, wait) => page.map(FleetMessage::Changed),
+                    // A watch that waits at a store that answers nothing else may wait for ever.
+                    err = state.store_failure() => Err(FeedError::Store(err)),
                 }
-                // A watch that waits at a store that answers nothing else may wait for ever.
-                err = state.store_failure() => Err(FeedError::Store(err)),
-            },
+            }
         };
         let message = match result {
             Ok(message) => {
-                if let FleetMessage::Read(page) | FleetMessage::Changed(page) = &message {
-                    known = Some(page.revision);
-                }
                 pause = FLEET_FIRST_RETRY.0;
+                match &message {
+                    FleetMessage::Read(page, ReadRecency::MayLag) => known = Some(page.revision),
+                    FleetMessage::Read(page, _) | FleetMessage::Changed(page) => {
+                        known = Some(page.revision);
+                        recency = ReadRecency::Latest;
+                    }
+                    _ => {}
+                }
                 message
             }
             Err(FeedError::HistoryGone(revision)) => {
                 log::info!(revision:%; "history of the store is gone");
-                known = None;
+                (known, recency) = (None, ReadRecency::Latest);
                 continue;
             }
             Err(FeedError::Store(err)) => {
@@ -245,6 +266,9 @@
         if actor.cast(message).is_err() {
             return;
         }
+        if recency == ReadRecency::MayLag {
+            continue;
+        }
         let apply_time = state.settings.load().bounds.apply_time.0;
         sleep(apply_time.mul_f64(FLEET_WATCH_PAUSE)).await;
     }
