upstream: close idle connections that are no longer used

Cause: a connection beyond its idle time stayed open until the next request to the same backend server took it out.

Expired and closed connections are now looked for once a second. idle_connections::unused_peer fails without the change: the connection is still open after 5 s.

--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -23,6 +23,8 @@
 
 /// Time before a backend server closes an idle connection at which the connection is no longer used.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
+/// Interval at which connections that are no longer used are closed; they cost memory on both sides.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Header with the time after which an idle connection is closed.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -90,10 +92,17 @@
     }
 }
 
+#[derive(Debug)]
+struct IdleConnections {
+    by_peer: HashMap<SocketAddr, Vec<Connection>>,
+    /// When connections that are no longer used are looked for.
+    sweep_at: Instant,
+}
+
 /// Idle connections by backend server.
 #[derive(Debug)]
 pub struct ConnectionPool {
-    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    idle: Mutex<IdleConnections>,
     buffers: BufferBudget,
     limits: PoolLimits,
 }
@@ -108,7 +117,9 @@
     pub fn with_limits(max_buffered_bytes: usize, limits: PoolLimits) -> Self {
         // The request ran, so its response waits for memory rather than being lost.
         let buffers = BufferBudget::new(max_buffered_bytes, MemoryWait::Wait);
-        Self { idle: Mutex::default(), buffers, limits }
+        let sweep_at = Instant::now() + SWEEP_INTERVAL;
+        let idle = IdleConnections { by_peer: HashMap::new(), sweep_at };
+        Self { idle: Mutex::new(idle), buffers, limits }
     }
 
     /// Sends `request` and reads the whole response, whose body has at most `max_bytes`.
@@ -181,7 +192,7 @@
 
     /// Closes idle connections to other backend servers than `peers`.
     pub fn retain(&self, peers: &HashSet<SocketAddr>) {
-        self.idle.lock().retain(|peer, _| peers.contains(peer));
+        self.idle.lock().by_peer.retain(|peer, _| peers.contains(peer));
     }
 
     async fn connection(&self, peer: SocketAddr) -> Result<(Connection, bool), ExchangeError> {
@@ -220,18 +231,32 @@
     }
 
     fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
-        self.idle.lock().get_mut(&peer)?.pop()
+        self.idle.lock().by_peer.get_mut(&peer)?.pop()
     }
 
     fn keep(&self, peer: SocketAddr, connection: Connection) {
+        let now = Instant::now();
         let mut idle = self.idle.lock();
-        let connections = idle.entry(peer).or_default();
+        if now >= idle.sweep_at {
+            idle.sweep(now);
+        }
+        let connections = idle.by_peer.entry(peer).or_default();
         if connections.len() < self.limits.max_idle {
             connections.push(connection);
         }
     }
 }
 
+impl IdleConnections {
+    fn sweep(&mut self, now: Instant) {
+        self.sweep_at = now + SWEEP_INTERVAL;
+        self.by_peer.retain(|_, connections| {
+            connections.retain(|it| now < it.usable_until && !it.sender.is_closed());
+            !connections.is_empty()
+        });
+    }
+}
+
 /// Whether the end of a body can be told from a broken connection.
 fn has_framing(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
--- /dev/null
+++ b/crates/sapphireknotd/tests/idle_connections.rs
@@ -0,0 +1,66 @@
+//! Idle connections to backend servers.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use sapphireknotd::upstream::connections::{ConnectionPool, PoolLimits};
+use tokio::net::TcpListener;
+
+/// A server, and the number of connections that are open at it.
+async fn start_server() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let address = listener.local_addr().expect("address");
+    let open = Arc::new(AtomicUsize::new(0));
+    let counted = open.clone();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.expect("accept");
+            let open = counted.clone();
+            open.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(async move {
+                let service = service_fn(async |_| {
+                    Ok::<_, std::io::Error>(Response::new(Full::new(Bytes::from_static(b"ok"))))
+                });
+                // A connection that the pool closes is what the test waits for.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                open.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    });
+    (address, open)
+}
+
+async fn send(pool: &ConnectionPool, peer: SocketAddr) {
+    let request = Request::builder().uri("/").header("host", "a").body(Full::default());
+    let request = request.expect("request");
+    pool.exchange(peer, request, 1_000).await.expect("response");
+}
+
+/// Guards against connections that stay open at servers to which nothing is sent any more.
+#[tokio::test]
+async fn unused_peer() {
+    let idle_timeout = Duration::from_millis(200);
+    let pool =
+        ConnectionPool::with_limits(1 << 20, PoolLimits { idle_timeout, ..PoolLimits::default() });
+    let (unused, open) = start_server().await;
+    let (used, _) = start_server().await;
+    send(&pool, unused).await;
+    assert_eq!(open.load(Ordering::SeqCst), 1, "kept for the next request");
+    let until = Instant::now() + Duration::from_secs(5);
+    while open.load(Ordering::SeqCst) > 0 {
+        assert!(Instant::now() < until, "the connection is still open");
+        send(&pool, used).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
