entry: exchange reports on servers within a region, and weigh overflow by the work that it displaces

Hosts that know the loads overflow to further ranks at once, and work at a server that does not know the object takes three times as long. Therefore - the work at each rank is measured instead of assumed, and - the cost of a choice counts the work that it takes away from others, by the load of the service.

Hosts that answer no more are told by the lines "host lost" and "host regained", for quotas too. load_reports tests the exchange and its merge by age, load_exchange a killed and a frozen collector on processes.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -16,6 +16,7 @@
 
 use super::{
     fleet::{FleetServer, ServerRecord},
+    loads::LoadReport,
     place::{PlaceTable, sum_rooms},
     plan::{RequestPriority, ServiceRule},
     server_state::{ServerLoad, ServerState},
@@ -28,9 +29,11 @@
     time::MonoTime,
 };
 
-/// Chance that a server does not know an object, by its rank for the object. Requests overflow to the next ranks, so that
-/// these know a part of the objects too.
-const UNKNOWN_BY_RANK: [f64; 4] = [0.0, 0.3, 0.6, 0.85];
+/// Chance that a server does not know an object, by its rank for the object, until its work was measured. Requests
+/// overflow to the next ranks, so that these know a part of the objects too.
+const UNKNOWN_BY_RANK: [f64; RANKS] = [0.0, 0.3, 0.6, 1.0];
+/// Ranks whose work is told apart; the last one stands for all further ones and for other regions.
+pub const RANKS: usize = 4;
 /// Requests per slot up to which a server takes a request, by its rank for the object. Work at a server that does not
 /// know the object takes several times as long, so that overflow in an overload would only lengthen all queues.
 const MAX_LOAD_BY_RANK: [f64; 3] = [f64::INFINITY, 1.2, 0.9];
@@ -42,8 +45,10 @@
 const FIRST_WARM: f64 = 0.5;
 /// Work at a server that does not know the object, as a part of the target latency, until it was measured.
 const FIRST_COLD: f64 = 1.5;
-/// Weight of a new sample in an estimate of work.
+/// Weight of a new sample in an estimate of work, once there were many.
 const WORK_WEIGHT: f64 = 0.02;
+/// Samples that the first assumption about the work counts for.
+const FIRST_SAMPLES: f64 = 8.0;
 /// Weight of a new sample in the usual load.
 const USUAL_WEIGHT: f64 = 0.05;
 /// Part of the remaining time that the expected time may take; estimates are too low for half of the requests.
@@ -54,6 +59,9 @@
 const MOST_URGENT_LOAD: f64 = 3.0;
 /// Wait that a full slot count costs below the limit, as a part of the work; spreads requests before queues form.
 const CROWDING: f64 = 0.4;
+/// Weight of the work that a request takes away from others, as a part of the load per slot. Work at a server that does
+/// not know the object takes a slot for several times as long, which the request itself does not feel.
+const DISPLACED: f64 = 3.0;
 /// Part of the work that decides between servers that are otherwise alike, at random.
 const JITTER: f64 = 0.05;
 /// Silence beyond the expected time after which a server is taken to be unreachable.
@@ -89,8 +97,8 @@
     pub work_ms: f64,
     /// Expected time to the response, in milliseconds.
     pub expected_ms: f64,
-    /// Whether it is expected to know the object.
-    pub is_warm: bool,
+    /// Its rank for the object, up to the last one that is told apart.
+    pub rank: usize,
     /// Load that was assumed.
     pub load: f64,
 }
@@ -107,11 +115,34 @@
     },
 }
 
-/// Measured work of one route's requests, in milliseconds.
+/// Measured work of one route's requests.
+///
+/// How many objects a server of a further rank knows depends on how often objects are asked for and on how much
+/// overflows, so that it is measured rather than assumed.
 #[derive(Debug, Clone, Copy)]
 struct WorkEstimate {
-    warm: f64,
-    cold: f64,
+    /// Milliseconds by the rank of the server for the object.
+    by_rank: [f64; RANKS],
+    samples: [f64; RANKS],
+}
+
+impl WorkEstimate {
+    fn first(target_ms: f64) -> Self {
+        let (warm, cold) = (target_ms * FIRST_WARM, target_ms * FIRST_COLD);
+        let by_rank = UNKNOWN_BY_RANK.map(|it| warm + (cold - warm) * it);
+        Self { by_rank, samples: [FIRST_SAMPLES; RANKS] }
+    }
+
+    /// Work at a server that knows the object.
+    fn warm(&self) -> f64 {
+        self.by_rank[0]
+    }
+
+    fn record(&mut self, rank: usize, elapsed_ms: f64) {
+        self.samples[rank] += 1.0;
+        let weight = WORK_WEIGHT.max(1.0 / self.samples[rank]);
+        self.by_rank[rank] += (elapsed_ms - self.by_rank[rank]) * weight;
+    }
 }
 
 /// Servers of one service.
@@ -225,15 +256,15 @@
         let mut shortest_wait = f64::INFINITY;
         for (rank, (_, server)) in ranked.iter().enumerate() {
             let is_home = at_home(server);
-            let unknown = match home {
-                Some(_) if is_home => UNKNOWN_BY_RANK.get(rank).copied().unwrap_or(1.0),
-                Some(_) => 1.0,
-                None => 0.0,
+            let rank = match home {
+                Some(_) if is_home => rank.min(RANKS - 1),
+                Some(_) => RANKS - 1,
+                None => 0,
             };
             let away = if is_home { 0.0 } else { AWAY_MS };
             let load = server.estimated_load(self.usual_load, now);
-            let work_ms = (work.warm + (work.cold - work.warm) * unknown) * server.slowness(now);
-            let wait = wait_ms(load, server.slots(), work.warm * server.slowness(now));
+            let work_ms = work.by_rank[rank].max(work.warm()) * server.slowness(now);
+            let wait = wait_ms(load, server.slots(), work.warm() * server.slowness(now));
             let expected_ms = away + wait + work_ms;
             if server.is_cold(now) && !self.may_warm(server, now) {
                 shortest_wait = shortest_wait.min(wait.max(work_ms));
@@ -247,18 +278,21 @@
                 None => max_load,
             };
             if load >= max_load * server.slots() || expected_ms > left_ms * TIME_PART {
-                shortest_wait = shortest_wait.min(wait.max(work.warm));
+                shortest_wait = shortest_wait.min(wait.max(work.warm()));
                 continue;
             }
             let failing = (1.0 - server.failure_rate(now)).powi(2);
-            let mut cost = (expected_ms + work.warm * JITTER * rng.random::<f64>()) / failing;
-            if server.silence(now) > SILENCE + Duration::from_secs_f64(expected_ms * 2e-3) {
+            let displaced = work_ms * self.usual_load.min(1.0) * DISPLACED;
+            let jitter = work.warm() * JITTER * rng.random::<f64>();
+            let mut cost = (expected_ms + displaced + jitter) / failing;
+            let patience = SILENCE + Duration::from_secs_f64(expected_ms * 2e-3);
+            // Another host may be the one that is cut off, so that its word alone rules nothing out.
+            if server.silence(now) > patience || server.is_told_silent(now) {
                 cost *= SILENCE_FACTOR;
             }
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-                let is_warm = unknown < 0.5;
                 let record = server.record.clone();
-                let chosen = ChosenServer { record, work_ms, expected_ms, is_warm, load };
+                let chosen = ChosenServer { record, work_ms, expected_ms, rank, load };
                 best = Some((cost, chosen));
             }
         }
@@ -284,8 +318,8 @@
     }
 
     fn work_of(&self, target_ms: f64) -> WorkEstimate {
-        let first = WorkEstimate { warm: target_ms * FIRST_WARM, cold: target_ms * FIRST_COLD };
-        self.work.get(&target_ms.to_bits()).copied().unwrap_or(first)
+        let known = self.work.get(&target_ms.to_bits()).copied();
+        known.unwrap_or_else(|| WorkEstimate::first(target_ms))
     }
 
     /// Counts a request that is being sent to `id`.
@@ -320,6 +354,18 @@
         self.usual_load += (per_slot - self.usual_load) * USUAL_WEIGHT;
     }
 
+    /// Takes the reports of other hosts, by the hash of the server.
+    pub fn record_reports(&mut self, reports: &HashMap<u64, LoadReport>) {
+        for server in &mut self.servers {
+            if let Some(report) = reports.get(&server.hash) {
+                match report.load {
+                    Some(load) => server.record_load(load, report.at),
+                    None => server.record_unreached(report.at),
+                }
+            }
+        }
+    }
+
     /// Counts the end of a request at the server that was chosen for it.
     pub fn record_end(
         &mut self,
@@ -341,9 +387,7 @@
         // Time that was spent in a queue is no work.
         if is_sample && chosen.load < f64::from(chosen.record.slots.0) {
             let mut work = self.work_of(target_ms);
-            let estimate = if chosen.is_warm { &mut work.warm } else { &mut work.cold };
-            *estimate += (elapsed_ms - *estimate) * WORK_WEIGHT;
-            work.cold = work.cold.max(work.warm);
+            work.record(chosen.rank, elapsed_ms);
             self.work.insert(target_ms.to_bits(), work);
         }
     }
@@ -363,6 +407,7 @@
             usable: usable().count(),
             cold: usable().filter(|it| it.is_cold(now)).count(),
             load_per_slot: self.usual_load,
+            work_ms: self.work.values().map(|it| it.by_rank).collect(),
             home_share: self.place.home_share(),
         }
     }
@@ -394,6 +439,8 @@
     pub cold: usize,
     /// Requests that run or wait per slot, by recent reports.
     pub load_per_slot: f64,
+    /// Work of each kind of request by the rank of the server for the object, in milliseconds.
+    pub work_ms: Vec<[f64; RANKS]>,
     /// Share of objects that is kept in the callers' region.
     pub home_share: f64,
 }
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -3,6 +3,7 @@
 //! The core takes what the store tells as [`FleetChange`]s and answers the questions of the request path. It is the only
 //! owner of this state; the request path locks it for the time of one question.
 
+mod load_exchange;
 mod quotas;
 
 use std::{
@@ -17,8 +18,9 @@
 use super::{
     choice::{ChoiceMiss, ChoiceQuery, ChosenServer, ServicePicker, ServicePickers},
     fleet::{FleetTable, HostRecord, ServerRecord},
+    loads::{LoadBoard, LoadReport, ReportPosition},
     plan::{RequestPriority, RouteRule, RoutingPlan},
-    server_state::ServerLoad,
+    server_state::{ServerLoad, server_hash},
     shares::{ColdHosts, HostShare, QuotaSlack},
     version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
 };
@@ -108,6 +110,9 @@
     versions: VersionTable,
     pickers: ServicePickers,
     quotas: QuotaState,
+    loads: LoadBoard,
+    /// Reports up to which the collector was told.
+    told_loads: ReportPosition,
     budgets: HashMap<ServiceId, RetryBudget>,
     evacuated: HashSet<DatacentreId>,
     /// Credit of each part of a split route.
@@ -125,6 +130,8 @@
             versions: VersionTable::default(),
             pickers: HashMap::new(),
             quotas: QuotaState::default(),
+            loads: LoadBoard::default(),
+            told_loads: ReportPosition::default(),
             budgets: HashMap::new(),
             evacuated: HashSet::new(),
             turns: HashMap::new(),
@@ -316,6 +323,11 @@
         let AttemptReport { chosen, outcome, load, target_ms, elapsed } = report;
         let record = &chosen.record;
         if let Some(picker) = self.pickers.get_mut(&record.service) {
+            let is_unreached =
+                outcome == ServerOutcome::Broken && picker.is_silent(&record.id, now);
+            if load.is_some() || is_unreached {
+                self.loads.add(LoadReport { server: server_hash(&record.id), load, at: now });
+            }
             if let Some(load) = load {
                 picker.record_load(&record.id, load, now);
             }
@@ -348,6 +360,7 @@
         if let Some(picker) = self.pickers.get_mut(&record.service) {
             picker.pause(&record.id, now);
         }
+        self.loads.add(LoadReport { server: server_hash(&record.id), load: None, at: now });
     }
 
     /// Retries of a service.
--- a/crates/sapphireknot/src/steering/server_state.rs
+++ b/crates/sapphireknot/src/steering/server_state.rs
@@ -11,7 +11,11 @@
     fleet::{FleetServer, ServerRecord},
     shares::PacedGate,
 };
-use crate::{ids::RegionId, picker::ServerOutcome, time::MonoTime};
+use crate::{
+    ids::{RegionId, ServerId},
+    picker::ServerOutcome,
+    time::MonoTime,
+};
 
 /// Time after which a load report counts for a third.
 const REPORT_MEMORY: Duration = Duration::from_millis(800);
@@ -23,9 +27,16 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause, so that a server that returns is used again soon.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Time for which a server counts as silent after another host could not reach it; hosts exchange reports more often.
+const TOLD_SILENCE: Duration = Duration::from_secs(1);
 /// Highest failure rate that is assumed, so that a failing server is still comparable.
 const MAX_FAILURE_RATE: f64 = 0.95;
 
+/// Hash by which servers are ranked and named between hosts.
+pub fn server_hash(id: &ServerId) -> u64 {
+    xxh3_64(id.as_str().as_bytes())
+}
+
 /// Load that a server reports with a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -48,6 +59,7 @@
     pub(super) hash: u64,
     in_flight: u32,
     sent_since: u32,
+    sent_at: MonoTime,
     load: f64,
     load_at: MonoTime,
     failure_rate: f64,
@@ -55,6 +67,8 @@
     slowness: f64,
     paused_until: MonoTime,
     pauses: u32,
+    /// When another host could not reach it.
+    unreached_at: Option<MonoTime>,
     /// When the server was last heard of, or when the oldest request was sent after that.
     silent_since: MonoTime,
 }
@@ -63,13 +77,14 @@
     /// A server of which nothing is known but its registration.
     pub fn new(server: &FleetServer, region: RegionId) -> Self {
         Self {
-            hash: xxh3_64(server.record.id.as_str().as_bytes()),
+            hash: server_hash(&server.record.id),
             record: Arc::new(server.record.clone()),
             region,
             cold_until: server.cold_until,
             gate: PacedGate::default(),
             in_flight: 0,
             sent_since: 0,
+            sent_at: MonoTime::default(),
             load: 0.0,
             load_at: MonoTime::default(),
             failure_rate: 0.0,
@@ -77,6 +92,7 @@
             slowness: 1.0,
             paused_until: MonoTime::default(),
             pauses: 0,
+            unreached_at: None,
             silent_since: MonoTime::default(),
         }
     }
@@ -100,13 +116,28 @@
         }
         self.in_flight += 1;
         self.sent_since += 1;
+        self.sent_at = now;
     }
 
-    /// Takes a load report.
-    pub fn record_load(&mut self, load: ServerLoad, now: MonoTime) {
+    /// Takes a load report that some host got at `at`, unless a later one is known.
+    pub fn record_load(&mut self, load: ServerLoad, at: MonoTime) {
+        if at < self.load_at {
+            return;
+        }
         self.load = f64::from(load.running + load.waiting);
-        self.load_at = now;
-        self.sent_since = 0;
+        self.load_at = at;
+        self.unreached_at = self.unreached_at.filter(|it| *it > at);
+        // Requests of this host that the report does not cover still count.
+        if self.sent_at <= at {
+            self.sent_since = 0;
+        }
+    }
+
+    /// Notes that another host could not reach the server at `at`, unless it was heard of later.
+    pub fn record_unreached(&mut self, at: MonoTime) {
+        if at > self.load_at {
+            self.unreached_at = Some(at);
+        }
     }
 
     /// Counts the end of a request; `slowness` is its time divided by the expected one.
@@ -177,6 +208,11 @@
         if self.in_flight == 0 { Duration::ZERO } else { now.since(self.silent_since) }
     }
 
+    /// Whether another host could not reach it a moment ago.
+    pub fn is_told_silent(&self, now: MonoTime) -> bool {
+        self.unreached_at.is_some_and(|it| now < it.after(TOLD_SILENCE))
+    }
+
     /// Requests of this host in flight there.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- a/crates/sapphireknot/src/steering/shares.rs
+++ b/crates/sapphireknot/src/steering/shares.rs
@@ -43,7 +43,14 @@
 where
     I: Iterator<Item = &'a HostRecord>,
 {
-    let seed = xxh3_64(organisation.as_str().as_bytes());
+    host_of(xxh3_64(organisation.as_str().as_bytes()), hosts)
+}
+
+/// Host that has the task `seed` for its region: the same one for all hosts with the same list.
+pub fn host_of<'a, I>(seed: u64, hosts: I) -> Option<&'a HostRecord>
+where
+    I: Iterator<Item = &'a HostRecord>,
+{
     let score = |host: &HostRecord| {
         rendezvous_score(rendezvous_draw(seed, xxh3_64(host.id.as_str().as_bytes())), 1)
     };
--- /dev/null
+++ b/crates/sapphireknot/tests/steering/load_reports.rs
@@ -0,0 +1,150 @@
+//! Load reports that hosts of a region exchange.
+
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::StdRng};
+use sapphireknot::{
+    picker::ServerOutcome,
+    steering::{
+        choice::{ChoiceQuery, ChosenServer},
+        core::{AttemptReport, FleetChange, HostPlace, SteeringCore},
+        loads::{LoadBoard, LoadReport, ReportPosition},
+        plan::RequestPriority,
+        server_state::ServerLoad,
+    },
+    time::MonoTime,
+};
+
+use crate::support::{at, bounds, host, id, place, plan, server};
+
+const FULL: ServerLoad = ServerLoad { running: 4, waiting: 12 };
+
+/// A host of the region east that knows the hosts `h1` to `h3` and four servers.
+fn core_of(name: &str) -> SteeringCore {
+    let mut core = SteeringCore::new(HostPlace { host: id(name), ..place("east") }, bounds());
+    let mut changes = vec![FleetChange::Plan(plan(1).into())];
+    changes.extend(["h1", "h2", "h3"].map(|it| FleetChange::Host(host(it, "east"))));
+    changes.extend((0..4).map(|it| FleetChange::Server(server(&format!("s{it}"), "east"))));
+    core.take(changes, at(0));
+    core
+}
+
+fn choose(core: &mut SteeringCore, object: u64, now: MonoTime) -> ChosenServer {
+    let query = ChoiceQuery {
+        target_ms: 200.0,
+        priority: RequestPriority(2),
+        object: Some(object),
+        version: None,
+        homes: None,
+        excluded: &[],
+        deadline: now.after(Duration::from_millis(1_200)),
+    };
+    core.choose(&id("reports"), query, now, &mut StdRng::seed_from_u64(object)).expect("server")
+}
+
+fn report_full(core: &mut SteeringCore, chosen: &ChosenServer, now: MonoTime) {
+    let outcome = ServerOutcome::Succeeded;
+    let elapsed = Duration::from_millis(100);
+    let report = AttemptReport { chosen, outcome, load: Some(FULL), target_ms: 200.0, elapsed };
+    core.record_attempt(report, now);
+}
+
+fn report(server: u64, millis: u64) -> LoadReport {
+    LoadReport { server, load: Some(FULL), at: at(millis) }
+}
+
+/// A host that never used a full server must not send its first requests there when another host knows better.
+#[test]
+fn told_by_others() {
+    let mut cores = ["h1", "h2", "h3"].map(core_of);
+    let collector = cores[0].load_collector().unwrap().id.clone();
+    assert!(cores.iter().all(|it| it.load_collector().unwrap().id == collector), "all agree");
+    let place = cores.iter().position(|it| *it.host() == collector).unwrap();
+    cores.swap(0, place);
+    let [collector, first, second] = &mut cores;
+
+    let chosen = choose(first, 7, at(1));
+    report_full(first, &chosen, at(100));
+    let told = first.untold_loads(at(110));
+    assert_eq!(told.len(), 1);
+    let (news, _) = collector.collect_loads(&told, ReportPosition::default(), at(111));
+    assert!(news.is_empty(), "its own report is not told back to a host");
+    assert!(first.untold_loads(at(120)).is_empty(), "a report is told once");
+
+    let (news, position) = collector.collect_loads(&[], ReportPosition::default(), at(120));
+    second.take_loads(&news);
+    assert_ne!(choose(second, 7, at(121)).record.id, chosen.record.id);
+    assert_ne!(choose(collector, 7, at(121)).record.id, chosen.record.id);
+    assert!(collector.collect_loads(&[], position, at(122)).0.is_empty(), "nothing new");
+}
+
+/// A report that arrives late must not hide a later one, whichever way they come.
+#[test]
+fn later_wins() {
+    let mut core = core_of("h1");
+    let chosen = choose(&mut core, 7, at(1));
+    let idle = ServerLoad { running: 0, waiting: 0 };
+    report_full(&mut core, &chosen, at(100));
+    let late = core.untold_loads(at(100)).into_iter().map(|it| LoadReport {
+        load: Some(idle),
+        at: at(50),
+        ..it
+    });
+    core.take_loads(&late.collect::<Vec<_>>());
+    assert_ne!(choose(&mut core, 7, at(101)).record.id, chosen.record.id);
+
+    let mut board = LoadBoard::default();
+    board.add(report(1, 100));
+    board.add(report(1, 50));
+    assert_eq!(board.since(ReportPosition::default()), [report(1, 100)]);
+}
+
+/// A host that called an earlier incarnation of the collector must not miss the reports of the new one.
+#[test]
+fn new_collector() {
+    let mut board = LoadBoard::default();
+    board.add(report(1, 100));
+    assert_eq!(board.since(ReportPosition(40)), [report(1, 100)]);
+}
+
+/// Reports of servers that left, or that nobody uses, must not pile up.
+#[test]
+fn old_reports() {
+    let mut board = LoadBoard::default();
+    board.add(report(1, 100));
+    board.add(report(2, 2_000));
+    board.expire(at(2_100));
+    assert_eq!(board.since(ReportPosition::default()), [report(2, 2_000)]);
+}
+
+/// A server that others cannot reach must not get each host's first request as well, and one that answers somebody
+/// afterwards must be used again.
+#[test]
+fn unreached_server() {
+    let (mut first, mut second) = (core_of("h1"), core_of("h2"));
+    let chosen = choose(&mut first, 7, at(1));
+    first.pause_server(&chosen.record, at(500));
+    let told = first.untold_loads(at(510));
+    second.take_loads(&told);
+    assert_ne!(choose(&mut second, 7, at(511)).record.id, chosen.record.id);
+    let idle = ServerLoad { running: 0, waiting: 0 };
+    let heard = LoadReport { load: Some(idle), at: at(600), ..told[0] };
+    second.take_loads(&[heard]);
+    assert_eq!(choose(&mut second, 7, at(601)).record.id, chosen.record.id);
+    second.take_loads(&told);
+    assert_eq!(choose(&mut second, 7, at(602)).record.id, chosen.record.id, "an older word");
+}
+
+/// A host that is cut off from all servers must not keep the others from using them.
+#[test]
+fn cut_off_host() {
+    let (mut first, mut second) = (core_of("h1"), core_of("h2"));
+    let usual = choose(&mut second, 7, at(1)).record.id.clone();
+    let records: Vec<_> =
+        first.pickers()[&id("reports")].servers().iter().map(|it| it.record.clone()).collect();
+    for record in &records {
+        first.pause_server(record, at(500));
+    }
+    second.take_loads(&first.untold_loads(at(510)));
+    assert_eq!(choose(&mut second, 7, at(511)).record.id, usual);
+}
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -4,6 +4,7 @@
 mod core_state;
 mod fleet_table;
 mod host_naming;
+mod load_reports;
 mod object_place;
 mod quota_owners;
 mod route_index;
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -2,13 +2,17 @@
 //!
 //! The decisions are in [`sapphireknot::steering`], and an adapter translates between the platform and this module.
 //! [`fleet_actor`] follows the store, [`host_actor`] keeps this host registered, [`caller_server`] serves callers, and
-//! [`side_servers`] answer the directory, the readiness check and the metrics.
+//! [`side_servers`] answer the directory, the readiness check and the metrics. Hosts ask each other for admissions
+//! ([`quota_peers`]) and for the loads of servers ([`load_peers`]).
 
 pub mod caller_server;
 pub mod decision_log;
 pub mod fleet_actor;
 pub mod host_actor;
+pub mod load_peers;
 pub mod meters;
+pub mod peer_channels;
+pub mod peer_server;
 pub mod quota_peers;
 pub mod reload;
 pub mod settings;
@@ -157,7 +161,8 @@
         let (host, _) = HostActor::spawn(None, HostActor, arguments).await?;
         let server = Arc::new(CallerServer::new(state.clone(), fleet.clone()));
         tasks.push(tokio::spawn(server.clone().serve(callers)));
-        tasks.push(tokio::spawn(quota_peers::serve(state.clone(), peers)));
+        tasks.push(tokio::spawn(peer_server::serve(state.clone(), peers)));
+        tasks.push(tokio::spawn(load_peers::run(state.clone())));
         tasks.push(tokio::spawn(side_servers::serve_directory(state.clone(), directory)));
         tasks.push(tokio::spawn(side_servers::serve_readiness(state.clone(), readiness)));
         Ok(Self {
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -312,7 +312,7 @@
                 attempts = notes.attempts,
                 server = notes.server.as_ref().map(|it| it.as_str()),
                 expected_ms = notes.expected_ms, server_load = notes.server_load,
-                is_warm = notes.is_warm,
+                rank = notes.rank,
                 plan = self.state.plan.load().as_ref().map(|it| it.generation.0),
                 lines_dropped = dropped;
                 "request ended"
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -69,8 +69,8 @@
     pub(super) expected_ms: u64,
     /// Requests that were taken to run or wait there.
     pub(super) server_load: u64,
-    /// Whether it was taken to know the object.
-    pub(super) is_warm: bool,
+    /// Its rank for the object; the first one is the likeliest to know it.
+    pub(super) rank: u64,
 }
 
 impl AttemptNotes {
@@ -79,7 +79,7 @@
         self.server = Some(chosen.record.id.clone());
         self.expected_ms = chosen.expected_ms as u64;
         self.server_load = chosen.load as u64;
-        self.is_warm = chosen.is_warm;
+        self.rank = chosen.rank as u64;
     }
 }
 
--- a/crates/sapphireknotd/src/entry/meters.rs
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -19,6 +19,8 @@
     attempts: Counter<u64>,
     latency: Histogram<f64>,
     store_failures: Counter<u64>,
+    load_reports: Counter<u64>,
+    exchange_failures: Counter<u64>,
 }
 
 impl Default for EntryMeters {
@@ -33,6 +35,10 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             store_failures: meter.u64_counter("sapphireknot.entry.store_failures").build(),
+            load_reports: meter.u64_counter("sapphireknot.entry.load_reports").build(),
+            exchange_failures: meter
+                .u64_counter("sapphireknot.entry.load_exchange_failures")
+                .build(),
         }
     }
 }
@@ -53,6 +59,16 @@
         self.attempts.add(1, &labels);
     }
 
+    /// Counts load reports of other hosts.
+    pub fn count_load_reports(&self, count: usize) {
+        self.load_reports.add(count as u64, &[]);
+    }
+
+    /// Counts an exchange of load reports that got no answer.
+    pub fn count_exchange_failure(&self) {
+        self.exchange_failures.add(1, &[]);
+    }
+
     /// Counts a failed call to the store.
     pub fn count_store_failure(&self, step: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("step", step)]);
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/peer_channels.rs
@@ -0,0 +1,70 @@
+//! Connections to other hosts.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use parking_lot::Mutex;
+use sapphireknot::{ids::HostId, steering::fleet::HostRecord, time::MonoTime};
+use sapphireknot_wire::entry::entry_client::EntryClient;
+use tonic::transport::{Channel, Endpoint};
+
+/// Time to open a connection; a host of the same region is a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a host that did not answer is not asked again.
+const AVOID: Duration = Duration::from_millis(500);
+
+/// Connections to other hosts for one task.
+#[derive(Debug)]
+pub struct PeerChannels {
+    /// What the calls are for, in log lines.
+    task: &'static str,
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+    /// Hosts that did not answer the last call, and until when they are left out.
+    lost: Mutex<HashMap<HostId, MonoTime>>,
+}
+
+impl PeerChannels {
+    /// Connections for `task`.
+    pub fn new(task: &'static str) -> Self {
+        Self { task, channels: Mutex::default(), lost: Mutex::default() }
+    }
+
+    /// A client of `host`; `None` while it is left out.
+    pub fn client(&self, host: &HostRecord, now: MonoTime) -> Option<EntryClient<Channel>> {
+        if self.lost.lock().get(&host.id).is_some_and(|until| now < *until) {
+            return None;
+        }
+        self.channel(host.peer_address).map(EntryClient::new)
+    }
+
+    /// Notes that `host` answered.
+    pub fn record_answer(&self, host: &HostRecord) {
+        if self.lost.lock().remove(&host.id).is_some() {
+            log::info!(peer:% = host.id, task = self.task; "host regained");
+        }
+    }
+
+    /// Leaves a host that did not answer out for a while.
+    pub fn record_loss(&self, host: &HostRecord, cause: &str, now: MonoTime) {
+        // The connection may have gone silent; the next call opens a new one.
+        self.channels.lock().remove(&host.peer_address);
+        if self.lost.lock().insert(host.id.clone(), now.after(AVOID)).is_none() {
+            log::warn!(peer:% = host.id, task = self.task, cause; "host lost");
+        }
+    }
+
+    fn channel(&self, peer: SocketAddr) -> Option<Channel> {
+        if let Some(channel) = self.channels.lock().get(&peer) {
+            return Some(channel.clone());
+        }
+        let endpoint = match Endpoint::from_shared(format!("http://{peer}")) {
+            Ok(endpoint) => endpoint,
+            Err(err) => {
+                log::error!(peer:%, error:% = err; "address of a host");
+                return None;
+            }
+        };
+        let channel = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true).connect_lazy();
+        self.channels.lock().insert(peer, channel.clone());
+        Some(channel)
+    }
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -0,0 +1,68 @@
+//! Calls of other hosts.
+
+use std::sync::Arc;
+
+use sapphireknot::{ids::OrganisationId, steering::loads::ReportPosition};
+use sapphireknot_wire::entry::{
+    ShareLoadsReply, ShareLoadsRequest, TakeTokensReply, TakeTokensRequest,
+    entry_server::{Entry, EntryServer},
+};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status, transport::Server};
+
+use super::{
+    load_peers::{decode_reports, encode_reports},
+    state::EntryState,
+};
+
+/// Server of the calls between hosts.
+struct PeerServer {
+    state: Arc<EntryState>,
+}
+
+#[tonic::async_trait]
+impl Entry for PeerServer {
+    async fn take_tokens(
+        &self,
+        request: Request<TakeTokensRequest>,
+    ) -> Result<Response<TakeTokensReply>, Status> {
+        let TakeTokensRequest { organisation, count } = request.into_inner();
+        let organisation = organisation.parse::<OrganisationId>();
+        let organisation = organisation.map_err(|err| Status::invalid_argument(err.to_string()))?;
+        let now = self.state.clock.now();
+        let grant = self.state.core.lock().grant(&organisation, count, now);
+        let reply = match grant {
+            None => TakeTokensReply::default(),
+            Some(Ok(granted)) => TakeTokensReply { is_owner: true, granted, retry_ms: 0 },
+            Some(Err(retry_at)) => {
+                let retry_ms = u32::try_from(now.until(retry_at).as_millis()).unwrap_or(u32::MAX);
+                TakeTokensReply { is_owner: true, granted: 0, retry_ms: retry_ms.max(1) }
+            }
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn share_loads(
+        &self,
+        request: Request<ShareLoadsRequest>,
+    ) -> Result<Response<ShareLoadsReply>, Status> {
+        let ShareLoadsRequest { reports, position } = request.into_inner();
+        let now = self.state.clock.now();
+        let reports = decode_reports(&reports.unwrap_or_default(), now);
+        self.state.meters.count_load_reports(reports.len());
+        let position = ReportPosition(position);
+        let (news, position) = self.state.core.lock().collect_loads(&reports, position, now);
+        let reports = Some(encode_reports(&news, now));
+        Ok(Response::new(ShareLoadsReply { reports, position: position.0 }))
+    }
+}
+
+/// Serves other hosts until the process ends.
+pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
+    let server =
+        Server::builder().tcp_nodelay(true).add_service(EntryServer::new(PeerServer { state }));
+    if let Err(err) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
+        log::error!(error:% = err; "serve other hosts");
+    }
+}
--- a/crates/sapphireknotd/src/entry/quota_peers.rs
+++ b/crates/sapphireknotd/src/entry/quota_peers.rs
@@ -1,43 +1,36 @@
 //! Admissions from the hosts that own quotas.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 use sapphireknot::{
-    ids::{HostId, OrganisationId},
+    ids::OrganisationId,
     steering::{fleet::HostRecord, tokens::PoolAnswer},
     time::MonoTime,
 };
-use sapphireknot_wire::entry::{
-    TakeTokensReply, TakeTokensRequest,
-    entry_client::EntryClient,
-    entry_server::{Entry, EntryServer},
-};
-use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::{
-    Request, Response, Status,
-    transport::{Channel, Endpoint, Server},
-};
+use sapphireknot_wire::entry::{TakeTokensReply, TakeTokensRequest};
 
-use super::state::EntryState;
+use super::{peer_channels::PeerChannels, state::EntryState};
 
 /// Time in which an owner answers; a host of the same region is a few milliseconds away.
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Least time for which an organisation is refused without a call, so that one that sends far too much costs few calls.
 const MIN_DENIAL: Duration = Duration::from_millis(80);
-/// Time for which an owner that did not answer is not asked again.
-const AVOID: Duration = Duration::from_millis(500);
 
 /// Clients of the hosts that own quotas.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QuotaPeers {
-    channels: Mutex<HashMap<SocketAddr, Channel>>,
-    avoided: Mutex<HashMap<HostId, MonoTime>>,
+    channels: PeerChannels,
     /// One call at a time for each organisation; further requests wait for its result.
     calls: Mutex<HashMap<OrganisationId, Arc<tokio::sync::Mutex<()>>>>,
 }
 
+impl Default for QuotaPeers {
+    fn default() -> Self {
+        Self { channels: PeerChannels::new("quotas"), calls: Mutex::default() }
+    }
+}
+
 impl QuotaPeers {
     /// Admits one request of `organisation`; otherwise returns when another one may pass.
     pub async fn admit(
@@ -109,14 +102,11 @@
         organisation: &OrganisationId,
         count: u32,
     ) -> Option<Result<u32, MonoTime>> {
-        let now = state.clock.now();
-        if self.avoided.lock().get(&owner.id).is_some_and(|until| now < *until) {
-            return None;
-        }
         let call = TakeTokensRequest { organisation: organisation.to_string(), count };
-        let mut client = EntryClient::new(self.channel(owner.peer_address)?);
+        let mut client = self.channels.client(owner, state.clock.now())?;
         let cause = match tokio::time::timeout(CALL_TIMEOUT, client.take_tokens(call)).await {
             Ok(Ok(reply)) => {
+                self.channels.record_answer(owner);
                 let TakeTokensReply { is_owner, granted, retry_ms } = reply.into_inner();
                 let retry_at = state.clock.now().after(Duration::from_millis(retry_ms.into()));
                 let result = if granted > 0 { Ok(granted) } else { Err(retry_at) };
@@ -126,28 +116,9 @@
             Ok(Err(status)) => status.message().to_owned(),
             Err(_) => "no answer in time".to_owned(),
         };
-        // The connection may have gone silent; the next call opens a new one.
-        self.channels.lock().remove(&owner.peer_address);
-        self.avoided.lock().insert(owner.id.clone(), now.after(AVOID));
-        log::info!(organisation:%, owner:% = owner.id, cause; "owner of a quota not reached");
+        self.channels.record_loss(owner, &cause, state.clock.now());
         None
     }
-
-    fn channel(&self, peer: SocketAddr) -> Option<Channel> {
-        if let Some(channel) = self.channels.lock().get(&peer) {
-            return Some(channel.clone());
-        }
-        let endpoint = match Endpoint::from_shared(format!("http://{peer}")) {
-            Ok(endpoint) => endpoint,
-            Err(err) => {
-                log::error!(peer:%, error:% = err; "address of a host");
-                return None;
-            }
-        };
-        let channel = endpoint.connect_timeout(CALL_TIMEOUT).tcp_nodelay(true).connect_lazy();
-        self.channels.lock().insert(peer, channel.clone());
-        Some(channel)
-    }
 }
 
 /// The result of a request, unless the owner is to be asked.
@@ -158,40 +129,3 @@
         PoolAnswer::Ask(_) => None,
     }
 }
-
-/// Server of the calls between hosts.
-struct PeerServer {
-    state: Arc<EntryState>,
-}
-
-#[tonic::async_trait]
-impl Entry for PeerServer {
-    async fn take_tokens(
-        &self,
-        request: Request<TakeTokensRequest>,
-    ) -> Result<Response<TakeTokensReply>, Status> {
-        let TakeTokensRequest { organisation, count } = request.into_inner();
-        let organisation = organisation.parse::<OrganisationId>();
-        let organisation = organisation.map_err(|err| Status::invalid_argument(err.to_string()))?;
-        let now = self.state.clock.now();
-        let grant = self.state.core.lock().grant(&organisation, count, now);
-        let reply = match grant {
-            None => TakeTokensReply::default(),
-            Some(Ok(granted)) => TakeTokensReply { is_owner: true, granted, retry_ms: 0 },
-            Some(Err(retry_at)) => {
-                let retry_ms = u32::try_from(now.until(retry_at).as_millis()).unwrap_or(u32::MAX);
-                TakeTokensReply { is_owner: true, granted: 0, retry_ms: retry_ms.max(1) }
-            }
-        };
-        Ok(Response::new(reply))
-    }
-}
-
-/// Serves other hosts until the process ends.
-pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
-    let server =
-        Server::builder().tcp_nodelay(true).add_service(EntryServer::new(PeerServer { state }));
-    if let Err(err) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
-        log::error!(error:% = err; "serve other hosts");
-    }
-}
