steering: learn the work of servers from queued requests too

Cause: samples of the work were taken only where a slot was free.

The elapsed time is divided by the rounds of the queue and counts always.

busy_overflow, measured_ranks and queued_samples fail without displaced work, with the assumed work and without queued samples.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -384,10 +384,13 @@
                 outcome => server.record_end(outcome, ratio, now),
             }
         }
-        // Time that was spent in a queue is no work.
-        if is_sample && chosen.load < f64::from(chosen.record.slots.0) {
+        if is_sample {
+            // Time that was spent in a queue is no work. In an overload all requests queue, so that leaving them out would
+            // keep an estimate from before it.
+            let slots = f64::from(chosen.record.slots.0.max(1));
+            let rounds = 1.0 + queue_rounds(chosen.load, slots);
             let mut work = self.work_of(target_ms);
-            work.record(chosen.rank, elapsed_ms);
+            work.record(chosen.rank, elapsed_ms / rounds);
             self.work.insert(target_ms.to_bits(), work);
         }
     }
@@ -451,7 +454,12 @@
         let used = load / slots;
         return CROWDING * used * used * work_ms;
     }
-    CROWDING * work_ms + (load - slots + 1.0) / slots * work_ms
+    (CROWDING + queue_rounds(load, slots)) * work_ms
+}
+
+/// Requests that a slot serves before one that arrives at `load`.
+fn queue_rounds(load: f64, slots: f64) -> f64 {
+    if load < slots { 0.0 } else { (load - slots + 1.0) / slots }
 }
 
 /// Pickers of all services.
--- a/crates/sapphireknot/tests/steering/affinity_choice.rs
+++ b/crates/sapphireknot/tests/steering/affinity_choice.rs
@@ -225,3 +225,69 @@
     let state = &picker.servers()[0];
     assert_eq!((state.in_flight(), state.failure_rate(at(20))), (0, 0.0));
 }
+
+/// A picker whose servers have had `running` requests each, until 50 ms.
+fn picker_at_load(running: u32) -> ServicePicker {
+    let mut picker = picker("east", &east(4));
+    for step in 0..50 {
+        for record in east(4) {
+            picker.record_load(&record.id, ServerLoad { running, waiting: 0 }, at(step));
+        }
+    }
+    picker
+}
+
+/// Overflow to servers that do not know the object takes their slots for longer. While the service is busy that makes all
+/// queues longer; while it is idle the request is served sooner.
+#[test]
+fn busy_overflow() {
+    for (running, overflows) in [(0, true), (3, false)] {
+        let mut picker = picker_at_load(running);
+        let first = choose(&picker, 7, at(50)).unwrap();
+        picker.record_load(&first.record.id, ServerLoad { running: 4, waiting: 2 }, at(51));
+        let chosen = choose(&picker, 7, at(52)).unwrap();
+        assert_eq!(name(&chosen) != name(&first), overflows, "{running} at each server");
+    }
+}
+
+/// The work at servers of a further rank is measured: where they turn out to know their objects, requests overflow to
+/// them, and where they do not, requests wait instead.
+#[test]
+fn measured_ranks() {
+    for (elapsed_ms, overflows) in [(80, true), (600, false)] {
+        let mut picker = picker_at_load(0);
+        let full = ServerLoad { running: 4, waiting: 2 };
+        let first = choose(&picker, 7, at(50)).unwrap();
+        picker.record_load(&first.record.id, full, at(51));
+        let second = choose(&picker, 7, at(52)).unwrap();
+        for step in 0..100 {
+            let now = at(53 + step);
+            for (chosen, elapsed_ms) in [(&first, 100), (&second, elapsed_ms)] {
+                let elapsed = Duration::from_millis(elapsed_ms);
+                // Slowness of the server itself is another matter.
+                let expected_ms = elapsed_ms as f64;
+                let chosen = ChosenServer { expected_ms, ..chosen.clone() };
+                picker.record_end(&chosen, ServerOutcome::Succeeded, TARGET_MS, elapsed, now);
+            }
+        }
+        picker.record_load(&first.record.id, full, at(200));
+        let chosen = choose(&picker, 7, at(201)).unwrap();
+        assert_eq!(name(&chosen) != name(&first), overflows, "{elapsed_ms} ms at the next rank");
+    }
+}
+
+/// In an overload every request queues; the estimate of the work must follow all the same.
+#[test]
+fn queued_samples() {
+    let mut picker = picker("east", &east(1));
+    let before = choose(&picker, 7, at(1)).unwrap();
+    // Seven requests at four slots: one round of the queue before the own work.
+    let queued = ChosenServer { load: 7.0, expected_ms: 600.0, ..before.clone() };
+    for step in 0..200 {
+        let elapsed = Duration::from_millis(600);
+        picker.record_end(&queued, ServerOutcome::Succeeded, TARGET_MS, elapsed, at(2 + step));
+    }
+    let after = choose(&picker, 7, at(300)).unwrap();
+    assert_eq!(before.work_ms, 100.0);
+    assert!((290.0..=300.0).contains(&after.work_ms), "{after:?}");
+}
