steering: let the least urgent requests queue up to 2.3 requests a slot

urgent_first reported 2 requests a slot, between the old limit and that of urgent requests; it reports 2.5 now, between the new limit and that one, and checks the same order.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -54,7 +54,7 @@
 /// Part of the remaining time that the expected time may take; estimates are too low for half of the requests.
 const TIME_PART: f64 = 0.9;
 /// Requests per slot that may run or wait at a server for the least urgent requests of a service.
-const LEAST_URGENT_LOAD: f64 = 1.7;
+const LEAST_URGENT_LOAD: f64 = 2.3;
 /// The same for the most urgent ones; a server keeps up to three waiting requests a slot.
 const MOST_URGENT_LOAD: f64 = 3.0;
 /// Wait that a full slot count costs below the limit, as a part of the work; spreads requests before queues form.
--- a/crates/sapphireknot/tests/steering/affinity_choice.rs
+++ b/crates/sapphireknot/tests/steering/affinity_choice.rs
@@ -119,7 +119,7 @@
 #[test]
 fn urgent_first() {
     let mut picker = picker("east", &east(1));
-    picker.record_load(&id("s0"), ServerLoad { running: 4, waiting: 4 }, at(2));
+    picker.record_load(&id("s0"), ServerLoad { running: 4, waiting: 6 }, at(2));
     let mut rng = StdRng::seed_from_u64(1);
     let urgent = ChoiceQuery { priority: RequestPriority(0), ..query(Some(7), at(3)) };
     assert!(picker.choose(&urgent, at(3), &mut rng).is_ok());
