entry: tell collectors of other regions the load of the own one, and keep one share of objects a region

Each host also integrates a share of its own, so that hosts of a region send the same object to different regions.

Collectors tell each other the utilisation of their regions and pass it on to their hosts; the hosts follow the share of their collector in the same steps.

load_reports::regions_told fails without the sums: the share stays at 0.6 at one host and 1.0 at the other.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -16,7 +16,7 @@
 
 use super::{
     fleet::{FleetServer, ServerRecord},
-    loads::LoadReport,
+    loads::{LoadReport, RegionLoad},
     place::{PlaceTable, sum_rooms},
     plan::{RequestPriority, ServiceRule},
     server_state::{ServerLoad, ServerState},
@@ -148,8 +148,10 @@
 /// Servers of one service.
 #[derive(Debug)]
 pub struct ServicePicker {
+    service: ServiceId,
     servers: Vec<ServerState>,
     place: PlaceTable,
+    region_loads: HashMap<RegionId, RegionLoad>,
     /// Work by target latency, which tells kinds of requests apart.
     work: HashMap<u64, WorkEstimate>,
     /// Requests that run or wait per slot, over all servers.
@@ -164,10 +166,12 @@
 
 impl ServicePicker {
     /// A picker for callers in `region`.
-    pub fn new(rule: ServiceRule, region: RegionId) -> Self {
+    pub fn new(service: ServiceId, rule: ServiceRule, region: RegionId) -> Self {
         Self {
+            service,
             servers: Vec::new(),
             place: PlaceTable::new(region),
+            region_loads: HashMap::new(),
             work: HashMap::new(),
             usual_load: 0.3,
             evacuated: HashSet::new(),
@@ -217,8 +221,45 @@
         let usual = self.usual_load;
         let usable = self.servers.iter().filter(|it| self.may_get(it, now) && !it.is_cold(now));
         let loads = usable.map(|it| (&it.region, it.record.slots.0, it.estimated_load(usual, now)));
-        let rooms = sum_rooms(loads);
-        self.place.step(&rooms, now);
+        let mut rooms = sum_rooms(loads);
+        self.region_loads.retain(|_, it| !it.is_expired(now));
+        for room in &mut rooms {
+            if let Some(told) = self.region_loads.get(&room.region) {
+                room.utilisation = told.utilisation;
+            }
+        }
+        let told = self.region_loads.get(self.place.own()).map(|it| it.home_share);
+        self.place.step(&rooms, told, now);
+    }
+
+    /// Takes what the collector of a region told, unless something later is known.
+    pub fn record_region(&mut self, load: RegionLoad) {
+        let known = self.region_loads.get(&load.region);
+        if known.is_none_or(|it| it.at < load.at) {
+            self.region_loads.insert(load.region.clone(), load);
+        }
+    }
+
+    /// The own region as this host sees it.
+    pub fn own_region(&self, now: MonoTime) -> Option<RegionLoad> {
+        let usual = self.usual_load;
+        let usable = self.servers.iter().filter(|it| self.may_get(it, now) && !it.is_cold(now));
+        let own = usable.filter(|it| it.region == *self.place.own());
+        let loads = own.map(|it| (&it.region, it.record.slots.0, it.estimated_load(usual, now)));
+        let room = sum_rooms(loads).pop()?;
+        Some(RegionLoad {
+            service: self.service.clone(),
+            region: room.region,
+            utilisation: room.utilisation,
+            home_share: self.place.home_share(),
+            at: now,
+        })
+    }
+
+    /// What collectors of other regions told lately.
+    pub fn other_regions(&self, now: MonoTime) -> impl Iterator<Item = &RegionLoad> {
+        let own = self.place.own();
+        self.region_loads.values().filter(move |it| it.region != *own && !it.is_expired(now))
     }
 
     /// Whether a cold server may get a request of this host.
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -231,10 +231,9 @@
         for (id, rule) in &plan.services {
             let budget = self.budgets.entry(id.clone());
             budget.or_insert_with(|| RetryBudget::new(limits)).set_limits(limits);
-            let picker = self
-                .pickers
-                .entry(id.clone())
-                .or_insert_with(|| ServicePicker::new(rule.clone(), self.place.region.clone()));
+            let picker = self.pickers.entry(id.clone()).or_insert_with(|| {
+                ServicePicker::new(id.clone(), rule.clone(), self.place.region.clone())
+            });
             let rank = least_urgent.get(id).copied().unwrap_or_default();
             picker.set_rule(rule.clone(), rank, cold_hosts.clone());
             picker.set_evacuated(self.evacuated.clone());
--- a/crates/sapphireknot/src/steering/core/load_exchange.rs
+++ b/crates/sapphireknot/src/steering/core/load_exchange.rs
@@ -1,12 +1,13 @@
-//! Exchange of load reports with the host that collects them for the region.
+//! Exchange of load reports with the host that collects them for the region, and between these hosts.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use super::SteeringCore;
 use crate::{
+    ids::RegionId,
     steering::{
         fleet::HostRecord,
-        loads::{LoadReport, ReportPosition},
+        loads::{LoadReport, RegionLoad, ReportPosition},
         shares::host_of,
     },
     time::MonoTime,
@@ -22,6 +23,37 @@
         host_of(COLLECTOR_SEED, hosts)
     }
 
+    /// Hosts that collect the load reports of other regions.
+    pub fn far_collectors(&self) -> Vec<HostRecord> {
+        let own = &self.place.region;
+        let regions: BTreeSet<&RegionId> =
+            self.fleet.hosts().map(|it| &it.region).filter(|it| *it != own).collect();
+        let collector = |region: &RegionId| {
+            host_of(COLLECTOR_SEED, self.fleet.hosts().filter(|it| it.region == *region))
+        };
+        regions.into_iter().filter_map(collector).cloned().collect()
+    }
+
+    /// The own region's servers by service.
+    pub fn own_region_loads(&self, now: MonoTime) -> Vec<RegionLoad> {
+        self.pickers.values().filter_map(|it| it.own_region(now)).collect()
+    }
+
+    /// All regions' servers by service as far as they are known.
+    pub fn region_loads(&self, now: MonoTime) -> Vec<RegionLoad> {
+        let others = self.pickers.values().flat_map(|it| it.other_regions(now).cloned());
+        others.chain(self.own_region_loads(now)).collect()
+    }
+
+    /// Takes what collectors told.
+    pub fn take_region_loads(&mut self, loads: Vec<RegionLoad>) {
+        for load in loads {
+            if let Some(picker) = self.pickers.get_mut(&load.service) {
+                picker.record_region(load);
+            }
+        }
+    }
+
     /// Takes out the reports that the collector was not told yet.
     pub fn untold_loads(&mut self, now: MonoTime) -> Vec<LoadReport> {
         self.loads.expire(now);
--- a/crates/sapphireknot/src/steering/loads.rs
+++ b/crates/sapphireknot/src/steering/loads.rs
@@ -2,12 +2,16 @@
 //!
 //! Where many hosts share the servers, each of them gets few responses of a server, seldom learns its load, and finds out
 //! late that it is gone. One host of each region collects what all of them saw and passes it on. A host without a
-//! collector goes on with its own reports.
+//! collector goes on with its own reports. Collectors of different regions tell each other sums only ([`RegionLoad`]), as
+//! links between regions are narrow and few requests go there.
 
 use std::{collections::HashMap, time::Duration};
 
 use super::server_state::ServerLoad;
-use crate::time::MonoTime;
+use crate::{
+    ids::{RegionId, ServiceId},
+    time::MonoTime,
+};
 
 /// Age from which a report is not passed on; it counts for little then.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
@@ -23,6 +27,28 @@
     pub at: MonoTime,
 }
 
+/// A region's servers of one service as the region's collector sees them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RegionLoad {
+    /// Service.
+    pub service: ServiceId,
+    /// Region.
+    pub region: RegionId,
+    /// Requests that run or wait, divided by the slots.
+    pub utilisation: f64,
+    /// Share of their objects that hosts of the region keep there.
+    pub home_share: f64,
+    /// When that was.
+    pub at: MonoTime,
+}
+
+impl RegionLoad {
+    /// Whether it is too old to rely on.
+    pub fn is_expired(&self, now: MonoTime) -> bool {
+        now >= self.at.after(REPORT_LIFE)
+    }
+}
+
 /// Position in the reports of a collector.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReportPosition(pub u64);
--- a/crates/sapphireknot/src/steering/place.rs
+++ b/crates/sapphireknot/src/steering/place.rs
@@ -53,6 +53,11 @@
         Self { own, home_share: None, regions: Vec::new(), next_step: MonoTime::default() }
     }
 
+    /// Region of the callers.
+    pub fn own(&self) -> &RegionId {
+        &self.own
+    }
+
     /// Share of the objects that is kept at home.
     pub fn home_share(&self) -> f64 {
         self.home_share.unwrap_or(1.0)
@@ -63,8 +68,10 @@
         self.next_step
     }
 
-    /// Takes a step towards even utilisation.
-    pub fn step(&mut self, rooms: &[RegionRoom], now: MonoTime) {
+    /// Takes a step towards even utilisation, or towards the share that the region's collector `told`.
+    ///
+    /// Hosts that keep different shares send the same objects to different regions.
+    pub fn step(&mut self, rooms: &[RegionRoom], told: Option<f64>, now: MonoTime) {
         self.next_step = now.after(STEP_INTERVAL);
         let others = rooms.iter().filter(|it| it.region != self.own && it.slots > 0);
         let hash = |region: &RegionId| xxh3_64(region.as_str().as_bytes());
@@ -85,6 +92,10 @@
             .sum();
         let rest = rest / f64::from(total - own.slots).max(1.0);
         let lead = own.utilisation - rest - LEAD;
+        if let Some(told) = told {
+            self.home_share = Some(share + (told - share).clamp(-MAX_STEP, MAX_STEP));
+            return;
+        }
         let change = if own.utilisation > BUSY && lead > 0.0 { -lead * GAIN } else { GAIN * 0.1 };
         self.home_share = Some((share + change.clamp(-MAX_STEP, MAX_STEP)).clamp(0.0, 1.0));
     }
--- a/crates/sapphireknot/tests/steering/load_reports.rs
+++ b/crates/sapphireknot/tests/steering/load_reports.rs
@@ -10,7 +10,7 @@
         core::{AttemptReport, FleetChange, HostPlace, SteeringCore},
         loads::{LoadBoard, LoadReport, ReportPosition},
         plan::RequestPriority,
-        server_state::ServerLoad,
+        server_state::{ServerLoad, server_hash},
     },
     time::MonoTime,
 };
@@ -148,3 +148,52 @@
     second.take_loads(&first.untold_loads(at(510)));
     assert_eq!(choose(&mut second, 7, at(511)).record.id, usual);
 }
+
+/// A host of `region` that is told of two servers in each of two regions.
+fn far_core(name: &str, region: &str) -> SteeringCore {
+    let mut core = SteeringCore::new(HostPlace { host: id(name), ..place(region) }, bounds());
+    let mut changes = vec![FleetChange::Plan(plan(1).into())];
+    changes.extend(
+        [("h1", "east"), ("h2", "west"), ("h3", "east")]
+            .map(|(it, region)| FleetChange::Host(host(it, region))),
+    );
+    for (name, region) in [("s0", "east"), ("s1", "east"), ("s2", "west"), ("s3", "west")] {
+        changes.push(FleetChange::Server(server(name, region)));
+    }
+    core.take(changes, at(0));
+    core
+}
+
+fn home_share(core: &SteeringCore) -> f64 {
+    core.pickers()[&id("reports")].home_share()
+}
+
+/// A region that is full must move objects to one that has room, which it sees only by what its collector is told; and all
+/// hosts of the region must keep the same share, or they send the same objects to different regions.
+#[test]
+fn regions_told() {
+    let [mut east, mut west, mut other] = [("h1", "east"), ("h2", "west"), ("h3", "east")]
+        .map(|(name, region)| far_core(name, region));
+    assert_eq!(east.far_collectors().len(), 1);
+    assert_eq!(east.far_collectors()[0].id, id("h2"));
+    let load = |running| Some(ServerLoad { running, waiting: 0 });
+    let seen = |core: &mut SteeringCore, names: [&str; 2], running: u32, now: MonoTime| {
+        let report =
+            |it: &str| LoadReport { server: server_hash(&id(it)), load: load(running), at: now };
+        core.take_loads(&names.map(report));
+    };
+    east.rebalance(at(0));
+    other.rebalance(at(0));
+    for step in 1..=20 {
+        let now = at(step * 500);
+        seen(&mut east, ["s0", "s1"], 6, now);
+        seen(&mut west, ["s2", "s3"], 1, now);
+        east.take_region_loads(west.own_region_loads(now));
+        other.take_region_loads(east.region_loads(now));
+        east.rebalance(now);
+        other.rebalance(now);
+    }
+    let (share, followed) = (home_share(&east), home_share(&other));
+    assert!((0.55..0.85).contains(&share), "{share} kept at home");
+    assert!((share - followed).abs() < 0.05, "{share} and {followed}");
+}
--- a/crates/sapphireknot/tests/steering/object_place.rs
+++ b/crates/sapphireknot/tests/steering/object_place.rs
@@ -21,10 +21,10 @@
 #[test]
 fn starts_by_capacity() {
     let mut table = PlaceTable::new(id("east"));
-    table.step(&small_home(0.0, 0.0), at(0));
+    table.step(&small_home(0.0, 0.0), None, at(0));
     assert!((table.home_share() - 12.0 / 28.0).abs() < 0.01);
     let mut large = PlaceTable::new(id("north"));
-    large.step(&small_home(0.0, 0.0), at(0));
+    large.step(&small_home(0.0, 0.0), None, at(0));
     assert!((large.home_share() - 1.0).abs() < f64::EPSILON);
 }
 
@@ -33,9 +33,9 @@
 fn moves_slowly() {
     let table = |utilisations: &[(f64, f64)]| {
         let mut table = PlaceTable::new(id("east"));
-        table.step(&small_home(0.3, 0.3), at(0));
+        table.step(&small_home(0.3, 0.3), None, at(0));
         for (idx, (own, rest)) in utilisations.iter().enumerate() {
-            table.step(&small_home(*own, *rest), at(500 * (idx as u64 + 1)));
+            table.step(&small_home(*own, *rest), None, at(500 * (idx as u64 + 1)));
         }
         table
     };
@@ -50,10 +50,10 @@
 #[test]
 fn leaves_full_region() {
     let mut table = PlaceTable::new(id("east"));
-    table.step(&small_home(0.3, 0.3), at(0));
+    table.step(&small_home(0.3, 0.3), None, at(0));
     let first = table.home_share();
     for step in 1..20 {
-        table.step(&small_home(1.5, 0.3), at(step * 500));
+        table.step(&small_home(1.5, 0.3), None, at(step * 500));
     }
     assert!(table.home_share() < first - 0.2);
 }
@@ -63,7 +63,7 @@
 fn hosts_agree() {
     let table = || {
         let mut table = PlaceTable::new(id("east"));
-        table.step(&small_home(0.3, 0.3), at(0));
+        table.step(&small_home(0.3, 0.3), None, at(0));
         table
     };
     assert!(moved(&table(), &table()) == 0.0);
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -1,4 +1,4 @@
-//! Exchange of load reports with the collector of the region.
+//! Exchange of load reports with the collector of the region, and of sums between collectors.
 //!
 //! Each call brings the reports of this host's own responses and returns those of other hosts. A collector that does not
 //! answer is left out for a moment; until then this host goes on with its own reports.
@@ -9,13 +9,14 @@
     ids::HostId,
     steering::{
         fleet::HostRecord,
-        loads::{LoadReport, ReportPosition},
+        loads::{LoadReport, RegionLoad, ReportPosition},
         server_state::ServerLoad,
     },
     time::MonoTime,
 };
-use sapphireknot_wire::entry::{LoadReports, ShareLoadsRequest};
+use sapphireknot_wire::entry::{self as wire, LoadReports, ShareLoadsReply, ShareLoadsRequest};
 use tokio::time::{sleep, timeout};
+use tonic::{Response, Status};
 
 use super::{peer_channels::PeerChannels, state::EntryState};
 
@@ -39,9 +40,12 @@
             chosen = Some(collector.id.clone());
             position = ReportPosition::default();
         }
-        if collector.id != state.record.id
-            && let Some(next) = exchange(&state, &channels, &collector, position).await
-        {
+        if collector.id == state.record.id {
+            let others = state.core.lock().far_collectors();
+            for collector in others {
+                exchange_regions(&state, &channels, &collector).await;
+            }
+        } else if let Some(next) = exchange(&state, &channels, &collector, position).await {
             position = next;
         }
     }
@@ -61,24 +65,82 @@
         return None;
     }
     let reports = Some(encode_reports(&reports, now));
-    let call = client.share_loads(ShareLoadsRequest { reports, position: position.0 });
-    let cause = match timeout(CALL_TIMEOUT, call).await {
+    let request = ShareLoadsRequest { reports, position: position.0, regions: Vec::new() };
+    let reply = call(state, channels, collector, client.share_loads(request)).await?;
+    let now = state.clock.now();
+    let news = decode_reports(&reply.reports.unwrap_or_default(), now);
+    state.meters.count_load_reports(news.len());
+    let mut core = state.core.lock();
+    core.take_loads(&news);
+    core.take_region_loads(decode_regions(&reply.regions, now));
+    Some(ReportPosition(reply.position))
+}
+
+/// Tells the collector of another region of the own region, and asks for the other one.
+async fn exchange_regions(state: &EntryState, channels: &PeerChannels, collector: &HostRecord) {
+    let now = state.clock.now();
+    let Some(mut client) = channels.client(collector, now) else { return };
+    let regions = encode_regions(&state.core.lock().own_region_loads(now), now);
+    if regions.is_empty() {
+        return;
+    }
+    let request = ShareLoadsRequest { regions, ..ShareLoadsRequest::default() };
+    if let Some(reply) = call(state, channels, collector, client.share_loads(request)).await {
+        let regions = decode_regions(&reply.regions, state.clock.now());
+        state.core.lock().take_region_loads(regions);
+    }
+}
+
+async fn call<C>(
+    state: &EntryState,
+    channels: &PeerChannels,
+    collector: &HostRecord,
+    reply: C,
+) -> Option<ShareLoadsReply>
+where
+    C: Future<Output = Result<Response<ShareLoadsReply>, Status>>,
+{
+    let cause = match timeout(CALL_TIMEOUT, reply).await {
         Ok(Ok(reply)) => {
             channels.record_answer(collector);
-            let reply = reply.into_inner();
-            let news = decode_reports(&reply.reports.unwrap_or_default(), state.clock.now());
-            state.core.lock().take_loads(&news);
-            state.meters.count_load_reports(news.len());
-            return Some(ReportPosition(reply.position));
+            return Some(reply.into_inner());
         }
         Ok(Err(status)) => status.message().to_owned(),
         Err(_) => "no answer in time".to_owned(),
     };
-    channels.record_loss(collector, &cause, now);
+    channels.record_loss(collector, &cause, state.clock.now());
     state.meters.count_exchange_failure();
     None
 }
 
+/// Sums of regions as messages carry them, with their ages at `now`.
+pub fn encode_regions(loads: &[RegionLoad], now: MonoTime) -> Vec<wire::RegionLoad> {
+    let permille = |part: f64| (part * 1_000.0) as u32;
+    let encode = |it: &RegionLoad| wire::RegionLoad {
+        service: it.service.to_string(),
+        region: it.region.to_string(),
+        utilisation_permille: permille(it.utilisation),
+        home_permille: permille(it.home_share),
+        age_ms: u32::try_from(now.since(it.at).as_millis()).unwrap_or(u32::MAX),
+    };
+    loads.iter().map(encode).collect()
+}
+
+/// Sums of a message that arrived at `now`; those with a name that is none are left out, as this host uses no such
+/// service or region.
+pub fn decode_regions(loads: &[wire::RegionLoad], now: MonoTime) -> Vec<RegionLoad> {
+    let decode = |it: &wire::RegionLoad| {
+        Some(RegionLoad {
+            service: it.service.parse().ok()?,
+            region: it.region.parse().ok()?,
+            utilisation: f64::from(it.utilisation_permille) / 1_000.0,
+            home_share: f64::from(it.home_permille) / 1_000.0,
+            at: now.before(Duration::from_millis(it.age_ms.into())),
+        })
+    };
+    loads.iter().filter_map(decode).collect()
+}
+
 /// Reports as messages carry them, with their ages at `now`.
 pub fn encode_reports(reports: &[LoadReport], now: MonoTime) -> LoadReports {
     let age = |it: &LoadReport| u32::try_from(now.since(it.at).as_millis()).unwrap_or(u32::MAX);
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -12,7 +12,7 @@
 use tonic::{Request, Response, Status, transport::Server};
 
 use super::{
-    load_peers::{decode_reports, encode_reports},
+    load_peers::{decode_regions, decode_reports, encode_regions, encode_reports},
     state::EntryState,
 };
 
@@ -47,14 +47,23 @@
         &self,
         request: Request<ShareLoadsRequest>,
     ) -> Result<Response<ShareLoadsReply>, Status> {
-        let ShareLoadsRequest { reports, position } = request.into_inner();
+        let ShareLoadsRequest { reports, position, regions } = request.into_inner();
         let now = self.state.clock.now();
+        if !regions.is_empty() {
+            let regions = decode_regions(&regions, now);
+            let mut core = self.state.core.lock();
+            core.take_region_loads(regions);
+            let regions = encode_regions(&core.own_region_loads(now), now);
+            return Ok(Response::new(ShareLoadsReply { regions, ..ShareLoadsReply::default() }));
+        }
         let reports = decode_reports(&reports.unwrap_or_default(), now);
         self.state.meters.count_load_reports(reports.len());
         let position = ReportPosition(position);
-        let (news, position) = self.state.core.lock().collect_loads(&reports, position, now);
+        let mut core = self.state.core.lock();
+        let (news, position) = core.collect_loads(&reports, position, now);
+        let regions = encode_regions(&core.region_loads(now), now);
         let reports = Some(encode_reports(&news, now));
-        Ok(Response::new(ShareLoadsReply { reports, position: position.0 }))
+        Ok(Response::new(ShareLoadsReply { reports, position: position.0, regions }))
     }
 }
 
