--- a/crates/sapphireknotd/src/entry/side_servers.rs
+++ b/crates/sapphireknotd/src/entry/side_servers.rs
@@ -109,6 +109,12 @@
             "sapphireknot_entry_home_share{{service=\"{service}\"}} {:.3}\n",
             picker.home_share()
         ));
+        for load in picker.other_regions(now) {
+            text.push_str(&format!(
+                "sapphireknot_entry_region_load{{service=\"{service}\",region=\"{}\"}} {:.3}\n",
+                load.region, load.utilisation
+            ));
+        }
     }
     text
 }
