entry: give requests that no rule admits their own rate of log lines

They took the 20 lines a second of each host, so that only 629 other failures were logged, and of ten failed requests picked at random nine were rejected keys.

Requests that are refused for what the caller sent have two lines a second. decision_lines::kinds_apart covers the kind.

--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -293,6 +293,7 @@
             (Ok(response), Some(route)) if response.status().is_success() => {
                 if elapsed > route.target_latency { LineKind::Late } else { LineKind::Good }
             }
+            (Err(refusal), _) if is_callers_fault(refusal.refusal.reason) => LineKind::Rejected,
             _ => LineKind::Failed,
         };
         let request_id = trail.head.request_id.as_ref();
@@ -349,6 +350,17 @@
     started: MonoTime,
 }
 
+/// Whether the same request would be refused by every host at any time.
+fn is_callers_fault(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::KeyMissing
+            | RefusalReason::KeyRejected
+            | RefusalReason::UnknownRoute
+            | RefusalReason::BadRequest
+    )
+}
+
 fn key_owner<'a>(
     plan: &'a RoutingPlan,
     head: &CallerHead,
--- a/crates/sapphireknotd/src/entry/decision_log.rs
+++ b/crates/sapphireknotd/src/entry/decision_log.rs
@@ -13,7 +13,10 @@
 const SAMPLE: u64 = 128;
 /// Lines of a second for late requests.
 const LATE_PER_SECOND: f64 = 4.0;
-/// Lines of a second for refused and failed requests.
+/// Lines of a second for requests that no rule admits, such as those with a withdrawn key. Their callers may send as many
+/// as all others together, and took nearly all lines of failed requests.
+const REJECTED_PER_SECOND: f64 = 2.0;
+/// Lines of a second for other refused and failed requests.
 const FAILED_PER_SECOND: f64 = 20.0;
 /// Seconds for which lines may be saved up.
 const BURST_SECONDS: f64 = 2.0;
@@ -25,7 +28,9 @@
     Good,
     /// Answered with success after the target latency.
     Late,
-    /// Refused or failed.
+    /// Refused for what the caller sent.
+    Rejected,
+    /// Refused or failed for another reason.
     Failed,
 }
 
@@ -60,6 +65,7 @@
 #[derive(Debug)]
 pub struct DecisionLog {
     late: Mutex<LineBudget>,
+    rejected: Mutex<LineBudget>,
     failed: Mutex<LineBudget>,
 }
 
@@ -68,6 +74,7 @@
     pub fn new(now: MonoTime) -> Self {
         Self {
             late: Mutex::new(LineBudget::new(LATE_PER_SECOND, now)),
+            rejected: Mutex::new(LineBudget::new(REJECTED_PER_SECOND, now)),
             failed: Mutex::new(LineBudget::new(FAILED_PER_SECOND, now)),
         }
     }
@@ -85,6 +92,7 @@
                 hash.is_multiple_of(SAMPLE).then_some(0)
             }
             LineKind::Late => self.late.lock().take(now),
+            LineKind::Rejected => self.rejected.lock().take(now),
             LineKind::Failed => self.failed.lock().take(now),
         }
     }
--- a/crates/sapphireknotd/tests/decision_lines.rs
+++ b/crates/sapphireknotd/tests/decision_lines.rs
@@ -27,13 +27,14 @@
     assert!(lines + dropped > 9_900, "{lines} lines and {dropped} left out");
 }
 
-/// Late requests must not take the lines of failed ones.
+/// Late requests, and those of a caller whose key was withdrawn, must not take the lines of failed ones.
 #[test]
 fn kinds_apart() {
     let start = MonoTime(1_000_000);
     let log = DecisionLog::new(start);
     for number in 0..1_000 {
         let _ = log.take_line(LineKind::Late, Some(&id(number)), start);
+        let _ = log.take_line(LineKind::Rejected, Some(&id(number)), start);
     }
     assert_eq!(log.take_line(LineKind::Failed, Some(&id(1)), start), Some(0));
 }
