--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -300,6 +300,10 @@
         if let Some(dropped) = self.state.decisions.take_line(kind, request_id, now) {
             let retry_at = result.as_ref().err().and_then(|it| it.refusal.retry_at);
             let notes = &trail.notes;
+            // What a host believes of the service decides a refusal without an attempt.
+            let belief = trail.service.as_ref().filter(|_| notes.attempts == 0 && result.is_err());
+            let belief =
+                belief.and_then(|it| Some(self.state.core.lock().pickers().get(it)?.summary(now)));
             log::info!(
                 request = request_id.and_then(|it| it.to_str().ok()),
                 route = trail.route.map(|it| it.id.as_str()),
@@ -314,6 +318,9 @@
                 server = notes.server.as_ref().map(|it| it.as_str()),
                 expected_ms = notes.expected_ms, server_load = notes.server_load,
                 rank = notes.rank,
+                usable_servers = belief.as_ref().map(|it| it.usable),
+                cold_servers = belief.as_ref().map(|it| it.cold),
+                load_per_slot = belief.as_ref().map(|it| it.load_per_slot),
                 plan = self.state.plan.load().as_ref().map(|it| it.generation.0),
                 lines_dropped = dropped;
                 "request ended"
