--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -21,6 +21,7 @@
     plan::{RequestPriority, ServiceRule},
     server_state::{ServerLoad, ServerState},
     shares::ColdHosts,
+    work::{RANKS, WorkEstimate, queue_rounds, wait_ms},
 };
 use crate::{
     ids::{DatacentreId, RegionId, ServerId, ServiceId, VersionId},
@@ -29,11 +30,6 @@
     time::MonoTime,
 };
 
-/// Chance that a server does not know an object, by its rank for the object, until its work was measured. Requests
-/// overflow to the next ranks, so that these know a part of the objects too.
-const UNKNOWN_BY_RANK: [f64; RANKS] = [0.0, 0.3, 0.6, 1.0];
-/// Ranks whose work is told apart; the last one stands for all further ones and for other regions.
-pub const RANKS: usize = 4;
 /// Requests per slot up to which a server takes a request, by its rank for the object. Work at a server that does not
 /// know the object takes several times as long, so that overflow in an overload would only lengthen all queues.
 const MAX_LOAD_BY_RANK: [f64; 3] = [f64::INFINITY, 1.2, 0.9];
@@ -41,14 +37,6 @@
 const MAX_OVERFLOW_LOAD: f64 = 0.75;
 /// Time that a server in another region than that of the object costs, in milliseconds: a round trip between regions.
 const AWAY_MS: f64 = 30.0;
-/// Work at a server that knows the object, as a part of the target latency, until it was measured.
-const FIRST_WARM: f64 = 0.5;
-/// Work at a server that does not know the object, as a part of the target latency, until it was measured.
-const FIRST_COLD: f64 = 1.5;
-/// Weight of a new sample in an estimate of work, once there were many.
-const WORK_WEIGHT: f64 = 0.02;
-/// Samples that the first assumption about the work counts for.
-const FIRST_SAMPLES: f64 = 8.0;
 /// Weight of a new sample in the usual load.
 const USUAL_WEIGHT: f64 = 0.05;
 /// Part of the remaining time that the expected time may take; estimates are too low for half of the requests.
@@ -57,8 +45,6 @@
 const LEAST_URGENT_LOAD: f64 = 2.3;
 /// The same for the most urgent ones; a server keeps up to three waiting requests a slot.
 const MOST_URGENT_LOAD: f64 = 3.0;
-/// Wait that a full slot count costs below the limit, as a part of the work; spreads requests before queues form.
-const CROWDING: f64 = 0.4;
 /// Weight of the work that a request takes away from others, as a part of the load per slot. Work at a server that does
 /// not know the object takes a slot for several times as long, which the request itself does not feel.
 const DISPLACED: f64 = 3.0;
@@ -115,36 +101,6 @@
     },
 }
 
-/// Measured work of one route's requests.
-///
-/// How many objects a server of a further rank knows depends on how often objects are asked for and on how much
-/// overflows, so that it is measured rather than assumed.
-#[derive(Debug, Clone, Copy)]
-struct WorkEstimate {
-    /// Milliseconds by the rank of the server for the object.
-    by_rank: [f64; RANKS],
-    samples: [f64; RANKS],
-}
-
-impl WorkEstimate {
-    fn first(target_ms: f64) -> Self {
-        let (warm, cold) = (target_ms * FIRST_WARM, target_ms * FIRST_COLD);
-        let by_rank = UNKNOWN_BY_RANK.map(|it| warm + (cold - warm) * it);
-        Self { by_rank, samples: [FIRST_SAMPLES; RANKS] }
-    }
-
-    /// Work at a server that knows the object.
-    fn warm(&self) -> f64 {
-        self.by_rank[0]
-    }
-
-    fn record(&mut self, rank: usize, elapsed_ms: f64) {
-        self.samples[rank] += 1.0;
-        let weight = WORK_WEIGHT.max(1.0 / self.samples[rank]);
-        self.by_rank[rank] += (elapsed_ms - self.by_rank[rank]) * weight;
-    }
-}
-
 /// Servers of one service.
 #[derive(Debug)]
 pub struct ServicePicker {
@@ -489,19 +445,5 @@
     pub home_share: f64,
 }
 
-/// Expected wait for a slot at a server with `load` requests that run or wait, in milliseconds.
-fn wait_ms(load: f64, slots: f64, work_ms: f64) -> f64 {
-    if load < slots {
-        let used = load / slots;
-        return CROWDING * used * used * work_ms;
-    }
-    (CROWDING + queue_rounds(load, slots)) * work_ms
-}
-
-/// Requests that a slot serves before one that arrives at `load`.
-fn queue_rounds(load: f64, slots: f64) -> f64 {
-    if load < slots { 0.0 } else { (load - slots + 1.0) / slots }
-}
-
 /// Pickers of all services.
 pub type ServicePickers = HashMap<ServiceId, ServicePicker>;
