entry: ask for changes without waiting after a failure of the store

The store was silent from 15 s to 20 s. A watch that it took in just before its return is never answered, and as the host's renewals succeed from then on, nothing ends the watch before its 20 s.

Ruled out: a lost message in the actor, and the keep-alive probes, which a kernel answers for a silent process.

The first watch after a failed call, as after a lagging read, waits for nothing, so that its answer is due within the limit of a call.

store_faults::swallowed_watch has a store that takes in watches and answers all other calls; without the change the new configuration is not in force after 15 s.

--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -212,6 +212,9 @@
     let store = &state.platform.store;
     let mut known: Option<StoreRevision> = None;
     let mut recency = ReadRecency::MayLag;
+    // A watch that a silent store took in is never answered, also once the store answers others again. After a lagging
+    // read or a failure the first call therefore waits for nothing, so that its answer is due at once.
+    let mut wait = Duration::ZERO;
     let mut pause = FLEET_FIRST_RETRY.0;
     loop {
         let result = match known {
@@ -219,17 +222,11 @@
                 let page = store.read_all(recency).await.map_err(FeedError::Store);
                 page.map(|page| FleetMessage::Read(page, recency))
             }
-            Some(revision) => {
-                let wait = match recency {
-                    ReadRecency::Latest => FLEET_WATCH_WAIT.0,
-                    ReadRecency::MayLag => Duration::ZERO,
-                };
-                tokio::select! {
-                    page = store.next_changes(revision, wait) => page.map(FleetMessage::Changed),
-                    // A watch that waits at a store that answers nothing else may wait for ever.
-                    err = state.store_failure() => Err(FeedError::Store(err)),
-                }
-            }
+            Some(revision) => tokio::select! {
+                page = store.next_changes(revision, wait) => page.map(FleetMessage::Changed),
+                // A watch that waits at a store that answers nothing else may wait for ever.
+                err = state.store_failure() => Err(FeedError::Store(err)),
+            },
         };
         let message = match result {
             Ok(message) => {
@@ -258,6 +255,7 @@
                 if actor.cast(FleetMessage::Failed).is_err() {
                     return;
                 }
+                wait = Duration::ZERO;
                 sleep(pause).await;
                 pause = (pause * 2).min(FLEET_MAX_RETRY.0);
                 continue;
@@ -269,6 +267,10 @@
         if recency == ReadRecency::MayLag {
             continue;
         }
+        if wait.is_zero() {
+            wait = FLEET_WATCH_WAIT.0;
+            continue;
+        }
         let apply_time = state.settings.load().bounds.apply_time.0;
         sleep(apply_time.mul_f64(FLEET_WATCH_PAUSE)).await;
     }
