front: accept and end callers' connections in one place

FrontServer and the entry host's CallerServer each had the accept loop, the set-up of a connection and its graceful end. front::connections has them once; the servers give it their limits and the stage at which they stop accepting. No behaviour changes.

--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -1,17 +1,11 @@
 //! Serves callers: finds the route, checks key and quota, and forwards.
 
-use std::{
-    convert::Infallible,
-    sync::Arc,
-    sync::atomic::{AtomicBool, Ordering},
-    time::Duration,
-};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::body::Incoming;
 use opentelemetry::trace::SpanKind;
 use ractor::ActorRef;
 use sapphireknot::{
@@ -21,11 +15,7 @@
     time::MonoTime,
 };
 use sapphireknot_platform::CallerHead;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
-    time::sleep,
-};
+use tokio::net::TcpListener;
 
 use super::{
     decision_log::LineKind,
@@ -39,14 +29,15 @@
     constants,
     context::DrainStage,
     front::{
-        bodies::read_body, headers::drop_hop_by_hop, refusals::FrontRefusal, streams::PromptStream,
+        bodies::read_body,
+        connections::{ConnectionLimits, accept_connections, serve_connection},
+        headers::drop_hop_by_hop,
+        refusals::FrontRefusal,
     },
     telemetry::{self, HopSpan},
     upstream::connections::{ConnectionPool, PoolLimits},
 };
 
-/// Pause after a failed accept, so that a lack of file descriptors does not busy the processor.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections of callers at the same time; leaves descriptors for backend servers out of the 4,100 of a host.
 const MAX_CONNECTIONS: usize = 2_400;
 /// Time to open a connection to a backend server; ten round trips between regions.
@@ -113,68 +104,29 @@
 
     /// Accepts connections until the host closes.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-        let mut drain = self.state.drain.subscribe();
-        let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
-        tokio::pin!(closing);
-        loop {
-            // Further connections wait in the backlog of the listener.
-            let Ok(permit) = permits.clone().acquire_owned().await else { return };
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = &mut closing => return,
-            };
-            match accepted {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve_connection(stream, permit));
-                }
-                Err(err) => {
-                    log::warn!(error:% = err; "accept connection of a caller");
-                    sleep(ACCEPT_PAUSE).await;
-                }
+        let serve = |stream, _peer| {
+            let server = self.clone();
+            async move {
+                let answer = |request| server.handle(request);
+                let limits = server.connection_limits();
+                let drain = &server.state.drain;
+                serve_connection(stream, limits, drain, &server.busy, answer).await;
             }
-        }
+        };
+        let drain = &self.state.drain;
+        accept_connections(listener, MAX_CONNECTIONS, drain, DrainStage::Closing, serve).await;
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, _permit: OwnedSemaphorePermit) {
-        if let Err(err) = stream.set_nodelay(true) {
-            log::debug!(error:% = err; "set TCP_NODELAY");
-        }
+    fn connection_limits(&self) -> ConnectionLimits {
         let plan = self.state.plan.load_full();
         let limits = plan.as_ref().map(|it| &it.limits);
-        let idle = limits.map_or(constants::HEADER_TIMEOUT.0, |it| it.idle_timeout + IDLE_MARGIN);
-        let max_header = limits.map_or(constants::MAX_HEADER_BYTES, |it| it.max_header_bytes);
-        let stream = PromptStream::new(stream, constants::WRITE_TIMEOUT.0);
-        let has_begun = AtomicBool::new(false);
-        let service = service_fn(|request| {
-            has_begun.store(true, Ordering::Relaxed);
-            self.handle(request)
-        });
-        let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
+        ConnectionLimits {
             // The time of an idle connection counts too, so that the limit for headers would close it too early.
-            .header_read_timeout(idle)
-            .max_header_size(max_header)
-            // The least size that hyper accepts.
-            .max_buf_size(max_header.max(8 << 10));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        let mut drain = self.state.drain.subscribe();
-        // Counts before it looks at the stage, so that the end of closing cannot miss it.
-        let busy = self.busy.clone();
-        let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
-        tokio::select! {
-            result = connection.as_mut() => return log_end(result),
-            () = closing => {}
-        }
-        if has_begun.load(Ordering::Relaxed) {
-            connection.as_mut().graceful_shutdown();
-        } else {
-            // A first request is still answered.
-            drop(busy);
+            header_timeout: limits
+                .map_or(constants::HEADER_TIMEOUT.0, |it| it.idle_timeout + IDLE_MARGIN),
+            max_header_bytes: limits.map_or(constants::MAX_HEADER_BYTES, |it| it.max_header_bytes),
+            write_timeout: constants::WRITE_TIMEOUT.0,
         }
-        log_end(connection.await);
     }
 
     async fn handle(
@@ -385,9 +337,3 @@
 fn request_id_header() -> http::HeaderName {
     http::HeaderName::from_static(crate::upstream::connections::REQUEST_ID)
 }
-
-fn log_end(result: hyper::Result<()>) {
-    if let Err(err) = result {
-        log::debug!(error:% = err; "connection of a caller ended");
-    }
-}
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -1,6 +1,7 @@
 //! Caller side: look-up, gate, forwarding and refusals.
 
 pub mod bodies;
+pub mod connections;
 pub mod gate;
 pub mod headers;
 pub mod lookups;
@@ -9,21 +10,12 @@
 
 mod forward;
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::body::Incoming;
 use opentelemetry::{KeyValue, trace::SpanKind};
 use parking_lot::Mutex;
 use sapphireknot::{
@@ -33,13 +25,13 @@
     routes::RouteMiss,
     time::MonoTime,
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
-    time::sleep,
-};
+use tokio::net::TcpListener;
 
-use self::{forward::AdmittedRequest, refusals::FrontRefusal, streams::PromptStream};
+use self::{
+    connections::{ConnectionLimits, accept_connections, serve_connection},
+    forward::AdmittedRequest,
+    refusals::FrontRefusal,
+};
 use crate::{
     buffers::{BufferBudget, MemoryWait},
     context::{DrainStage, HostContext, QuotaVerdict},
@@ -47,8 +39,6 @@
     upstream::connections::{ConnectionPool, REQUEST_ID},
 };
 
-/// Pause after a failed accept, so that a lack of file descriptors does not busy the processor.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest request target, in bytes.
 const MAX_TARGET_BYTES: usize = 8 << 10;
 
@@ -81,69 +71,22 @@
 
     /// Accepts connections until the host ends.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        let permits = Arc::new(Semaphore::new(self.context.settings.limits.max_connections));
-        let mut drain = self.context.drain.subscribe();
-        let ended = async move { drop(drain.wait_for(|it| *it == DrainStage::Ended).await) };
-        tokio::pin!(ended);
-        loop {
-            // Further connections wait in the backlog of the listener.
-            let Ok(permit) = permits.clone().acquire_owned().await else { return };
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = &mut ended => return,
-            };
-            match accepted {
-                Ok((stream, peer)) => {
-                    tokio::spawn(self.clone().serve_connection(stream, peer, permit));
-                }
-                Err(err) => {
-                    log::warn!(error:% = err; "accept connection of a caller");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    async fn serve_connection(
-        self: Arc<Self>,
-        stream: TcpStream,
-        peer: SocketAddr,
-        _permit: OwnedSemaphorePermit,
-    ) {
-        if let Err(err) = stream.set_nodelay(true) {
-            log::debug!(error:% = err; "set TCP_NODELAY");
-        }
         let limits = &self.context.settings.limits;
-        let stream = PromptStream::new(stream, limits.write_timeout.0);
-        let has_begun = AtomicBool::new(false);
-        let service = service_fn(|request| {
-            has_begun.store(true, Ordering::Relaxed);
-            self.handle(request, peer)
-        });
-        let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.header_timeout.0)
-            .max_header_size(limits.max_header_bytes)
-            // The least size that hyper accepts.
-            .max_buf_size(limits.max_header_bytes.max(8 << 10));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        let mut drain = self.context.drain.subscribe();
-        // Counts before it looks at the stage, so that the end of closing cannot miss it.
-        let busy = self.busy.clone();
-        let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
-        tokio::select! {
-            result = connection.as_mut() => return log_end(result),
-            () = closing => {}
-        }
-        if has_begun.load(Ordering::Relaxed) {
-            connection.as_mut().graceful_shutdown();
-        } else {
-            // A first request is still answered, with a refusal that closes the connection.
-            drop(busy);
-        }
-        log_end(connection.await);
+        let connection_limits = ConnectionLimits {
+            header_timeout: limits.header_timeout.0,
+            max_header_bytes: limits.max_header_bytes,
+            write_timeout: limits.write_timeout.0,
+        };
+        let serve = |stream, peer| {
+            let server = self.clone();
+            async move {
+                let answer = |request| server.handle(request, peer);
+                let drain = &server.context.drain;
+                serve_connection(stream, connection_limits, drain, &server.busy, answer).await;
+            }
+        };
+        let drain = &self.context.drain;
+        accept_connections(listener, limits.max_connections, drain, DrainStage::Ended, serve).await;
     }
 
     async fn handle(
@@ -292,12 +235,6 @@
     }
 }
 
-fn log_end(result: hyper::Result<()>) {
-    if let Err(err) = result {
-        log::debug!(error:% = err; "connection of a caller ended");
-    }
-}
-
 fn method_refusal() -> FrontRefusal {
     let refusal = RequestRefusal::not_run(RefusalReason::UnknownRoute);
     FrontRefusal { refusal, status: Some(StatusCode::METHOD_NOT_ALLOWED) }
