--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     constants,
-    settings::{LogSettings, TelemetrySettings},
+    settings::{LogSettings, TelemetrySettings, decode_tree},
 };
 
 /// Settings of an entry host.
@@ -112,10 +112,7 @@
 impl EntrySettings {
     /// Reads the settings from a tree.
     pub fn from_tree(tree: serde_json::Value) -> Result<Self, Vec<ConfigProblem>> {
-        let settings: Self = serde_path_to_error::deserialize(&tree).map_err(|err| {
-            let field = err.path().to_string();
-            vec![ConfigProblem::new(field, "", err.into_inner().to_string())]
-        })?;
+        let settings: Self = decode_tree(tree)?;
         let problems = settings.problems();
         if problems.is_empty() { Ok(settings) } else { Err(problems) }
     }
--- a/crates/sapphireknotd/src/settings.rs
+++ b/crates/sapphireknotd/src/settings.rs
@@ -12,7 +12,7 @@
     time::ClockSpan,
     units::TrafficShare,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::constants;
 
@@ -217,6 +217,17 @@
     }
 }
 
+/// Reads a value from a tree; the problem names the field.
+pub(crate) fn decode_tree<T>(tree: serde_json::Value) -> Result<T, Vec<ConfigProblem>>
+where
+    T: DeserializeOwned,
+{
+    serde_path_to_error::deserialize(tree).map_err(|err| {
+        let field = err.path().to_string();
+        vec![ConfigProblem::new(field, "", err.into_inner().to_string())]
+    })
+}
+
 impl HostSettings {
     /// Reads and checks settings.
     pub fn load(text: &str) -> Result<Self, Vec<ConfigProblem>> {
@@ -231,10 +242,7 @@
 
     /// Checks a tree and fills it up with defaults.
     pub fn from_tree(tree: serde_json::Value) -> Result<Self, Vec<ConfigProblem>> {
-        let settings: Self = serde_path_to_error::deserialize(tree).map_err(|err| {
-            let field = err.path().to_string();
-            vec![ConfigProblem::new(field, "", err.into_inner().to_string())]
-        })?;
+        let settings: Self = decode_tree(tree)?;
         let problems = settings.problems();
         if problems.is_empty() { Ok(settings) } else { Err(problems) }
     }
