steering: drop a picker's copy of its service and a method that only tests called

The core keeps its pickers by service, so that it can name the service of a region's load itself. SteeringCore::rebalance had no caller but a test; choices move objects, and load_reports::regions_told makes choices now. The task that follows the store tests once whether its last call waited for nothing.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -104,7 +104,6 @@
 /// Servers of one service.
 #[derive(Debug)]
 pub struct ServicePicker {
-    service: ServiceId,
     servers: Vec<ServerState>,
     place: PlaceTable,
     region_loads: HashMap<RegionId, RegionLoad>,
@@ -122,9 +121,8 @@
 
 impl ServicePicker {
     /// A picker for callers in `region`.
-    pub fn new(service: ServiceId, rule: ServiceRule, region: RegionId) -> Self {
+    pub fn new(rule: ServiceRule, region: RegionId) -> Self {
         Self {
-            service,
             servers: Vec::new(),
             place: PlaceTable::new(region),
             region_loads: HashMap::new(),
@@ -196,15 +194,15 @@
         }
     }
 
-    /// The own region as this host sees it.
-    pub fn own_region(&self, now: MonoTime) -> Option<RegionLoad> {
+    /// The own region's servers of `service`, which is that of this picker, as this host sees them.
+    pub fn own_region(&self, service: &ServiceId, now: MonoTime) -> Option<RegionLoad> {
         let usual = self.usual_load;
         let usable = self.servers.iter().filter(|it| self.may_get(it, now) && !it.is_cold(now));
         let own = usable.filter(|it| it.region == *self.place.own());
         let loads = own.map(|it| (&it.region, it.record.slots.0, it.estimated_load(usual, now)));
         let room = sum_rooms(loads).pop()?;
         Some(RegionLoad {
-            service: self.service.clone(),
+            service: service.clone(),
             region: room.region,
             utilisation: room.utilisation,
             home_share: self.place.home_share(),
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -231,9 +231,10 @@
         for (id, rule) in &plan.services {
             let budget = self.budgets.entry(id.clone());
             budget.or_insert_with(|| RetryBudget::new(limits)).set_limits(limits);
-            let picker = self.pickers.entry(id.clone()).or_insert_with(|| {
-                ServicePicker::new(id.clone(), rule.clone(), self.place.region.clone())
-            });
+            let picker = self
+                .pickers
+                .entry(id.clone())
+                .or_insert_with(|| ServicePicker::new(rule.clone(), self.place.region.clone()));
             let rank = least_urgent.get(id).copied().unwrap_or_default();
             picker.set_rule(rule.clone(), rank, cold_hosts.clone());
             picker.set_evacuated(self.evacuated.clone());
@@ -263,13 +264,6 @@
         RetryLimits { deposit: TrafficShare(deposit as u32), most, initial: most }
     }
 
-    /// Moves objects between regions where a step is due.
-    pub fn rebalance(&mut self, now: MonoTime) {
-        for picker in self.pickers.values_mut() {
-            picker.rebalance(now);
-        }
-    }
-
     /// Service that takes the next request of `route`, so that parts are exactly by weight.
     pub fn next_service(&mut self, route: &RouteRule) -> Option<ServiceId> {
         if let [part] = route.split.as_slice() {
--- a/crates/sapphireknot/src/steering/core/load_exchange.rs
+++ b/crates/sapphireknot/src/steering/core/load_exchange.rs
@@ -36,7 +36,7 @@
 
     /// The own region's servers by service.
     pub fn own_region_loads(&self, now: MonoTime) -> Vec<RegionLoad> {
-        self.pickers.values().filter_map(|it| it.own_region(now)).collect()
+        self.pickers.iter().filter_map(|(id, it)| it.own_region(id, now)).collect()
     }
 
     /// All regions' servers by service as far as they are known.
--- a/crates/sapphireknot/tests/steering/affinity_choice.rs
+++ b/crates/sapphireknot/tests/steering/affinity_choice.rs
@@ -29,7 +29,7 @@
     for record in records {
         table.register(record.clone(), at(0));
     }
-    let mut picker = ServicePicker::new(id("reports"), service_rule(), id(own));
+    let mut picker = ServicePicker::new(service_rule(), id(own));
     picker.set_servers(table.servers().map(|it| (it, region_of(&it.record))));
     let own = id("h1");
     picker.set_rule(service_rule(), RequestPriority(2), ColdHosts::new(&own, [].iter()));
--- a/crates/sapphireknot/tests/steering/load_reports.rs
+++ b/crates/sapphireknot/tests/steering/load_reports.rs
@@ -182,16 +182,21 @@
             |it: &str| LoadReport { server: server_hash(&id(it)), load: load(running), at: now };
         core.take_loads(&names.map(report));
     };
-    east.rebalance(at(0));
-    other.rebalance(at(0));
+    // Objects move with the choices of requests.
+    let step_share = |core: &mut SteeringCore, now: MonoTime| {
+        let chosen = choose(core, 7, now);
+        core.withdraw_choice(&chosen);
+    };
+    step_share(&mut east, at(0));
+    step_share(&mut other, at(0));
     for step in 1..=20 {
         let now = at(step * 500);
         seen(&mut east, ["s0", "s1"], 6, now);
         seen(&mut west, ["s2", "s3"], 1, now);
         east.take_region_loads(west.own_region_loads(now));
         other.take_region_loads(east.region_loads(now));
-        east.rebalance(now);
-        other.rebalance(now);
+        step_share(&mut east, now);
+        step_share(&mut other, now);
     }
     let (share, followed) = (home_share(&east), home_share(&other));
     assert!((0.55..0.85).contains(&share), "{share} kept at home");
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -264,11 +264,10 @@
         if actor.cast(message).is_err() {
             return;
         }
-        if recency == ReadRecency::MayLag {
-            continue;
-        }
         if wait.is_zero() {
-            wait = FLEET_WATCH_WAIT.0;
+            if recency == ReadRecency::Latest {
+                wait = FLEET_WATCH_WAIT.0;
+            }
             continue;
         }
         let apply_time = state.settings.load().bounds.apply_time.0;
