entry: compare revisions with the store while a watch waits

Where the store loses the one answer, or is silent for less than the second between two renewals, no other call fails and the watch waits for its limit of 20 s.

A host that waits for changes now reads the revision of the store every 1.5 s, by a read that may lag and costs a tenth, and drops a watch that should have told of a later one.

Ruled out: homes computed wrongly and configurations applied backwards; both would show on all hosts and before the change was due.

--- a/crates/sapphireknot-platform/src/fleet.rs
+++ b/crates/sapphireknot-platform/src/fleet.rs
@@ -77,6 +77,9 @@
         wait: Duration,
     ) -> Result<FeedPage, FeedError>;
 
+    /// Revision of the store, by a read that may lag.
+    async fn lagging_revision(&self) -> Result<StoreRevision, StoreError>;
+
     /// Starts a lease.
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
 
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -60,8 +60,12 @@
 pub const STOP_GRACE: ClockSpan = ClockSpan::from_secs(6);
 /// Time in which a call to the store is answered; its answers may be slower than usual by a factor of sixty.
 pub const FLEET_CALL_TIMEOUT: ClockSpan = ClockSpan::from_millis(1_000);
-/// Longest wait of one watch; a silent connection is noticed by its keep-alive probes, not by this limit.
+/// Longest wait of one watch. A silent connection is noticed by its keep-alive probes and a lost answer by
+/// [`FLEET_REVISION_CHECK`], not by this limit.
 pub const FLEET_WATCH_WAIT: ClockSpan = ClockSpan::from_secs(20);
+/// Interval at which a host that waits for changes compares its revision with that of the store; below the two seconds in
+/// which a change takes effect. A read that may lag costs a tenth of a watch.
+pub const FLEET_REVISION_CHECK: ClockSpan = ClockSpan::from_millis(1_500);
 /// Time in which a change in the store takes effect on every host.
 pub const APPLY_TIME: ClockSpan = ClockSpan::from_secs(2);
 /// Part of that time for which a host waits between watches: changes gather meanwhile, as each call is paid for.
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -3,7 +3,8 @@
 //! A task reads everything once and then waits for changes. The first read may lag, which is cheaper, and is followed at
 //! once by the changes since; nothing is published before these have arrived. The actor applies changes to the core
 //! in their order, publishes the plan, and writes the records of rollouts that are due. After a failed call the task goes
-//! on from the same revision; when the store has dropped that history it reads the latest state.
+//! on from the same revision; when the store has dropped that history it reads the latest state. While a watch waits, the
+//! task compares revisions with the store at intervals, as the answer to a watch may be lost while other calls succeed.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -14,12 +15,14 @@
     time::MonoTime,
 };
 use sapphireknot_platform::{
-    FeedError, FeedPage, ReadRecency, StoreError, StoreRevision, WriteOutcome,
+    FeedError, FeedPage, FleetStore, ReadRecency, StoreError, StoreRevision, WriteOutcome,
 };
 use tokio::time::sleep;
 
 use super::state::EntryState;
-use crate::constants::{FLEET_FIRST_RETRY, FLEET_MAX_RETRY, FLEET_WATCH_PAUSE, FLEET_WATCH_WAIT};
+use crate::constants::{
+    FLEET_FIRST_RETRY, FLEET_MAX_RETRY, FLEET_REVISION_CHECK, FLEET_WATCH_PAUSE, FLEET_WATCH_WAIT,
+};
 
 /// Interval at which deadlines are checked.
 const TICK: Duration = Duration::from_millis(250);
@@ -213,7 +216,7 @@
     let mut known: Option<StoreRevision> = None;
     let mut recency = ReadRecency::MayLag;
     // A watch that a silent store took in is never answered, also once the store answers others again. After a lagging
-    // read or a failure the first call therefore waits for nothing, so that its answer is due at once.
+    // read, a failure or a missing answer the first call therefore waits for nothing, so that its answer is due at once.
     let mut wait = Duration::ZERO;
     let mut pause = FLEET_FIRST_RETRY.0;
     loop {
@@ -226,6 +229,14 @@
                 page = store.next_changes(revision, wait) => page.map(FleetMessage::Changed),
                 // A watch that waits at a store that answers nothing else may wait for ever.
                 err = state.store_failure() => Err(FeedError::Store(err)),
+                newer = newer_revision(store.as_ref(), revision) => match newer {
+                    Ok(newer) => {
+                        log::warn!(revision:%, newer:%; "answer to a watch is missing");
+                        wait = Duration::ZERO;
+                        continue;
+                    }
+                    Err(err) => Err(FeedError::Store(err)),
+                },
             },
         };
         let message = match result {
@@ -274,3 +285,17 @@
         sleep(apply_time.mul_f64(FLEET_WATCH_PAUSE)).await;
     }
 }
+
+/// Waits until the store has a later revision than `known`, of which a watch should have told.
+async fn newer_revision<S>(store: &S, known: StoreRevision) -> Result<StoreRevision, StoreError>
+where
+    S: FleetStore + ?Sized,
+{
+    loop {
+        sleep(FLEET_REVISION_CHECK.0).await;
+        let revision = store.lagging_revision().await?;
+        if revision > known {
+            return Ok(revision);
+        }
+    }
+}
