entry: keep an attempt at a silent server until another one has answered

What callers saw: an idempotent request at a backend server that had not answered for three fifths of the caller's time ended with 504 or 502 of the host, although the server was at work and answered later.

Cause: the attempt was given up first and its replacement was looked for afterwards. The replacement was missing when - the retry budget was used up, which was not asked beforehand; - the other server was cold: the check took its place in the paced rate and gave back only the request, so that the real choice found the rate used up; - the only other server had had the request already, as the check excluded the silent one alone. Where the replacement was there, the work was thrown away all the same if that server shed, broke off, or needed more than the time that was left.

Ruled out: a retry that is late by a moment, as choice and attempt follow each other without a pause; too little time left alone, as the choice refuses servers that are expected to need more than nine tenths of it.

Change: a retry and another server that has not had the request are reserved together (`RetryPolicy::reserve`); without both the attempt goes on until the deadline. With both the second attempt runs beside the first, the first complete response ends the request, and the connection of the other attempt is closed. A silent server that was overtaken counts as failed, as before. The route's attempts and the budget bound both attempts as before. A server's own 500 is now passed on rather than a failure of the host from a later attempt. Attempts that a caller gives up show as `cancelled` in the metrics.

Evidence: `silent_servers` on the former code: no_retry_left 504, other_cold 504, all_tried 502, other_fails 502 (shed), attempts_bound 502; other_answers passed. All six pass with the change, as do the other tests of the adapter (58 passed).

Conclusion: no attempt is given up before there is a response, so that no state of budget, choice or time can lose the work of a server.

--- a/crates/sapphireknot/src/retry.rs
+++ b/crates/sapphireknot/src/retry.rs
@@ -117,6 +117,23 @@
         self.may_have_run
     }
 
+    /// Reserves a retry beside an attempt that still runs, if the request may be sent again.
+    #[must_use]
+    pub fn reserve(&mut self, budget: &mut RetryBudget) -> bool {
+        // The running attempt counts until its end.
+        let is_reserved = self.idempotent && self.attempts_left > 1 && budget.withdraw();
+        if is_reserved {
+            self.attempts_left -= 1;
+        }
+        is_reserved
+    }
+
+    /// Gives back a reserved retry that was not sent.
+    pub fn release(&mut self, budget: &mut RetryBudget) {
+        self.attempts_left += 1;
+        budget.refund();
+    }
+
     /// Takes the end of an attempt and says what follows.
     pub fn after(&mut self, end: AttemptEnd, budget: &mut RetryBudget) -> RetryVerdict {
         self.attempts_left = self.attempts_left.saturating_sub(1);
--- a/crates/sapphireknot/tests/retry_policy.rs
+++ b/crates/sapphireknot/tests/retry_policy.rs
@@ -44,3 +44,49 @@
         }
     }
 }
+
+fn check_beside(seed: u64) {
+    arbtest(|u| {
+        let mut budget = RetryBudget::default();
+        let (mut requests, mut retries) = (0, 0);
+        while !u.is_empty() {
+            let is_idempotent = u.arbitrary()?;
+            let mut policy = RetryPolicy::new(is_idempotent, 3);
+            budget.deposit();
+            requests += 1;
+            let (mut begun, mut running) = (1, 1);
+            while running > 0 && !u.is_empty() {
+                if u.arbitrary()? {
+                    if policy.reserve(&mut budget) {
+                        assert!(is_idempotent, "two attempts at once may both run");
+                        if u.arbitrary()? {
+                            (begun, running, retries) = (begun + 1, running + 1, retries + 1);
+                        } else {
+                            policy.release(&mut budget);
+                        }
+                    }
+                    continue;
+                }
+                running -= 1;
+                if policy.after(*u.choose(&ENDS)?, &mut budget) == RetryVerdict::Again {
+                    (begun, running, retries) = (begun + 1, running + 1, retries + 1);
+                }
+            }
+            assert!(begun <= 3, "{begun} attempts");
+        }
+        assert!(retries <= 10 + requests / 10, "{retries} retries of {requests} requests");
+        Ok(())
+    })
+    .seed(seed)
+    .run();
+}
+
+/// Guards against attempts beyond the limit, or retries beyond the budget, when attempts run beside one another.
+#[test]
+fn keeps_rules_for_attempts_beside_one_another() {
+    for seed in 0..100u64 {
+        for size in [16, 256, 4_096] {
+            check_beside((seed << 32) | size);
+        }
+    }
+}
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -1,8 +1,20 @@
 //! Forwarding of a request to backend servers.
+//!
+//! An idempotent request whose server stays silent for long is also sent to another server. The first attempt goes on
+//! meanwhile: silence does not show that the server is not at work, and the other attempt may fail. The first response
+//! ends the others. The retry and the other server are reserved together, so that neither is missing afterwards.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use opentelemetry::trace::SpanKind;
@@ -23,17 +35,14 @@
 use sapphireknot_platform::{AnswerKind, CallerHead, ServerAnswer, ServerHead};
 use tokio::time::timeout_at;
 
-use super::{
-    caller_server::CallerServer, decision_log::LineKind, fleet_actor::FleetMessage,
-    state::EntryState,
-};
+use super::{caller_server::CallerServer, decision_log::LineKind, fleet_actor::FleetMessage};
 use crate::{constants, telemetry::HopSpan, upstream::connections::ExchangeError};
 
 /// Least time after which a caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(60);
 /// Longest such time.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Times of the expected time after which an idempotent request goes to another server.
+/// Times of the expected time after which an idempotent request goes to another server too.
 const PATIENCE_FACTOR: f64 = 3.0;
 /// Least time after which it does.
 const MIN_PATIENCE: Duration = Duration::from_millis(250);
@@ -63,7 +72,7 @@
 pub(super) struct AttemptNotes {
     /// Attempts so far.
     pub(super) attempts: u32,
-    /// Server of the last one.
+    /// Server of the one that ended the request.
     pub(super) server: Option<ServerId>,
     /// Time to the response that was expected of it, in milliseconds.
     pub(super) expected_ms: u64,
@@ -76,6 +85,10 @@
 impl AttemptNotes {
     fn record(&mut self, chosen: &ChosenServer) {
         self.attempts += 1;
+        self.record_server(chosen);
+    }
+
+    fn record_server(&mut self, chosen: &ChosenServer) {
         self.server = Some(chosen.record.id.clone());
         self.expected_ms = chosen.expected_ms as u64;
         self.server_load = chosen.load as u64;
@@ -91,20 +104,29 @@
     fallback: Option<Response<Bytes>>,
 }
 
-/// Attempt in flight; counted as cancelled when dropped before its end.
+/// Attempt that ended.
+struct AttemptEnded {
+    chosen: ChosenServer,
+    result: Result<Response<Bytes>, AttemptFailure>,
+}
+
+/// Attempt in flight; when dropped before its end it counts as cancelled, or as broken if another one was made beside it.
 struct AttemptTicket<'a> {
-    state: &'a EntryState,
+    server: &'a CallerServer,
     chosen: ChosenServer,
     target_ms: f64,
     started: MonoTime,
+    is_overtaken: Arc<AtomicBool>,
     has_ended: bool,
 }
 
 impl AttemptTicket<'_> {
-    /// Reports the outcome, and says whether a rollout looks bad since then.
-    fn finish(&mut self, outcome: ServerOutcome, load: Option<ServerLoad>) -> bool {
+    fn finish(&mut self, outcome: ServerOutcome, load: Option<ServerLoad>) {
         self.has_ended = true;
-        let now = self.state.clock.now();
+        let state = &self.server.state;
+        let service = &self.chosen.record.service;
+        state.meters.count_attempt(service.as_str(), outcome_name(outcome));
+        let now = state.clock.now();
         let elapsed = now.since(self.started);
         let report = AttemptReport {
             chosen: &self.chosen,
@@ -113,18 +135,34 @@
             target_ms: self.target_ms,
             elapsed,
         };
-        self.state.core.lock().record_attempt(report, now)
+        let is_bad = state.core.lock().record_attempt(report, now);
+        if is_bad
+            && let Err(err) = self.server.fleet.cast(FleetMessage::RolloutBad(service.clone()))
+        {
+            log::error!(error:% = err; "tell of a bad version");
+        }
     }
 }
 
 impl Drop for AttemptTicket<'_> {
     fn drop(&mut self) {
         if !self.has_ended {
-            self.finish(ServerOutcome::Cancelled, None);
+            let is_overtaken = self.is_overtaken.load(Ordering::Relaxed);
+            let outcome =
+                if is_overtaken { ServerOutcome::Broken } else { ServerOutcome::Cancelled };
+            self.finish(outcome, None);
         }
     }
 }
 
+/// Latest attempt, for which another one may be made beside it.
+struct LatestAttempt {
+    record: Arc<ServerRecord>,
+    /// When another one is considered.
+    patience_until: MonoTime,
+    is_overtaken: Arc<AtomicBool>,
+}
+
 impl CallerServer {
     /// Sends `request` until a response is complete or no further attempt is allowed.
     pub(super) async fn forward(
@@ -137,36 +175,101 @@
         let mut policy = RetryPolicy::new(route.is_idempotent, route.max_attempts);
         let mut tried: Vec<ServerId> = Vec::new();
         let mut failure: Option<AttemptFailure> = None;
+        let mut running = FuturesUnordered::new();
+        let mut latest: Option<LatestAttempt> = None;
         self.state.core.lock().budget_mut(request.service).deposit();
+        let mut next = Some(self.choose(request, &tried)?);
         loop {
-            let chosen = match self.choose(request, &tried) {
-                Ok(chosen) => chosen,
-                Err(refusal) => {
-                    if failure.is_some() {
-                        self.state.core.lock().budget_mut(request.service).refund();
-                    }
-                    return give_up(&policy, failure, refusal);
+            if let Some(chosen) = next.take() {
+                tried.push(chosen.record.id.clone());
+                notes.record(&chosen);
+                let may_repeat = route.is_idempotent && tried.len() < route.max_attempts as usize;
+                let patience_until = patience_end(request, &chosen, self.state.clock.now());
+                let is_overtaken = Arc::new(AtomicBool::new(false));
+                latest = may_repeat.then(|| LatestAttempt {
+                    record: chosen.record.clone(),
+                    patience_until,
+                    is_overtaken: is_overtaken.clone(),
+                });
+                running.push(self.attempt(request, chosen, may_repeat, is_overtaken, span));
+            }
+            let ended = match &latest {
+                Some(attempt) => {
+                    let until = self.state.clock.instant(attempt.patience_until);
+                    timeout_at(until, running.next()).await
                 }
+                None => Ok(running.next().await),
             };
-            tried.push(chosen.record.id.clone());
-            notes.record(&chosen);
-            let may_repeat = route.is_idempotent && tried.len() < route.max_attempts as usize;
-            let ended = match self.attempt(request, chosen, may_repeat, span).await {
-                Ok(response) => return Ok(response),
-                Err(failure) => failure,
+            let Ok(ended) = ended else {
+                if let Some(attempt) = latest.take() {
+                    next = self.reserve_other(request, &mut policy, &tried, &attempt.record);
+                    attempt.is_overtaken.store(next.is_some(), Ordering::Relaxed);
+                }
+                continue;
             };
+            let ended = match ended {
+                Some(AttemptEnded { chosen, result: Ok(response) }) => {
+                    notes.record_server(&chosen);
+                    return Ok(response);
+                }
+                Some(AttemptEnded { result: Err(failure), .. }) => failure,
+                None => failed(AttemptEnd::NotSent, RefusalReason::NoServer),
+            };
+            latest = None;
             let now = self.state.clock.now();
             let verdict = {
                 let mut core = self.state.core.lock();
                 policy.after(ended.end, core.budget_mut(request.service))
             };
             let reason = ended.reason;
-            failure = Some(ended);
-            if verdict != RetryVerdict::Again {
-                let refusal = RequestRefusal::not_run(reason);
-                return give_up(&policy, failure, refusal.retry_at(now.after(MIN_RETRY_AFTER)));
+            // A server's own answer is passed on rather than a failure of a later attempt.
+            let has_answer = ended.fallback.is_none()
+                && failure.as_ref().is_some_and(|it| it.fallback.is_some());
+            if !has_answer {
+                failure = Some(ended);
+            }
+            let mut refusal = RequestRefusal::not_run(reason).retry_at(now.after(MIN_RETRY_AFTER));
+            if verdict == RetryVerdict::Again {
+                match self.choose(request, &tried) {
+                    Ok(chosen) => {
+                        next = Some(chosen);
+                        continue;
+                    }
+                    Err(miss) => {
+                        self.state.core.lock().budget_mut(request.service).refund();
+                        refusal = miss;
+                    }
+                }
+            }
+            let has_answer = failure.as_ref().is_some_and(|it| it.fallback.is_some());
+            if running.is_empty() || has_answer {
+                return give_up(&policy, failure, refusal);
+            }
+        }
+    }
+
+    /// Reserves a retry and another server for a request whose attempt at `running` takes long.
+    fn reserve_other(
+        &self,
+        request: &EntryRequest<'_>,
+        policy: &mut RetryPolicy,
+        tried: &[ServerId],
+        running: &ServerRecord,
+    ) -> Option<ChosenServer> {
+        {
+            let mut core = self.state.core.lock();
+            // A server that answers other requests is at work on this one too.
+            if !core.is_silent(running, self.state.clock.now())
+                || !policy.reserve(core.budget_mut(request.service))
+            {
+                return None;
             }
         }
+        let chosen = self.choose(request, tried).ok();
+        if chosen.is_none() {
+            policy.release(self.state.core.lock().budget_mut(request.service));
+        }
+        chosen
     }
 
     fn choose(
@@ -201,20 +304,21 @@
         request: &EntryRequest<'_>,
         chosen: ChosenServer,
         may_repeat: bool,
+        is_overtaken: Arc<AtomicBool>,
         span: Option<&HopSpan>,
-    ) -> Result<Response<Bytes>, AttemptFailure> {
+    ) -> AttemptEnded {
         let span = span.map(|it| HopSpan::start("attempt", SpanKind::Client, it.context()));
         if let Some(span) = &span {
             span.note("server", chosen.record.id.to_string());
         }
         let started = self.state.clock.now();
-        let until = attempt_deadline(request, &chosen, may_repeat, started);
         let record = Arc::clone(&chosen.record);
         let mut ticket = AttemptTicket {
-            state: &self.state,
-            chosen,
+            server: self,
+            chosen: chosen.clone(),
             target_ms: target_ms(request.route),
             started,
+            is_overtaken,
             has_ended: false,
         };
         let dialect = &self.state.platform.dialect;
@@ -233,13 +337,8 @@
             constants::MAX_RESPONSE_BYTES,
             check,
         );
-        tokio::pin!(exchange);
-        let mut result = timeout_at(self.state.clock.instant(until), exchange.as_mut()).await;
-        if result.is_err() && until < request.deadline && !self.should_abandon(request, &record) {
-            let until = self.state.clock.instant(request.deadline);
-            result = timeout_at(until, exchange).await;
-        }
-        let (outcome, load, ended) = match result {
+        let result = timeout_at(self.state.clock.instant(request.deadline), exchange).await;
+        let (outcome, load, result) = match result {
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 let ServerAnswer { kind, load } = read(&parts);
@@ -269,26 +368,8 @@
                 (ServerOutcome::Broken, None, Err(failure))
             }
         };
-        self.state.meters.count_attempt(request.service.as_str(), outcome_name(outcome));
-        if ticket.finish(outcome, load)
-            && let Err(err) = self.fleet.cast(FleetMessage::RolloutBad(request.service.clone()))
-        {
-            log::error!(error:% = err; "tell of a bad version");
-        }
-        ended
-    }
-
-    /// Whether an attempt that takes long is better made at another server.
-    fn should_abandon(&self, request: &EntryRequest<'_>, record: &ServerRecord) -> bool {
-        // A server that answers other requests is at work on this one too.
-        if !self.state.core.lock().is_silent(record, self.state.clock.now()) {
-            return false;
-        }
-        let other = self.choose(request, std::slice::from_ref(&record.id));
-        if let Ok(chosen) = &other {
-            self.state.core.lock().withdraw_choice(chosen);
-        }
-        other.is_ok()
+        ticket.finish(outcome, load);
+        AttemptEnded { chosen, result }
     }
 
     fn log_failure(
@@ -331,16 +412,8 @@
     route.target_latency.as_secs_f64() * 1_000.0
 }
 
-/// When an attempt is given up: an idempotent request leaves time for another one.
-fn attempt_deadline(
-    request: &EntryRequest<'_>,
-    chosen: &ChosenServer,
-    may_repeat: bool,
-    now: MonoTime,
-) -> MonoTime {
-    if !may_repeat {
-        return request.deadline;
-    }
+/// When a silent server is no longer waited for alone, so that another one has time to answer.
+fn patience_end(request: &EntryRequest<'_>, chosen: &ChosenServer, now: MonoTime) -> MonoTime {
     let expected = Duration::from_secs_f64(chosen.expected_ms * PATIENCE_FACTOR / 1_000.0);
     let left = now.until(request.deadline);
     now.after((expected + MIN_PATIENCE).max(left.mul_f64(PATIENCE_PART))).min(request.deadline)
