upstream: end connections that send interim responses without end

What callers saw: while one backend server sent 1xx heads without end, all requests of the host, also those to other servers, got no answer for more than 10 s; deadlines did not end them either.

Cause: the protocol library skips interim responses without counting them and reads on as long as bytes are there. The parsing keeps the thread, so that no timer runs.

Ruled out: a bound on the bytes up to the head.

Change: the library's callback counts the interim responses to each request; beyond 16 the connection reads nothing further and the attempt ends as broken. The longest head, header lines and trailers were bounded by the library already.

Conclusion: a response without an end costs its own request at most, except bodies that wait for the same memory, which follow.

--- a/crates/sapphireknotd/src/upstream.rs
+++ b/crates/sapphireknotd/src/upstream.rs
@@ -4,4 +4,5 @@
 pub mod pool;
 pub mod probes;
 
+mod interim_limit;
 mod service;
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -19,6 +19,7 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle};
 
+use super::interim_limit::{InterimCount, InterimLimitStream};
 use crate::buffers::{BufferBudget, MemoryWait};
 
 /// Time before a backend server closes an idle connection at which the connection is no longer used.
@@ -81,6 +82,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    interim: InterimCount,
     driver: AbortHandle,
     /// Until when it may be used again once idle.
     usable_until: Instant,
@@ -158,6 +160,7 @@
         let mut request = request;
         let (mut connection, response) = loop {
             let (mut connection, is_new) = self.connection(peer).await?;
+            connection.interim.watch(&mut request);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => break (connection, response),
                 Err(mut err) => match err.take_message() {
@@ -212,13 +215,15 @@
             let result = SockRef::from(&stream).set_tcp_user_timeout(Some(limit));
             result.map_err(|err| not_sent(err.to_string()))?;
         }
+        let interim = InterimCount::default();
+        let stream = InterimLimitStream::new(stream, interim.clone());
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|err| not_sent(err.to_string()))?;
         // Errors of the connection reach the request that waits on it.
         let driver = tokio::spawn(async move { drop(driver.await) }).abort_handle();
         let usable_until = Instant::now() + self.limits.idle_timeout;
-        Ok((Connection { sender, driver, usable_until }, true))
+        Ok((Connection { sender, interim, driver, usable_until }, true))
     }
 
     /// Time for which a connection may be used again after a response with `headers`.
