steering, entry: tell what a refusal rests on

The average load of the service does not bind, and the line did not say what does; expected_ms, rank and server_load were 0 where nothing was computed. Requests with home regions did not tell the regions.

Ruled out: a line with every candidate (14 to 50 of them, at the cost of each refusal), and the candidate with the least load (the limits differ by rank, so that it need not be the one that decides).

Change: a miss names the candidate that is least beyond its limits, as a factor: its load, its load limit, its expected and its longest time, and the cause (rank, other-region, priority, time-left, cold); without a candidate it names the first condition that left none (homes, version, tried, unusable). Only candidates that are passed over cost anything, two divisions each. A request with homes has homes, kept_in and served_in. Fields that were not computed are absent. The load limits, the miss, the query and the line have modules of their own. Tests that compared a miss as a whole now compare its cause too.

With the nearest candidate chosen by its load alone choice_miss::nearest_limit fails.

--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -1,19 +1,22 @@
 //! Steering of requests on a platform that holds the configuration, the registrations and the list of hosts.
 //!
 //! [`plan`] is the configuration that hosts install, [`fleet`] the registered backend servers and hosts. [`choice`]
-//! picks a backend server for a request by what [`server_state`], the reports of other hosts ([`loads`]) and the
-//! measured [`work`] say of it, and [`place`] decides in which region its object is kept. [`shares`] divides what is
-//! bounded over all hosts together and [`tokens`] holds admissions under quotas. [`version`] decides which version of a
-//! service takes a request while a rollout runs, and [`naming`] which hosts a caller is told. [`core`] holds them
-//! together.
+//! picks a backend server for a request ([`query`]) by what [`server_state`], the reports of other hosts ([`loads`]) and
+//! the measured [`work`] say of it, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
+//! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
+//! quotas. [`version`] decides which version of a service takes a request while a rollout runs, and [`naming`] which hosts
+//! a caller is told. [`core`] holds them together.
 
 pub mod choice;
 pub mod core;
 pub mod fleet;
+mod limits;
 pub mod loads;
+pub mod miss;
 pub mod naming;
 pub mod place;
 pub mod plan;
+pub mod query;
 pub mod server_state;
 pub mod shares;
 pub mod tokens;
--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -8,33 +8,30 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    sync::Arc,
     time::Duration,
 };
 
 use rand::{Rng, RngExt};
 
 use super::{
-    fleet::{FleetServer, ServerRecord},
+    fleet::FleetServer,
+    limits::ObjectPlace,
     loads::{LoadReport, RegionLoad},
+    miss::{ChoiceMiss, MissCause, NearestServer, PassedServer},
     place::{PlaceTable, sum_rooms},
     plan::{RequestPriority, ServiceRule},
+    query::{ChoiceQuery, ChosenPlace, ChosenServer},
     server_state::{ServerLoad, ServerState},
     shares::ColdHosts,
     work::{RANKS, WorkEstimate, queue_rounds, wait_ms},
 };
 use crate::{
-    ids::{DatacentreId, RegionId, ServerId, ServiceId, VersionId},
+    ids::{DatacentreId, RegionId, ServerId, ServiceId},
     picker::ServerOutcome,
     rendezvous::{rendezvous_draw, rendezvous_score},
     time::MonoTime,
 };
 
-/// Requests per slot up to which a server takes a request, by its rank for the object. Work at a server that does not
-/// know the object takes several times as long, so that overflow in an overload would only lengthen all queues.
-const MAX_LOAD_BY_RANK: [f64; 3] = [f64::INFINITY, 1.2, 0.9];
-/// The same for further ranks and other regions.
-const MAX_OVERFLOW_LOAD: f64 = 0.75;
 /// Time that a server in another region than that of the object costs, in milliseconds: a round trip between regions.
 const AWAY_MS: f64 = 30.0;
 /// Weight of a new sample in the usual load.
@@ -55,50 +52,13 @@
 /// Factor on the expected time at a silent server.
 const SILENCE_FACTOR: f64 = 8.0;
 
-/// What a request needs.
+/// What is expected of a server for one request.
 #[derive(Debug)]
-pub struct ChoiceQuery<'a> {
-    /// Target latency of its route, in milliseconds.
-    pub target_ms: f64,
-    /// Rank.
-    pub priority: RequestPriority,
-    /// Hash of its object; `None` without affinity.
-    pub object: Option<u64>,
-    /// Version that is to take it; `None` for any.
-    pub version: Option<&'a VersionId>,
-    /// Regions in which it may be served; `None` for all.
-    pub homes: Option<&'a HashSet<RegionId>>,
-    /// Servers that had it already.
-    pub excluded: &'a [ServerId],
-    /// When its caller no longer waits.
-    pub deadline: MonoTime,
-}
-
-/// Server that was chosen.
-#[derive(Debug, Clone)]
-pub struct ChosenServer {
-    /// Registration.
-    pub record: Arc<ServerRecord>,
-    /// Expected time of the work, in milliseconds.
-    pub work_ms: f64,
-    /// Expected time to the response, in milliseconds.
-    pub expected_ms: f64,
-    /// Its rank for the object, up to the last one that is told apart.
-    pub rank: usize,
-    /// Load that was assumed.
-    pub load: f64,
-}
-
-/// Why no server was chosen.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum ChoiceMiss {
-    /// No server may take the request at all.
-    NoServer,
-    /// All that may are full or cold, or cannot finish in time; they may have room after the given time.
-    NoRoom {
-        /// Time until a slot is expected to be free.
-        wait: Duration,
-    },
+struct ServerEstimate {
+    work_ms: f64,
+    expected_ms: f64,
+    rank: usize,
+    load: f64,
 }
 
 /// Servers of one service.
@@ -247,33 +207,39 @@
         }
         let at_home = |it: &ServerState| home.is_none_or(|region| it.region == *region);
         ranked.sort_unstable_by_key(|(score, it)| (!at_home(it), std::cmp::Reverse(*score)));
-        let mut best: Option<(f64, ChosenServer)> = None;
+        let mut best: Option<(f64, &ServerState, ServerEstimate)> = None;
         let mut shortest_wait = f64::INFINITY;
-        for (rank, (_, server)) in ranked.iter().enumerate() {
-            let is_home = at_home(server);
-            let rank = match home {
-                Some(_) if is_home => rank.min(RANKS - 1),
-                Some(_) => RANKS - 1,
-                None => 0,
+        let mut nearest = NearestServer::default();
+        for (position, (_, server)) in ranked.iter().enumerate() {
+            let place = match home {
+                Some(_) if at_home(server) => ObjectPlace::Kept(position),
+                Some(_) => ObjectPlace::OtherRegion,
+                None => ObjectPlace::Any,
             };
-            let away = if is_home { 0.0 } else { AWAY_MS };
+            let rank = place.rank().unwrap_or_default();
+            let away = if place == ObjectPlace::OtherRegion { AWAY_MS } else { 0.0 };
             let load = server.estimated_load(self.usual_load, now);
             let work_ms = work.by_rank[rank].max(work.warm()) * server.slowness(now);
             let wait = wait_ms(load, server.slots(), work.warm() * server.slowness(now));
             let expected_ms = away + wait + work_ms;
+            let (max_load, cause) = place.max_load(max_load);
+            let passed = PassedServer {
+                record: &server.record,
+                cause,
+                rank: place.rank(),
+                load,
+                load_limit: max_load * server.slots(),
+                expected_ms,
+                time_limit_ms: left_ms * TIME_PART,
+            };
             if server.is_cold(now) && !self.may_warm(server, now) {
                 shortest_wait = shortest_wait.min(wait.max(work_ms));
+                nearest.add(PassedServer { cause: MissCause::Cold, ..passed });
                 continue;
             }
-            let max_load = match home {
-                Some(_) if is_home => {
-                    max_load.min(MAX_LOAD_BY_RANK.get(rank).copied().unwrap_or(MAX_OVERFLOW_LOAD))
-                }
-                Some(_) => max_load.min(MAX_OVERFLOW_LOAD),
-                None => max_load,
-            };
-            if load >= max_load * server.slots() || expected_ms > left_ms * TIME_PART {
+            if load >= passed.load_limit || expected_ms > passed.time_limit_ms {
                 shortest_wait = shortest_wait.min(wait.max(work.warm()));
+                nearest.add(passed);
                 continue;
             }
             let failing = (1.0 - server.failure_rate(now)).powi(2);
@@ -285,25 +251,47 @@
             if server.silence(now) > patience || server.is_told_silent(now) {
                 cost *= SILENCE_FACTOR;
             }
-            if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-                let record = server.record.clone();
-                let chosen = ChosenServer { record, work_ms, expected_ms, rank, load };
-                best = Some((cost, chosen));
+            if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
+                best = Some((cost, server, ServerEstimate { work_ms, expected_ms, rank, load }));
             }
         }
-        match best {
-            Some((_, chosen)) => Ok(chosen),
-            None if shortest_wait.is_finite() => {
-                Err(ChoiceMiss::NoRoom { wait: Duration::from_secs_f64(shortest_wait / 1_000.0) })
+        let kept_in = home.filter(|_| query.homes.is_some()).cloned();
+        if let Some((_, server, estimate)) = best {
+            let ServerEstimate { work_ms, expected_ms, rank, load } = estimate;
+            let region = query.homes.map(|_| server.region.clone());
+            let place = region.map(|region| ChosenPlace { kept_in, region });
+            let record = server.record.clone();
+            return Ok(ChosenServer { record, work_ms, expected_ms, rank, load, place });
+        }
+        let Some(nearest) = nearest.into_miss() else {
+            return Err(ChoiceMiss::NoServer { cause: self.absence_cause(query, now), kept_in });
+        };
+        let wait = Duration::try_from_secs_f64(shortest_wait / 1_000.0).unwrap_or(Duration::MAX);
+        let (candidates, nearest) = (ranked.len(), Box::new(nearest));
+        Err(ChoiceMiss::NoRoom { wait, candidates, nearest, kept_in })
+    }
+
+    /// The first condition that leaves no candidate.
+    fn absence_cause(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> MissCause {
+        let mut cause = MissCause::Unusable;
+        for server in self.servers.iter().filter(|it| self.may_get(it, now)) {
+            if !query.is_version(server) {
+                if cause == MissCause::Unusable {
+                    cause = MissCause::Version;
+                }
+            } else if !query.is_in_homes(server) {
+                cause = MissCause::Homes;
+            } else {
+                return MissCause::Tried;
             }
-            None => Err(ChoiceMiss::NoServer),
         }
+        cause
     }
 
     fn is_candidate(&self, server: &ServerState, query: &ChoiceQuery<'_>, now: MonoTime) -> bool {
         self.may_get(server, now)
-            && query.version.is_none_or(|it| server.record.version == *it)
-            && query.homes.is_none_or(|it| it.contains(&server.region))
+            && query.is_version(server)
+            && query.is_in_homes(server)
             && !query.excluded.contains(&server.record.id)
     }
 
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -16,10 +16,12 @@
 
 use self::quotas::QuotaState;
 use super::{
-    choice::{ChoiceMiss, ChoiceQuery, ChosenServer, ServicePicker, ServicePickers},
+    choice::{ServicePicker, ServicePickers},
     fleet::{FleetTable, HostRecord, ServerRecord},
     loads::{LoadBoard, LoadReport, ReportPosition},
+    miss::{ChoiceMiss, MissCause},
     plan::{RequestPriority, RouteRule, RoutingPlan},
+    query::{ChoiceQuery, ChosenServer},
     server_state::{ServerLoad, server_hash},
     shares::{ColdHosts, HostShare, QuotaSlack},
     version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
@@ -291,7 +293,8 @@
     where
         R: Rng,
     {
-        let picker = self.pickers.get_mut(service).ok_or(ChoiceMiss::NoServer)?;
+        let unknown = ChoiceMiss::NoServer { cause: MissCause::Unusable, kept_in: None };
+        let picker = self.pickers.get_mut(service).ok_or(unknown)?;
         picker.rebalance(now);
         let draw = rand::RngExt::random::<f64>(rng);
         let version = self.versions.choose(service, draw, now);
--- /dev/null
+++ b/crates/sapphireknot/src/steering/query.rs
@@ -0,0 +1,66 @@
+//! What a request needs of the choice of a backend server, and what it gets.
+
+use std::{collections::HashSet, sync::Arc};
+
+use super::{fleet::ServerRecord, plan::RequestPriority, server_state::ServerState};
+use crate::{
+    ids::{RegionId, ServerId, VersionId},
+    time::MonoTime,
+};
+
+/// What a request needs.
+#[derive(Debug)]
+pub struct ChoiceQuery<'a> {
+    /// Target latency of its route, in milliseconds.
+    pub target_ms: f64,
+    /// Rank.
+    pub priority: RequestPriority,
+    /// Hash of its object; `None` without affinity.
+    pub object: Option<u64>,
+    /// Version that is to take it; `None` for any.
+    pub version: Option<&'a VersionId>,
+    /// Regions in which it may be served; `None` for all.
+    pub homes: Option<&'a HashSet<RegionId>>,
+    /// Servers that had it already.
+    pub excluded: &'a [ServerId],
+    /// When its caller no longer waits.
+    pub deadline: MonoTime,
+}
+
+impl ChoiceQuery<'_> {
+    /// Whether the version of `server` may take it.
+    pub(super) fn is_version(&self, server: &ServerState) -> bool {
+        self.version.is_none_or(|it| server.record.version == *it)
+    }
+
+    /// Whether it may be served in the region of `server`.
+    pub(super) fn is_in_homes(&self, server: &ServerState) -> bool {
+        self.homes.is_none_or(|it| it.contains(&server.region))
+    }
+}
+
+/// Server that was chosen.
+#[derive(Debug, Clone)]
+pub struct ChosenServer {
+    /// Registration.
+    pub record: Arc<ServerRecord>,
+    /// Expected time of the work, in milliseconds.
+    pub work_ms: f64,
+    /// Expected time to the response, in milliseconds.
+    pub expected_ms: f64,
+    /// Its rank for the object, up to the last one that is told apart.
+    pub rank: usize,
+    /// Load that was assumed.
+    pub load: f64,
+    /// Where a request with homes is kept and served; `None` without homes.
+    pub place: Option<ChosenPlace>,
+}
+
+/// Regions of a request with homes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChosenPlace {
+    /// Region in which its object is kept; `None` without an object.
+    pub kept_in: Option<RegionId>,
+    /// Region of the chosen server.
+    pub region: RegionId,
+}
--- a/crates/sapphireknot/tests/steering/affinity_choice.rs
+++ b/crates/sapphireknot/tests/steering/affinity_choice.rs
@@ -7,56 +7,26 @@
     ids::{RegionId, ServerId},
     picker::ServerOutcome,
     steering::{
-        choice::{ChoiceMiss, ChoiceQuery, ChosenServer, ServicePicker},
-        fleet::{FleetTable, ServerRecord},
+        choice::ServicePicker,
+        fleet::ServerRecord,
+        miss::{ChoiceMiss, MissCause},
         plan::RequestPriority,
+        query::{ChoiceQuery, ChosenServer},
         server_state::ServerLoad,
-        shares::ColdHosts,
     },
     time::MonoTime,
 };
 
-use crate::support::{at, id, server, service_rule};
-
-const TARGET_MS: f64 = 200.0;
-
-fn region_of(record: &ServerRecord) -> RegionId {
-    id(record.datacentre.as_str().trim_end_matches("-a"))
-}
-
-fn picker(own: &str, records: &[ServerRecord]) -> ServicePicker {
-    let mut table = FleetTable::default();
-    for record in records {
-        table.register(record.clone(), at(0));
-    }
-    let mut picker = ServicePicker::new(service_rule(), id(own));
-    picker.set_servers(table.servers().map(|it| (it, region_of(&it.record))));
-    let own = id("h1");
-    picker.set_rule(service_rule(), RequestPriority(2), ColdHosts::new(&own, [].iter()));
-    picker.rebalance(at(0));
-    picker
-}
-
-fn east(count: usize) -> Vec<ServerRecord> {
-    (0..count).map(|it| server(&format!("s{it}"), "east")).collect()
-}
-
-fn query(object: Option<u64>, now: MonoTime) -> ChoiceQuery<'static> {
-    ChoiceQuery {
-        target_ms: TARGET_MS,
-        priority: RequestPriority(2),
-        object,
-        version: None,
-        homes: None,
-        excluded: &[],
-        deadline: now.after(Duration::from_millis(1_200)),
-    }
-}
+use crate::support::{TARGET_MS, at, east, id, picker, query, server};
 
 fn choose(picker: &ServicePicker, object: u64, now: MonoTime) -> Result<ChosenServer, ChoiceMiss> {
     picker.choose(&query(Some(object), now), now, &mut StdRng::seed_from_u64(object))
 }
 
+fn no_server(cause: MissCause) -> ChoiceMiss {
+    ChoiceMiss::NoServer { cause, kept_in: None }
+}
+
 fn name(chosen: &ChosenServer) -> String {
     chosen.record.id.to_string()
 }
@@ -112,7 +82,7 @@
         picker.record_load(&record.id, ServerLoad { running: 4, waiting: 12 }, at(2));
     }
     let miss = choose(&picker, 7, at(3)).unwrap_err();
-    assert!(matches!(miss, ChoiceMiss::NoRoom { wait } if wait > Duration::from_millis(10)));
+    assert!(matches!(miss, ChoiceMiss::NoRoom { wait, .. } if wait > Duration::from_millis(10)));
 }
 
 /// An urgent request finds room where a less urgent one of the same service is refused.
@@ -174,9 +144,9 @@
     let tried: [ServerId; 1] = [id("s2")];
     let again = ChoiceQuery { excluded: &tried, ..query(Some(1), at(1)) };
     let mut rng = StdRng::seed_from_u64(1);
-    assert_eq!(picker.choose(&again, at(1), &mut rng).unwrap_err(), ChoiceMiss::NoServer);
+    assert_eq!(picker.choose(&again, at(1), &mut rng).unwrap_err(), no_server(MissCause::Tried));
     picker.set_evacuated(HashSet::from([id("east-a")]));
-    assert_eq!(choose(&picker, 1, at(1)).unwrap_err(), ChoiceMiss::NoServer);
+    assert_eq!(choose(&picker, 1, at(1)).unwrap_err(), no_server(MissCause::Unusable));
 }
 
 /// Requests that are bound to a region are not served elsewhere, not even when their region has no server.
@@ -191,7 +161,8 @@
     }
     let nowhere = HashSet::from([id("north")]);
     let bound = ChoiceQuery { homes: Some(&nowhere), ..query(Some(1), at(1)) };
-    assert_eq!(picker.choose(&bound, at(1), &mut rng).unwrap_err(), ChoiceMiss::NoServer);
+    let miss = picker.choose(&bound, at(1), &mut rng).unwrap_err();
+    assert!(matches!(miss, ChoiceMiss::NoServer { cause: MissCause::Homes, .. }), "{miss:?}");
 }
 
 /// A cold server takes single requests at a pace that all hosts together keep; more of them crash it.
--- a/crates/sapphireknot/tests/steering/core_state.rs
+++ b/crates/sapphireknot/tests/steering/core_state.rs
@@ -6,9 +6,9 @@
 use sapphireknot::{
     ids::ServiceId,
     steering::{
-        choice::ChoiceQuery,
         core::{FleetChange, SteeringCore},
         plan::{RequestPriority, SplitPart},
+        query::ChoiceQuery,
         tokens::PoolAnswer,
     },
     time::MonoTime,
--- a/crates/sapphireknot/tests/steering/load_reports.rs
+++ b/crates/sapphireknot/tests/steering/load_reports.rs
@@ -6,10 +6,10 @@
 use sapphireknot::{
     picker::ServerOutcome,
     steering::{
-        choice::{ChoiceQuery, ChosenServer},
         core::{AttemptReport, FleetChange, HostPlace, SteeringCore},
         loads::{LoadBoard, LoadReport, ReportPosition},
         plan::RequestPriority,
+        query::{ChoiceQuery, ChosenServer},
         server_state::{ServerLoad, server_hash},
     },
     time::MonoTime,
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -1,6 +1,7 @@
 //! Steering on a platform that holds configuration, registrations and hosts.
 
 mod affinity_choice;
+mod choice_miss;
 mod core_state;
 mod fleet_table;
 mod host_naming;
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -3,16 +3,18 @@
 use std::{collections::HashMap, net::SocketAddr, str::FromStr, time::Duration};
 
 use sapphireknot::{
-    ids::{ConfigGeneration, IncarnationId},
+    ids::{ConfigGeneration, IncarnationId, RegionId},
     quota::QuotaLimits,
     steering::{
+        choice::ServicePicker,
         core::{HostPlace, SharedBounds, SteeringCore},
-        fleet::{HostRecord, ServerRecord},
+        fleet::{FleetTable, HostRecord, ServerRecord},
         plan::{
             CallerLimits, OrganisationRule, RequestPriority, RouteRule, RoutingPlan, ServiceRule,
             SplitPart,
         },
-        shares::QuotaSlack,
+        query::ChoiceQuery,
+        shares::{ColdHosts, QuotaSlack},
     },
     time::MonoTime,
     units::{BurstSize, RequestRate, SlotCount},
@@ -115,3 +117,41 @@
 pub(crate) fn core(region: &str) -> SteeringCore {
     SteeringCore::new(place(region), bounds())
 }
+
+/// Target latency of [`query`].
+pub(crate) const TARGET_MS: f64 = 200.0;
+
+fn region_of(record: &ServerRecord) -> RegionId {
+    id(record.datacentre.as_str().trim_end_matches("-a"))
+}
+
+/// A picker for callers in `own` whose service has `records`.
+pub(crate) fn picker(own: &str, records: &[ServerRecord]) -> ServicePicker {
+    let mut table = FleetTable::default();
+    for record in records {
+        table.register(record.clone(), at(0));
+    }
+    let mut picker = ServicePicker::new(service_rule(), id(own));
+    picker.set_servers(table.servers().map(|it| (it, region_of(&it.record))));
+    let own = id("h1");
+    picker.set_rule(service_rule(), RequestPriority(2), ColdHosts::new(&own, [].iter()));
+    picker.rebalance(at(0));
+    picker
+}
+
+pub(crate) fn east(count: usize) -> Vec<ServerRecord> {
+    (0..count).map(|it| server(&format!("s{it}"), "east")).collect()
+}
+
+/// A request of the least urgent rank that waits for 1.2 s.
+pub(crate) fn query(object: Option<u64>, now: MonoTime) -> ChoiceQuery<'static> {
+    ChoiceQuery {
+        target_ms: TARGET_MS,
+        priority: RequestPriority(2),
+        object,
+        version: None,
+        homes: None,
+        excluded: &[],
+        deadline: now.after(Duration::from_millis(1_200)),
+    }
+}
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -6,6 +6,7 @@
 //! ([`quota_peers`]) and for the loads of servers ([`load_peers`]).
 
 pub mod caller_server;
+mod decision_line;
 pub mod decision_log;
 pub mod fleet_actor;
 pub mod host_actor;
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -9,7 +9,7 @@
 use opentelemetry::trace::SpanKind;
 use ractor::ActorRef;
 use sapphireknot::{
-    ids::{OrganisationId, ServiceId},
+    ids::OrganisationId,
     refusal::{RefusalReason, RequestRefusal, RunState},
     steering::plan::{RouteRule, RoutingPlan},
     time::MonoTime,
@@ -18,9 +18,10 @@
 use tokio::net::TcpListener;
 
 use super::{
+    decision_line::{AttemptNotes, RequestEnd, RequestTrail},
     decision_log::LineKind,
     fleet_actor::FleetMessage,
-    forward::{AttemptNotes, EntryRequest},
+    forward::EntryRequest,
     quota_peers::QuotaPeers,
     state::EntryState,
 };
@@ -66,15 +67,6 @@
     has_traces: bool,
 }
 
-/// Request that was answered, for logs and metrics.
-struct RequestTrail<'a> {
-    head: &'a CallerHead,
-    route: Option<&'a RouteRule>,
-    organisation: Option<&'a OrganisationId>,
-    service: Option<ServiceId>,
-    notes: AttemptNotes,
-}
-
 impl CallerServer {
     /// A server that tells `fleet` of rollouts that look bad.
     pub fn new(state: Arc<EntryState>, fleet: ActorRef<FleetMessage>) -> Self {
@@ -147,6 +139,7 @@
         });
         let mut trail = RequestTrail {
             head: &head,
+            plan: plan.as_deref(),
             route: route.as_deref(),
             organisation: None,
             service: None,
@@ -250,33 +243,14 @@
         };
         let request_id = trail.head.request_id.as_ref();
         if let Some(dropped) = self.state.decisions.take_line(kind, request_id, now) {
-            let retry_at = result.as_ref().err().and_then(|it| it.refusal.retry_at);
-            let notes = &trail.notes;
             // What a host believes of the service decides a refusal without an attempt.
-            let belief = trail.service.as_ref().filter(|_| notes.attempts == 0 && result.is_err());
-            let belief =
-                belief.and_then(|it| Some(self.state.core.lock().pickers().get(it)?.summary(now)));
-            log::info!(
-                request = request_id.and_then(|it| it.to_str().ok()),
-                route = trail.route.map(|it| it.id.as_str()),
-                organisation = trail.organisation.map(|it| it.as_str()),
-                service, result = name, is_late = kind == LineKind::Late,
-                ran = result.as_ref().err().map(|it| it.refusal.ran.to_string()),
-                elapsed_ms = elapsed.as_millis() as u64,
-                target_ms = trail.route.map(|it| it.target_latency.as_millis() as u64),
-                patience_ms = trail.head.patience.map(|it| it.as_millis() as u64),
-                retry_ms = retry_at.map(|it| now.until(it).as_millis() as u64),
-                attempts = notes.attempts,
-                server = notes.server.as_ref().map(|it| it.as_str()),
-                expected_ms = notes.expected_ms, server_load = notes.server_load,
-                rank = notes.rank,
-                usable_servers = belief.as_ref().map(|it| it.usable),
-                cold_servers = belief.as_ref().map(|it| it.cold),
-                load_per_slot = belief.as_ref().map(|it| it.load_per_slot),
-                plan = self.state.plan.load().as_ref().map(|it| it.generation.0),
-                lines_dropped = dropped;
-                "request ended"
-            );
+            let refused_at_once = trail.notes.attempts == 0 && result.is_err();
+            let refused_by = trail.service.as_ref().filter(|_| refused_at_once);
+            let belief = refused_by
+                .and_then(|it| Some(self.state.core.lock().pickers().get(it)?.summary(now)));
+            let refusal = result.as_ref().err().map(|it| &it.refusal);
+            let end = RequestEnd { result: name, kind, refusal, elapsed, belief, dropped };
+            trail.write(&end, now);
         }
         let mut response = match result {
             Ok(mut response) => {
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -12,10 +12,11 @@
     refusal::{RefusalReason, RequestRefusal, RunState},
     retry::{AttemptEnd, RetryPolicy, RetryVerdict},
     steering::{
-        choice::{ChoiceMiss, ChoiceQuery, ChosenServer},
         core::AttemptReport,
         fleet::ServerRecord,
+        miss::ChoiceMiss,
         plan::{RequestPriority, RouteRule},
+        query::{ChoiceQuery, ChosenServer},
         server_state::ServerLoad,
     },
     time::MonoTime,
@@ -24,8 +25,8 @@
 use tokio::time::timeout_at;
 
 use super::{
-    caller_server::CallerServer, decision_log::LineKind, fleet_actor::FleetMessage,
-    state::EntryState,
+    caller_server::CallerServer, decision_line::AttemptNotes, decision_log::LineKind,
+    fleet_actor::FleetMessage, state::EntryState,
 };
 use crate::{constants, telemetry::HopSpan, upstream::connections::ExchangeError};
 
@@ -58,28 +59,42 @@
     pub(super) caller_deadline: Option<MonoTime>,
 }
 
-/// What decided the attempts of a request, for its log line.
-#[derive(Debug, Default)]
-pub(super) struct AttemptNotes {
-    /// Attempts so far.
-    pub(super) attempts: u32,
-    /// Server of the last one.
-    pub(super) server: Option<ServerId>,
-    /// Time to the response that was expected of it, in milliseconds.
-    pub(super) expected_ms: u64,
-    /// Requests that were taken to run or wait there.
-    pub(super) server_load: u64,
-    /// Its rank for the object; the first one is the likeliest to know it.
-    pub(super) rank: u64,
+impl EntryRequest<'_> {
+    /// Hash of the object that a backend server may know.
+    fn object(&self) -> Option<u64> {
+        self.head.object.filter(|_| self.route.has_affinity)
+    }
+}
+
+/// Why no attempt is made.
+enum AttemptMiss {
+    /// The time is over.
+    Deadline,
+    /// No server takes the request.
+    Choice(ChoiceMiss),
 }
 
-impl AttemptNotes {
-    fn record(&mut self, chosen: &ChosenServer) {
-        self.attempts += 1;
-        self.server = Some(chosen.record.id.clone());
-        self.expected_ms = chosen.expected_ms as u64;
-        self.server_load = chosen.load as u64;
-        self.rank = chosen.rank as u64;
+impl AttemptMiss {
+    /// What a caller is told without an attempt.
+    fn refusal(&self, now: MonoTime) -> RequestRefusal {
+        match self {
+            Self::Deadline => RequestRefusal::not_run(RefusalReason::Deadline),
+            Self::Choice(ChoiceMiss::NoServer { .. }) => {
+                RequestRefusal::not_run(RefusalReason::NoServer)
+                    .retry_at(now.after(MIN_RETRY_AFTER * 3))
+            }
+            Self::Choice(ChoiceMiss::NoRoom { wait, .. }) => {
+                let wait = (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+                RequestRefusal::not_run(RefusalReason::NoRoom).retry_at(now.after(wait))
+            }
+        }
+    }
+
+    fn into_choice(self) -> Option<ChoiceMiss> {
+        match self {
+            Self::Deadline => None,
+            Self::Choice(miss) => Some(miss),
+        }
     }
 }
 
@@ -138,10 +153,13 @@
         let mut tried: Vec<ServerId> = Vec::new();
         let mut failure: Option<AttemptFailure> = None;
         self.state.core.lock().budget_mut(request.service).deposit();
+        notes.has_object = request.object().is_some();
         loop {
             let chosen = match self.choose(request, &tried) {
                 Ok(chosen) => chosen,
-                Err(refusal) => {
+                Err(miss) => {
+                    let refusal = miss.refusal(self.state.clock.now());
+                    notes.miss = miss.into_choice();
                     if failure.is_some() {
                         self.state.core.lock().budget_mut(request.service).refund();
                     }
@@ -173,27 +191,22 @@
         &self,
         request: &EntryRequest<'_>,
         tried: &[ServerId],
-    ) -> Result<ChosenServer, RequestRefusal> {
+    ) -> Result<ChosenServer, AttemptMiss> {
         let now = self.state.clock.now();
         if now >= request.deadline {
-            return Err(RequestRefusal::not_run(RefusalReason::Deadline));
+            return Err(AttemptMiss::Deadline);
         }
         let query = ChoiceQuery {
             target_ms: target_ms(request.route),
             priority: request.priority,
-            object: request.head.object.filter(|_| request.route.has_affinity),
+            object: request.object(),
             version: None,
             homes: request.homes.as_ref(),
             excluded: tried,
             deadline: request.deadline,
         };
         let chosen = self.state.core.lock().choose(request.service, query, now, &mut rand::rng());
-        chosen.map_err(|miss| match miss {
-            ChoiceMiss::NoServer => RequestRefusal::not_run(RefusalReason::NoServer)
-                .retry_at(now.after(MIN_RETRY_AFTER * 3)),
-            ChoiceMiss::NoRoom { wait } => RequestRefusal::not_run(RefusalReason::NoRoom)
-                .retry_at(now.after(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))),
-        })
+        chosen.map_err(AttemptMiss::Choice)
     }
 
     async fn attempt(
