--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -24,10 +24,11 @@
     refusal::{RefusalReason, RequestRefusal, RunState},
     retry::{AttemptEnd, RetryPolicy, RetryVerdict},
     steering::{
-        choice::{ChoiceMiss, ChoiceQuery, ChosenServer},
         core::AttemptReport,
         fleet::ServerRecord,
+        miss::ChoiceMiss,
         plan::{RequestPriority, RouteRule},
+        query::{ChoiceQuery, ChosenServer},
         server_state::ServerLoad,
     },
     time::MonoTime,
@@ -35,7 +36,10 @@
 use sapphireknot_platform::{AnswerKind, CallerHead, ServerAnswer, ServerHead};
 use tokio::time::timeout_at;
 
-use super::{caller_server::CallerServer, decision_log::LineKind, fleet_actor::FleetMessage};
+use super::{
+    caller_server::CallerServer, decision_line::AttemptNotes, decision_log::LineKind,
+    fleet_actor::FleetMessage,
+};
 use crate::{constants, telemetry::HopSpan, upstream::connections::ExchangeError};
 
 /// Least time after which a caller is asked to come back.
@@ -67,32 +71,42 @@
     pub(super) caller_deadline: Option<MonoTime>,
 }
 
-/// What decided the attempts of a request, for its log line.
-#[derive(Debug, Default)]
-pub(super) struct AttemptNotes {
-    /// Attempts so far.
-    pub(super) attempts: u32,
-    /// Server of the one that ended the request.
-    pub(super) server: Option<ServerId>,
-    /// Time to the response that was expected of it, in milliseconds.
-    pub(super) expected_ms: u64,
-    /// Requests that were taken to run or wait there.
-    pub(super) server_load: u64,
-    /// Its rank for the object; the first one is the likeliest to know it.
-    pub(super) rank: u64,
+impl EntryRequest<'_> {
+    /// Hash of the object that a backend server may know.
+    fn object(&self) -> Option<u64> {
+        self.head.object.filter(|_| self.route.has_affinity)
+    }
 }
 
-impl AttemptNotes {
-    fn record(&mut self, chosen: &ChosenServer) {
-        self.attempts += 1;
-        self.record_server(chosen);
+/// Why no attempt is made.
+enum AttemptMiss {
+    /// The time is over.
+    Deadline,
+    /// No server takes the request.
+    Choice(ChoiceMiss),
+}
+
+impl AttemptMiss {
+    /// What a caller is told without an attempt.
+    fn refusal(&self, now: MonoTime) -> RequestRefusal {
+        match self {
+            Self::Deadline => RequestRefusal::not_run(RefusalReason::Deadline),
+            Self::Choice(ChoiceMiss::NoServer { .. }) => {
+                RequestRefusal::not_run(RefusalReason::NoServer)
+                    .retry_at(now.after(MIN_RETRY_AFTER * 3))
+            }
+            Self::Choice(ChoiceMiss::NoRoom { wait, .. }) => {
+                let wait = (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+                RequestRefusal::not_run(RefusalReason::NoRoom).retry_at(now.after(wait))
+            }
+        }
     }
 
-    fn record_server(&mut self, chosen: &ChosenServer) {
-        self.server = Some(chosen.record.id.clone());
-        self.expected_ms = chosen.expected_ms as u64;
-        self.server_load = chosen.load as u64;
-        self.rank = chosen.rank as u64;
+    fn into_choice(self) -> Option<ChoiceMiss> {
+        match self {
+            Self::Deadline => None,
+            Self::Choice(miss) => Some(miss),
+        }
     }
 }
 
@@ -178,7 +192,15 @@
         let mut running = FuturesUnordered::new();
         let mut latest: Option<LatestAttempt> = None;
         self.state.core.lock().budget_mut(request.service).deposit();
-        let mut next = Some(self.choose(request, &tried)?);
+        notes.has_object = request.object().is_some();
+        let mut next = match self.choose(request, &tried) {
+            Ok(chosen) => Some(chosen),
+            Err(miss) => {
+                let refusal = miss.refusal(self.state.clock.now());
+                notes.miss = miss.into_choice();
+                return Err(refusal);
+            }
+        };
         loop {
             if let Some(chosen) = next.take() {
                 tried.push(chosen.record.id.clone());
@@ -209,7 +231,7 @@
             };
             let ended = match ended {
                 Some(AttemptEnded { chosen, result: Ok(response) }) => {
-                    notes.record_server(&chosen);
+                    notes.chosen = Some(chosen);
                     return Ok(response);
                 }
                 Some(AttemptEnded { result: Err(failure), .. }) => failure,
@@ -237,7 +259,8 @@
                     }
                     Err(miss) => {
                         self.state.core.lock().budget_mut(request.service).refund();
-                        refusal = miss;
+                        refusal = miss.refusal(now);
+                        notes.miss = miss.into_choice();
                     }
                 }
             }
@@ -276,27 +299,22 @@
         &self,
         request: &EntryRequest<'_>,
         tried: &[ServerId],
-    ) -> Result<ChosenServer, RequestRefusal> {
+    ) -> Result<ChosenServer, AttemptMiss> {
         let now = self.state.clock.now();
         if now >= request.deadline {
-            return Err(RequestRefusal::not_run(RefusalReason::Deadline));
+            return Err(AttemptMiss::Deadline);
         }
         let query = ChoiceQuery {
             target_ms: target_ms(request.route),
             priority: request.priority,
-            object: request.head.object.filter(|_| request.route.has_affinity),
+            object: request.object(),
             version: None,
             homes: request.homes.as_ref(),
             excluded: tried,
             deadline: request.deadline,
         };
         let chosen = self.state.core.lock().choose(request.service, query, now, &mut rand::rng());
-        chosen.map_err(|miss| match miss {
-            ChoiceMiss::NoServer => RequestRefusal::not_run(RefusalReason::NoServer)
-                .retry_at(now.after(MIN_RETRY_AFTER * 3)),
-            ChoiceMiss::NoRoom { wait } => RequestRefusal::not_run(RefusalReason::NoRoom)
-                .retry_at(now.after(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))),
-        })
+        chosen.map_err(AttemptMiss::Choice)
     }
 
     async fn attempt(
