steering: keep the object of a bound request in one of its homes

Cause: PlaceTable::region_of did not know the homes of a request. An object that it kept outside of them had no server at home, so that all candidates got the last rank: hosts in and out of the homes sent it to different servers, and the limit for overflow of 0.75 requests a slot refused it.

Ruled out: the rank among the homes' servers without a region (callers in a home would no longer prefer it, and all objects of two homes would spread over both), and equal weights of the homes (the smaller one would be overloaded).

Change: region_among chooses the own region if it is a home and the share covers the object, otherwise one of the other homes by rendezvous hashing weighted by slots. A home without a warm server keeps objects only if no home has one; the hash of the region decides ties, as the order of a set differs between hosts.

Without the hash in the tie object_place::homes_agree fails.

Conclusion: bound requests are no longer refused by the limit for overflow, and keep their affinity.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -196,7 +196,10 @@
         R: Rng,
     {
         let work = self.work_of(query.target_ms);
-        let home = query.object.map(|it| self.place.region_of(it));
+        let home = query.object.and_then(|it| match query.homes {
+            Some(homes) => self.place.region_among(it, homes),
+            None => Some(self.place.region_of(it)),
+        });
         let seed = query.object.unwrap_or_else(|| rng.random());
         let left_ms = now.until(query.deadline).as_secs_f64() * 1_000.0;
         let max_load = self.max_load(query.priority);
--- a/crates/sapphireknot/src/steering/place.rs
+++ b/crates/sapphireknot/src/steering/place.rs
@@ -3,9 +3,12 @@
 //! A backend server is faster for objects that it served lately, so that all hosts of a region send an object to the
 //! same region. Most objects stay in their callers' region; where it has less than its part of the capacity, a share of
 //! the objects is kept elsewhere. The share follows the utilisation in small steps, so that traffic between regions
-//! moves slowly.
+//! moves slowly. Objects of requests that are bound to home regions are kept in one of these.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use crate::{
     ids::RegionId,
@@ -74,8 +77,8 @@
     pub fn step(&mut self, rooms: &[RegionRoom], told: Option<f64>, now: MonoTime) {
         self.next_step = now.after(STEP_INTERVAL);
         let others = rooms.iter().filter(|it| it.region != self.own && it.slots > 0);
-        let hash = |region: &RegionId| xxh3_64(region.as_str().as_bytes());
-        self.regions = others.map(|it| (it.region.clone(), hash(&it.region), it.slots)).collect();
+        self.regions =
+            others.map(|it| (it.region.clone(), region_hash(&it.region), it.slots)).collect();
         let own = rooms.iter().find(|it| it.region == self.own);
         let Some(own) = own.filter(|it| it.slots > 0) else { return };
         let total: u32 = rooms.iter().map(|it| it.slots).sum();
@@ -102,14 +105,49 @@
 
     /// Region in which the object with hash `object` is kept.
     pub fn region_of(&self, object: u64) -> &RegionId {
-        let is_home = rendezvous_draw(object, 0) < self.home_share();
-        if is_home || self.regions.is_empty() {
+        if self.stays_home(object) || self.regions.is_empty() {
             return &self.own;
         }
         let score = |hash: u64, slots: u32| rendezvous_score(rendezvous_draw(object, hash), slots);
         let best = self.regions.iter().max_by_key(|(_, hash, slots)| score(*hash, *slots));
         best.map_or(&self.own, |(region, ..)| region)
     }
+
+    /// The same for a request that may only be served in `homes`; `None` if they are empty.
+    ///
+    /// A home without a warm server keeps objects only if no home has one.
+    pub fn region_among<'a>(
+        &self,
+        object: u64,
+        homes: &'a HashSet<RegionId>,
+    ) -> Option<&'a RegionId> {
+        let own = homes.get(&self.own);
+        if own.is_some() && self.stays_home(object) {
+            return own;
+        }
+        let others = homes.iter().filter(|it| **it != self.own).map(|region| {
+            let known = self.regions.iter().find(|(it, ..)| it == region);
+            let slots = known.map_or(0, |(.., slots)| *slots);
+            let hash = known.map_or_else(|| region_hash(region), |(_, hash, _)| *hash);
+            let score = rendezvous_score(rendezvous_draw(object, hash), slots);
+            // The order of a set differs between hosts, so that the hash decides between homes without a warm server.
+            (score, hash, region, slots)
+        });
+        match others.max_by_key(|(score, hash, ..)| (*score, *hash)) {
+            Some((.., region, slots)) if slots > 0 => Some(region),
+            Some((.., region, _)) => own.or(Some(region)),
+            None => own,
+        }
+    }
+
+    /// Whether the share that is kept in the own region covers the object.
+    fn stays_home(&self, object: u64) -> bool {
+        rendezvous_draw(object, 0) < self.home_share()
+    }
+}
+
+fn region_hash(region: &RegionId) -> u64 {
+    xxh3_64(region.as_str().as_bytes())
 }
 
 /// Sums of load and slots by region.
--- a/crates/sapphireknot/tests/steering/affinity_choice.rs
+++ b/crates/sapphireknot/tests/steering/affinity_choice.rs
@@ -165,6 +165,46 @@
     assert!(matches!(miss, ChoiceMiss::NoServer { cause: MissCause::Homes, .. }), "{miss:?}");
 }
 
+fn west(count: usize) -> Vec<ServerRecord> {
+    (0..count).map(|it| server(&format!("w{it}"), "west")).collect()
+}
+
+/// Chooses a server of the region `west` for `object`.
+fn choose_west(
+    picker: &ServicePicker,
+    object: u64,
+    now: MonoTime,
+) -> Result<ChosenServer, ChoiceMiss> {
+    let homes: HashSet<RegionId> = HashSet::from([id("west")]);
+    let query = ChoiceQuery { homes: Some(&homes), ..query(Some(object), now) };
+    picker.choose(&query, now, &mut StdRng::seed_from_u64(object))
+}
+
+/// A host that places the object of a bound request outside its homes ranks no server there, so that hosts in and out of
+/// the homes send it to different servers, none of which knows it.
+#[test]
+fn bound_affinity() {
+    let records = [east(4), west(4)].concat();
+    let (far, near) = (picker("east", &records), picker("west", &records));
+    for object in 0..50 {
+        let there = choose_west(&far, object, at(1)).unwrap();
+        let here = choose_west(&near, object, at(1)).unwrap();
+        assert_eq!((there.rank, name(&there)), (0, name(&here)), "object {object}");
+    }
+}
+
+/// The same host holds every server of the homes to the limit for overflow, and refuses requests for which the first one
+/// has room.
+#[test]
+fn bound_room() {
+    let mut far = picker("east", &[east(4), west(4)].concat());
+    for record in west(4) {
+        far.record_load(&record.id, ServerLoad { running: 4, waiting: 0 }, at(100));
+    }
+    let refused = (0..50).filter(|it| choose_west(&far, *it, at(100)).is_err()).count();
+    assert_eq!(refused, 0, "of 50 at one request a slot");
+}
+
 /// A cold server takes single requests at a pace that all hosts together keep; more of them crash it.
 #[test]
 fn cold_server() {
--- a/crates/sapphireknot/tests/steering/object_place.rs
+++ b/crates/sapphireknot/tests/steering/object_place.rs
@@ -1,6 +1,11 @@
 //! Region in which an object is kept.
 
-use sapphireknot::steering::place::{PlaceTable, RegionRoom};
+use std::collections::HashSet;
+
+use sapphireknot::{
+    ids::RegionId,
+    steering::place::{PlaceTable, RegionRoom},
+};
 
 use crate::support::{at, id};
 
@@ -68,3 +73,70 @@
     };
     assert!(moved(&table(), &table()) == 0.0);
 }
+
+const OBJECTS: u64 = 10_000;
+
+/// A table for callers of `own` that took its first step.
+fn table(own: &str, rooms: &[RegionRoom]) -> PlaceTable {
+    let mut table = PlaceTable::new(id(own));
+    table.step(rooms, None, at(0));
+    table
+}
+
+/// Objects of requests bound to `homes` that are kept in `region`, as a part of all.
+fn kept_in(region: &str, table: &PlaceTable, homes: &[&str]) -> f64 {
+    let homes: HashSet<RegionId> = homes.iter().map(|it| id(it)).collect();
+    let objects = (0..OBJECTS).map(|it| it.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let is_kept = |it: &u64| table.region_among(*it, &homes) == Some(&id(region));
+    objects.filter(is_kept).count() as f64 / OBJECTS as f64
+}
+
+/// Objects of bound requests that are kept outside the homes have no server that knows them.
+#[test]
+fn among_homes() {
+    let rooms = small_home(0.0, 0.0);
+    for own in ["east", "north", "west"] {
+        let table = table(own, &rooms);
+        assert_eq!(kept_in("west", &table, &["west"]), 1.0, "callers of {own}");
+        let two =
+            kept_in("west", &table, &["east", "west"]) + kept_in("east", &table, &["east", "west"]);
+        assert!((two - 1.0).abs() < 1e-9, "callers of {own}");
+        assert_eq!(table.region_among(1, &HashSet::new()), None);
+    }
+}
+
+/// Callers outside the homes would overload the smaller home if they kept as many objects in each.
+#[test]
+fn homes_by_capacity() {
+    let rooms = [room("east", 12, 0.0), room("north", 36, 0.0), room("west", 36, 0.0)];
+    let share = kept_in("east", &table("north", &rooms), &["east", "west"]);
+    assert!((0.23..0.27).contains(&share), "{share} of the objects at a quarter of the slots");
+    // Callers of a home keep the share that holds for all of their objects.
+    let own = table("east", &rooms);
+    let share = kept_in("east", &own, &["east", "west"]);
+    assert!((share - own.home_share()).abs() < 0.02, "{share}");
+}
+
+/// Hosts whose sets list the homes in another order must agree, also while no home has a warm server.
+#[test]
+fn homes_agree() {
+    let rooms = [room("north", 36, 0.0)];
+    let homes = || -> HashSet<RegionId> { ["east", "west"].iter().map(|it| id(it)).collect() };
+    for rooms in [&rooms[..], &small_home(0.0, 0.0)] {
+        let (first, second) = (table("north", rooms), table("north", rooms));
+        for object in 0..200 {
+            // Each set has a random order of its own.
+            let (one, other) = (homes(), homes());
+            let kept = first.region_among(object, &one);
+            assert!(kept.is_some() && kept == second.region_among(object, &other));
+        }
+    }
+}
+
+/// A home that lost its servers must not keep objects while another one has some.
+#[test]
+fn home_without_servers() {
+    let without_west = [room("east", 12, 0.0), room("north", 72, 0.0)];
+    assert_eq!(kept_in("east", &table("east", &without_west), &["east", "west"]), 1.0);
+    assert_eq!(kept_in("east", &table("north", &without_west), &["east", "west"]), 1.0);
+}
