--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -234,8 +234,9 @@
     let host = settings.host.clone();
     let entry = RunningEntry::start(settings, platform, registry).await?;
     let reloading = tokio::spawn(reload::run(entry.state.clone(), path, hangup));
+    let seeds = entry.state.settings.load().seeds.clone();
     log::info!(
-        host:%, callers:% = entry.caller_address, directory:% = entry.directory_address,
+        host:%, seeds:?, peers:% = entry.state.record.peer_address, callers:% = entry.caller_address, directory:% = entry.directory_address,
         readiness:% = entry.readiness_address, metrics:? = entry.metrics_address;
         "started"
     );
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -36,6 +36,11 @@
     pub listen: EntryListen,
     /// Store of the platform.
     pub managed: ManagedStore,
+    /// Addresses at which other hosts listen for hosts, for a start without the store. This host may be among them, and
+    /// some may be gone.
+    #[serde_as(deserialize_as = "DefaultOnNull")]
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Bounds over all hosts together and of a graceful shutdown.
     #[serde_as(deserialize_as = "DefaultOnNull")]
     #[serde(default)]
