entry, steering: start from a copy of other hosts while the store cannot be read

Cause: a host that started while the store was silent, busy, resetting or refused just this host answered 503 until the store answered, although the host next to it knew the configuration.

Change: each host keeps the store's raw entries with their revision and the time of the store's last answer, and streams them to a host that asks. A host that has not read the store 0.3 s after its start asks its seeds and up to three hosts that a copy names, takes the copy with the highest revision, asks again each second for what was written since, and follows the store as soon as that has told everything. Nothing with a lower revision than the copy in use is applied. Logs and metrics name the source and the age. The adapter decodes raw entries (`FleetStore::decode_entry`) and keeps nothing.

A host that loses the store while it runs still asks nobody.

--- a/crates/sapphireknot-platform/src/fleet.rs
+++ b/crates/sapphireknot-platform/src/fleet.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use sapphireknot::steering::{core::FleetChange, fleet::HostRecord, version::RecordChange};
+use sapphireknot::steering::{
+    core::FleetChange, feed_copy::RawEntry, fleet::HostRecord, version::RecordChange,
+};
 use thiserror::Error;
 
 use crate::store::{LeaseId, StoreError, StoreRevision};
@@ -16,6 +18,8 @@
 pub struct FeedPage {
     /// Changes in the order of the store.
     pub changes: Vec<FleetChange>,
+    /// Entries from which they were decoded, for hosts that cannot read the store.
+    pub entries: Vec<RawEntry>,
     /// Revision from which to go on.
     pub revision: StoreRevision,
 }
@@ -77,6 +81,9 @@
         wait: Duration,
     ) -> Result<FeedPage, FeedError>;
 
+    /// Decodes an entry that another host handed on; `None` for one that means nothing here.
+    fn decode_entry(&self, entry: &RawEntry) -> Option<FleetChange>;
+
     /// Starts a lease.
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
 
--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -5,10 +5,12 @@
 //! measured [`work`] say of it, and [`place`] decides in which region its object is kept. [`shares`] divides what is
 //! bounded over all hosts together and [`tokens`] holds admissions under quotas. [`version`] decides which version of a
 //! service takes a request while a rollout runs, and [`naming`] which hosts a caller is told. [`core`] holds them
-//! together.
+//! together, [`feed_copy`] keeps what the store told for hosts that cannot read it, and [`copy_search`] picks one of several copies.
 
 pub mod choice;
+pub mod copy_search;
 pub mod core;
+pub mod feed_copy;
 pub mod fleet;
 pub mod loads;
 pub mod naming;
--- /dev/null
+++ b/crates/sapphireknot/src/steering/copy_search.rs
@@ -0,0 +1,68 @@
+//! Which of several copies a host that cannot read the store takes.
+//!
+//! The newest copy wins. If the host that offers it has lost the store itself, hosts that the copy names may know more:
+//! they are asked once before it is taken, and it is taken all the same if none of them does.
+
+use std::{net::SocketAddr, time::Duration};
+
+use super::feed_copy::CopyOffer;
+use crate::time::MonoTime;
+
+/// Copy that a host offered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyAnswer {
+    /// Address of the host.
+    pub peer: SocketAddr,
+    /// Copy.
+    pub offer: CopyOffer,
+}
+
+/// What to do after hosts were asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SearchStep {
+    /// Take this copy.
+    Take(CopyAnswer),
+    /// Ask the hosts that the candidate names.
+    AskMore,
+    /// No host has a copy.
+    Nothing,
+}
+
+/// Search for the newest copy.
+#[derive(Debug, Default)]
+pub struct CopySearch {
+    candidate: Option<CopyAnswer>,
+}
+
+impl CopySearch {
+    /// Newest copy so far, of a host that has lost the store.
+    pub fn candidate(&self) -> Option<&CopyAnswer> {
+        self.candidate.as_ref()
+    }
+
+    /// Decides after `answers` arrived. A copy older than `stale_age` is taken at once only if it names no other host.
+    pub fn settle<F>(
+        &mut self,
+        answers: Vec<CopyAnswer>,
+        stale_age: Duration,
+        now: MonoTime,
+        names_others: F,
+    ) -> SearchStep
+    where
+        F: Fn(&CopyOffer) -> bool,
+    {
+        let earlier = self.candidate.take();
+        let is_repeated = earlier.is_some();
+        let newest = earlier
+            .into_iter()
+            .chain(answers)
+            .reduce(|best, it| if it.offer.is_newer(&best.offer) { it } else { best });
+        let Some(newest) = newest else { return SearchStep::Nothing };
+        let is_stale = now.since(newest.offer.confirmed_at) > stale_age;
+        if is_stale && !is_repeated && names_others(&newest.offer) {
+            self.candidate = Some(newest);
+            return SearchStep::AskMore;
+        }
+        SearchStep::Take(newest)
+    }
+}
--- /dev/null
+++ b/crates/sapphireknot/src/steering/feed_copy.rs
@@ -0,0 +1,206 @@
+//! Copy of what the store holds, for hosts that start without it.
+//!
+//! The copy keeps keys and values as the store's adapter got them and reads neither. Revisions are those of the store, so
+//! that of two copies the one with the higher revision is the newer one. A host offers its copy to others together with
+//! the time at which the store last answered; a host that takes it keeps that time, so that the age of a copy that was
+//! handed on twice is still counted from the store's last answer.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use crate::time::MonoTime;
+
+/// Revision of the store at which an entry was written, or up to which a copy is complete.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CopyRevision(pub u64);
+
+/// Who told a host what it works with.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CopySource {
+    /// The store.
+    #[default]
+    Store,
+    /// Another host.
+    Peer,
+}
+
+impl CopySource {
+    /// Name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// Change of an entry, which only the store's adapter can read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RawEntry {
+    /// Key.
+    pub key: String,
+    /// Revision of the change.
+    pub revision: CopyRevision,
+    /// Value; `None` for an entry that was removed.
+    pub value: Option<Arc<[u8]>>,
+}
+
+/// Entry of a copy that is offered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OfferedEntry {
+    /// Key.
+    pub key: String,
+    /// Revision of the last write.
+    pub revision: CopyRevision,
+    /// Value; `None` if the host that asked has it.
+    pub value: Option<Arc<[u8]>>,
+}
+
+/// Copy that another host offers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyOffer {
+    /// Revision up to which it is complete.
+    pub revision: CopyRevision,
+    /// When the store last answered.
+    pub confirmed_at: MonoTime,
+    /// All entries, or none if the host that asked has this revision.
+    pub entries: Vec<OfferedEntry>,
+}
+
+impl CopyOffer {
+    /// Whether this offer is to be preferred to `other`.
+    pub fn is_newer(&self, other: &Self) -> bool {
+        (self.revision, self.confirmed_at) > (other.revision, other.confirmed_at)
+    }
+}
+
+/// What a host has to apply of an offer that it took.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyNews {
+    /// Whether these are all entries rather than the changes since the last offer.
+    pub is_complete: bool,
+    /// Entries.
+    pub entries: Vec<RawEntry>,
+}
+
+#[derive(Debug)]
+struct HeldEntry {
+    revision: CopyRevision,
+    value: Arc<[u8]>,
+}
+
+/// Copy of what the store holds.
+#[derive(Debug, Default)]
+pub struct FeedCopy {
+    entries: BTreeMap<String, HeldEntry>,
+    revision: CopyRevision,
+    /// When the store last answered; `None` until the copy is complete.
+    confirmed_at: Option<MonoTime>,
+    source: CopySource,
+}
+
+impl FeedCopy {
+    /// Whether a state of the store at `revision` is older than this copy.
+    pub fn is_after(&self, revision: CopyRevision) -> bool {
+        revision < self.revision
+    }
+
+    /// Takes a complete read of the store, from which the latest changes may be missing.
+    pub fn replace(&mut self, entries: Vec<RawEntry>, revision: CopyRevision) {
+        self.entries.clear();
+        self.confirmed_at = None;
+        self.take(entries, revision);
+    }
+
+    /// Takes changes of the store up to `revision`.
+    pub fn take(&mut self, entries: Vec<RawEntry>, revision: CopyRevision) {
+        for RawEntry { key, revision, value } in entries {
+            // A read is no snapshot: what it found late is told again by the changes after it.
+            if self.entries.get(&key).is_some_and(|it| revision < it.revision) {
+                continue;
+            }
+            match value {
+                Some(value) => drop(self.entries.insert(key, HeldEntry { revision, value })),
+                None => drop(self.entries.remove(&key)),
+            }
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Notes that this is what the store held at `now`.
+    pub fn confirm(&mut self, now: MonoTime) {
+        self.confirmed_at = Some(now);
+        self.source = CopySource::Store;
+    }
+
+    /// Whether the store, rather than another host, told the whole of it.
+    pub fn is_from_store(&self) -> bool {
+        self.source == CopySource::Store && self.confirmed_at.is_some()
+    }
+
+    /// Who told it.
+    pub fn source(&self) -> CopySource {
+        self.source
+    }
+
+    /// Revision up to which it is complete; zero before that.
+    pub fn known(&self) -> CopyRevision {
+        if self.confirmed_at.is_some() { self.revision } else { CopyRevision::default() }
+    }
+
+    /// Time since the store last answered; `None` until the copy is complete.
+    pub fn age(&self, now: MonoTime) -> Option<Duration> {
+        self.confirmed_at.map(|it| now.since(it))
+    }
+
+    /// The copy for a host that has everything up to `known`; `None` until it is complete.
+    pub fn offer(&self, known: CopyRevision) -> Option<CopyOffer> {
+        let confirmed_at = self.confirmed_at?;
+        let is_news = self.revision > known;
+        let entries = self.entries.iter().filter(|_| is_news).map(|(key, entry)| OfferedEntry {
+            key: key.clone(),
+            revision: entry.revision,
+            value: (entry.revision > known).then(|| entry.value.clone()),
+        });
+        Some(CopyOffer { revision: self.revision, confirmed_at, entries: entries.collect() })
+    }
+
+    /// Takes the offer of another host, and returns what is new in it.
+    ///
+    /// Nothing is taken once the store has told everything, nor from an offer that is older than this copy or that
+    /// relies on entries which this copy lacks.
+    pub fn adopt(&mut self, offer: CopyOffer) -> Option<CopyNews> {
+        if self.is_from_store() || self.is_after(offer.revision) {
+            return None;
+        }
+        let known = self.known();
+        if offer.revision == known {
+            self.confirmed_at = self.confirmed_at.max(Some(offer.confirmed_at));
+            return None;
+        }
+        let mut entries = BTreeMap::new();
+        for OfferedEntry { key, revision, value } in offer.entries {
+            let held = self.entries.get(&key).filter(|it| it.revision == revision);
+            let value = value.or_else(|| held.map(|it| it.value.clone()))?;
+            entries.insert(key, HeldEntry { revision, value });
+        }
+        let is_complete = self.confirmed_at.is_none();
+        let is_known = |key: &String, entry: &HeldEntry| {
+            !is_complete && self.entries.get(key).is_some_and(|it| it.revision == entry.revision)
+        };
+        let written = entries.iter().filter(|(key, it)| !is_known(key, it));
+        let written = written.map(|(key, it)| RawEntry {
+            key: key.clone(),
+            revision: it.revision,
+            value: Some(it.value.clone()),
+        });
+        let removed = self.entries.keys().filter(|it| !is_complete && !entries.contains_key(*it));
+        let removed =
+            removed.map(|key| RawEntry { key: key.clone(), revision: offer.revision, value: None });
+        let news = CopyNews { is_complete, entries: written.chain(removed).collect() };
+        self.entries = entries;
+        self.revision = offer.revision;
+        self.confirmed_at = Some(offer.confirmed_at);
+        self.source = CopySource::Peer;
+        Some(news)
+    }
+}
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -3,7 +3,8 @@
 //! The decisions are in [`sapphireknot::steering`], and an adapter translates between the platform and this module.
 //! [`fleet_actor`] follows the store, [`host_actor`] keeps this host registered, [`caller_server`] serves callers, and
 //! [`side_servers`] answer the directory, the readiness check and the metrics. Hosts ask each other for admissions
-//! ([`quota_peers`]) and for the loads of servers ([`load_peers`]).
+//! ([`quota_peers`]), for the loads of servers ([`load_peers`]), and for what the store holds when it cannot be read
+//! ([`peer_source`]).
 
 pub mod caller_server;
 pub mod decision_log;
@@ -13,6 +14,7 @@
 pub mod meters;
 pub mod peer_channels;
 pub mod peer_server;
+pub mod peer_source;
 pub mod quota_peers;
 pub mod reload;
 pub mod settings;
@@ -157,6 +159,7 @@
         }
         let arguments = FleetArguments { state: state.clone() };
         let (fleet, _) = FleetActor::spawn(None, FleetActor, arguments).await?;
+        tasks.push(tokio::spawn(peer_source::run(state.clone(), fleet.clone())));
         let arguments = HostArguments { state: state.clone() };
         let (host, _) = HostActor::spawn(None, HostActor, arguments).await?;
         let server = Arc::new(CallerServer::new(state.clone(), fleet.clone()));
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -3,14 +3,19 @@
 //! A task reads everything once and then waits for changes. The first read may lag, which is cheaper, and is followed at
 //! once by the changes since; nothing is published before these have arrived. The actor applies changes to the core
 //! in their order, publishes the plan, and writes the records of rollouts that are due. After a failed call the task goes
-//! on from the same revision; when the store has dropped that history it reads the latest state.
+//! on from the same revision; when the store has dropped that history it reads the latest state. Until the store has told
+//! everything, the actor also takes what other hosts offer ([`super::peer_source`]).
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use sapphireknot::{
     ids::ServiceId,
-    steering::version::{RecordChange, RolloutPhase},
+    steering::{
+        copy_search::CopyAnswer,
+        feed_copy::{CopyNews, CopyRevision, CopySource},
+        version::{RecordChange, RolloutPhase},
+    },
     time::MonoTime,
 };
 use sapphireknot_platform::{
@@ -39,6 +44,8 @@
     Changed(FeedPage),
     /// A call failed.
     Failed,
+    /// Another host offered what the store told it.
+    Offered(CopyAnswer),
     /// A rollout looks bad on this host.
     RolloutBad(ServiceId),
     /// Time has passed.
@@ -99,13 +106,25 @@
                     "store read"
                 );
                 actor.regain(now);
+                let revision = CopyRevision(page.revision.0);
+                if actor.is_ahead(revision) {
+                    return Ok(());
+                }
+                actor.state.copy.lock().replace(page.entries, revision);
                 actor.state.core.lock().replace(page.changes, now);
                 if recency == ReadRecency::Latest {
+                    actor.confirm(now);
                     actor.publish();
                 }
             }
             FleetMessage::Changed(page) => {
                 actor.regain(now);
+                let revision = CopyRevision(page.revision.0);
+                if actor.is_ahead(revision) {
+                    return Ok(());
+                }
+                actor.state.copy.lock().take(page.entries, revision);
+                actor.confirm(now);
                 if !page.changes.is_empty() {
                     log::debug!(changes:? = page.changes, revision:% = page.revision; "store changed");
                     actor.state.core.lock().take(page.changes, now);
@@ -113,6 +132,7 @@
                 actor.publish();
                 actor.write_due(now);
             }
+            FleetMessage::Offered(answer) => actor.adopt(answer, now),
             FleetMessage::Failed => {
                 if !std::mem::replace(&mut actor.is_down, true) {
                     log::warn!("store lost");
@@ -138,7 +158,53 @@
         if std::mem::take(&mut self.is_down) {
             log::info!("store regained");
             self.state.core.lock().record_outage(now);
+        } else if self.has_peer_copy() {
+            // The outage may have ended before a call of this host failed; servers register again after it all the same.
+            self.state.core.lock().record_outage(now);
+        }
+    }
+
+    /// Whether this host works with something newer, which another host told, than the store at `revision`.
+    fn is_ahead(&self, revision: CopyRevision) -> bool {
+        let is_ahead = self.has_peer_copy() && self.state.copy.lock().is_after(revision);
+        if is_ahead {
+            log::info!(revision = revision.0; "skip an answer of the store that is older than the copy in use");
+        }
+        is_ahead
+    }
+
+    /// Whether this host works with what another one told.
+    fn has_peer_copy(&self) -> bool {
+        self.state.copy.lock().source() == CopySource::Peer
+    }
+
+    /// Notes that the store has told everything.
+    fn confirm(&self, now: MonoTime) {
+        if self.has_peer_copy() {
+            log::info!(source = CopySource::Store.as_str(); "store followed instead of other hosts");
+        }
+        self.state.copy.lock().confirm(now);
+    }
+
+    /// Takes what another host offered, unless the store was faster.
+    fn adopt(&self, answer: CopyAnswer, now: MonoTime) {
+        let CopyAnswer { peer, offer } = answer;
+        let age_ms = now.since(offer.confirmed_at).as_millis() as u64;
+        let revision = offer.revision.0;
+        let Some(CopyNews { is_complete, entries }) = self.state.copy.lock().adopt(offer) else {
+            return;
+        };
+        let store = &self.state.platform.store;
+        let changes: Vec<_> = entries.iter().filter_map(|it| store.decode_entry(it)).collect();
+        let (source, count) = (CopySource::Peer.as_str(), changes.len());
+        if is_complete {
+            log::info!(peer:%, source, revision, age_ms, entries = count; "copy of another host taken");
+            self.state.core.lock().replace(changes, now);
+        } else {
+            log::debug!(peer:%, source, revision, age_ms, entries = count; "changes of another host taken");
+            self.state.core.lock().take(changes, now);
         }
+        self.publish();
     }
 
     fn publish(&self) {
@@ -162,7 +228,7 @@
 
     /// Starts writes of records that are due and whose turn it is.
     fn write_due(&mut self, now: MonoTime) {
-        if self.is_down {
+        if self.is_down || self.has_peer_copy() {
             // Another host may have written the record, which this one will see first after the outage.
             return;
         }
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -1,28 +1,57 @@
 //! Calls of other hosts.
 
-use std::sync::Arc;
+use std::{pin::Pin, sync::Arc};
 
-use sapphireknot::{ids::OrganisationId, steering::loads::ReportPosition};
+use futures_util::{Stream, StreamExt, stream};
+use sapphireknot::{
+    ids::OrganisationId,
+    steering::{feed_copy::CopyRevision, loads::ReportPosition},
+};
 use sapphireknot_wire::entry::{
-    ShareLoadsReply, ShareLoadsRequest, TakeTokensReply, TakeTokensRequest,
+    CopyPart, ReadCopyRequest, ShareLoadsReply, ShareLoadsRequest, TakeTokensReply,
+    TakeTokensRequest,
     entry_server::{Entry, EntryServer},
 };
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::Semaphore};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status, transport::Server};
 
 use super::{
     load_peers::{decode_regions, decode_reports, encode_regions, encode_reports},
+    peer_source,
     state::EntryState,
 };
 
+/// Copies that are sent at the same time: each holds one message in memory, and many hosts may start together.
+const MAX_COPIES: usize = 8;
+
 /// Server of the calls between hosts.
 struct PeerServer {
     state: Arc<EntryState>,
+    copies: Arc<Semaphore>,
 }
 
 #[tonic::async_trait]
 impl Entry for PeerServer {
+    type ReadCopyStream = Pin<Box<dyn Stream<Item = Result<CopyPart, Status>> + Send>>;
+
+    async fn read_copy(
+        &self,
+        request: Request<ReadCopyRequest>,
+    ) -> Result<Response<Self::ReadCopyStream>, Status> {
+        let known = CopyRevision(request.into_inner().known_revision);
+        let permit = self.copies.clone().acquire_owned().await;
+        let permit = permit.map_err(|err| Status::unavailable(err.to_string()))?;
+        let offer = self.state.copy.lock().offer(known);
+        let now = self.state.clock.now();
+        let parts = offer.into_iter().flat_map(move |it| peer_source::parts(it, now));
+        let parts = stream::iter(parts).map(move |part| {
+            let _held = &permit;
+            Ok(part)
+        });
+        Ok(Response::new(Box::pin(parts)))
+    }
+
     async fn take_tokens(
         &self,
         request: Request<TakeTokensRequest>,
@@ -69,8 +98,9 @@
 
 /// Serves other hosts until the process ends.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
-    let server =
-        Server::builder().tcp_nodelay(true).add_service(EntryServer::new(PeerServer { state }));
+    let copies = Arc::new(Semaphore::new(MAX_COPIES));
+    let service = EntryServer::new(PeerServer { state, copies });
+    let server = Server::builder().tcp_nodelay(true).add_service(service);
     if let Err(err) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
         log::error!(error:% = err; "serve other hosts");
     }
--- a/crates/sapphireknotd/src/entry/side_servers.rs
+++ b/crates/sapphireknotd/src/entry/side_servers.rs
@@ -8,7 +8,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus::{Registry, TextEncoder};
-use sapphireknot::steering::naming::name_hosts;
+use sapphireknot::steering::{feed_copy::CopySource, naming::name_hosts};
 use tokio::{net::TcpListener, time::sleep};
 
 use super::state::EntryState;
@@ -93,6 +93,19 @@
         }
     }
     let now = state.clock.now();
+    let (source, age) = {
+        let copy = state.copy.lock();
+        (copy.source(), copy.age(now))
+    };
+    if let Some(age) = age {
+        for known in [CopySource::Store, CopySource::Peer] {
+            let (name, value) = (known.as_str(), u8::from(known == source));
+            text.push_str(&format!(
+                "sapphireknot_entry_feed_source{{source=\"{name}\"}} {value}\n"
+            ));
+        }
+        text.push_str(&format!("sapphireknot_entry_feed_age_seconds {:.3}\n", age.as_secs_f64()));
+    }
     let core = state.core.lock();
     let share = core.share(now);
     if let Some(plan) = core.plan() {
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -5,7 +5,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
 use sapphireknot::{
-    steering::{core::SteeringCore, fleet::HostRecord, plan::RoutingPlan},
+    steering::{core::SteeringCore, feed_copy::FeedCopy, fleet::HostRecord, plan::RoutingPlan},
     time::MonoTime,
 };
 use sapphireknot_platform::StoreError;
@@ -31,6 +31,8 @@
     pub record: HostRecord,
     /// Decisions; locked for the time of one question.
     pub core: Mutex<SteeringCore>,
+    /// What the store told, for hosts that cannot read it; not locked together with the decisions.
+    pub copy: Mutex<FeedCopy>,
     /// Plan in force; `None` until the first one was read.
     pub plan: ArcSwapOption<RoutingPlan>,
     /// Stage of the graceful shutdown.
@@ -59,6 +61,7 @@
             clock,
             record,
             core: Mutex::new(core),
+            copy: Mutex::default(),
             plan: ArcSwapOption::empty(),
             drain: watch::Sender::new(DrainStage::Serving),
             meters: EntryMeters::default(),
--- a/crates/sapphireknotd/tests/entry_settings.rs
+++ b/crates/sapphireknotd/tests/entry_settings.rs
@@ -43,6 +43,21 @@
     assert_eq!(settings.bounds.quota_slack, 0);
 }
 
+/// Guards against a deployment without seeds, or whose template leaves the field empty, that does not start.
+#[test]
+fn absent_seeds() {
+    assert_eq!(load("entry-seeds.yaml", &sample(), &[]).unwrap().seeds.len(), 2);
+    let rest: String = sample()
+        .lines()
+        .filter(|it| !it.starts_with("seeds"))
+        .fold(String::new(), |text, line| format!("{text}{line}\n"));
+    for (name, seeds) in [("absent", ""), ("empty", "seeds: []\n"), ("null", "seeds:\n")] {
+        let path = format!("entry-seeds-{name}.yaml");
+        let settings = load(&path, &format!("{seeds}{rest}"), &[]).unwrap();
+        assert!(settings.seeds.is_empty(), "{name}");
+    }
+}
+
 /// Every problem is reported with its field.
 #[test]
 fn wrong_fields() {
