--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -5,10 +5,13 @@
 //! the measured [`work`] say of it, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
 //! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
 //! quotas. [`version`] decides which version of a service takes a request while a rollout runs, and [`naming`] which hosts
-//! a caller is told. [`core`] holds them together.
+//! a caller is told. [`core`] holds them together. [`feed_copy`] keeps what the store told for hosts that cannot read it,
+//! and [`copy_search`] picks one of several copies.
 
 pub mod choice;
+pub mod copy_search;
 pub mod core;
+pub mod feed_copy;
 pub mod fleet;
 mod limits;
 pub mod loads;
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -3,6 +3,7 @@
 mod affinity_choice;
 mod choice_miss;
 mod core_state;
+mod feed_copies;
 mod fleet_table;
 mod host_naming;
 mod load_reports;
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -3,7 +3,8 @@
 //! The decisions are in [`sapphireknot::steering`], and an adapter translates between the platform and this module.
 //! [`fleet_actor`] follows the store, [`host_actor`] keeps this host registered, [`caller_server`] serves callers, and
 //! [`side_servers`] answer the directory, the readiness check and the metrics. Hosts ask each other for admissions
-//! ([`quota_peers`]) and for the loads of servers ([`load_peers`]).
+//! ([`quota_peers`]), for the loads of servers ([`load_peers`]), and for what the store holds when it cannot be read
+//! ([`peer_source`]).
 
 pub mod caller_server;
 mod decision_line;
@@ -14,6 +15,7 @@
 pub mod meters;
 pub mod peer_channels;
 pub mod peer_server;
+pub mod peer_source;
 pub mod quota_peers;
 pub mod reload;
 pub mod settings;
@@ -158,6 +160,7 @@
         }
         let arguments = FleetArguments { state: state.clone() };
         let (fleet, _) = FleetActor::spawn(None, FleetActor, arguments).await?;
+        tasks.push(tokio::spawn(peer_source::run(state.clone(), fleet.clone())));
         let arguments = HostArguments { state: state.clone() };
         let (host, _) = HostActor::spawn(None, HostActor, arguments).await?;
         let server = Arc::new(CallerServer::new(state.clone(), fleet.clone()));
@@ -235,8 +238,9 @@
     let host = settings.host.clone();
     let entry = RunningEntry::start(settings, platform, registry).await?;
     let reloading = tokio::spawn(reload::run(entry.state.clone(), path, hangup));
+    let seeds = entry.state.settings.load().seeds.clone();
     log::info!(
-        host:%, callers:% = entry.caller_address, directory:% = entry.directory_address,
+        host:%, seeds:?, peers:% = entry.state.record.peer_address, callers:% = entry.caller_address, directory:% = entry.directory_address,
         readiness:% = entry.readiness_address, metrics:? = entry.metrics_address;
         "started"
     );
