rollout: count the interval after the last step as the move's own time

Cause found while tracing version_moves::shared_slowness: the planner reverted a move as not reachable one interval too early. It asked for a full interval after each write that is left, the verdict included, although the next write may come at once when the interval since the last one has passed, and nothing follows the verdict. A late step on a busy machine was therefore reverted although the steps left, an interval apart, still ended before the spare time.

The next write is now due at the later of now and the end of the interval, and further ones an interval apart.

--- a/crates/sapphireknot/src/rollout/planner.rs
+++ b/crates/sapphireknot/src/rollout/planner.rs
@@ -136,9 +136,9 @@
         }
         let steps = self.steps_left(state.moved, input.limits);
         let finish = self.finish_by(state.started_at);
-        let Some(steps) =
-            steps.filter(|it| input.now.after(self.timing.step_interval * *it) <= finish)
-        else {
+        let next_at = input.now.max(state.stepped_at.after(self.timing.step_interval));
+        let last_at = |steps: u32| next_at.after(self.timing.step_interval * (steps - 1));
+        let Some(steps) = steps.filter(|it| last_at(*it) <= finish) else {
             let reason = match self.blocking(input, state, 1) {
                 Some(cause) => format!("target not reachable before the deadline: {cause}"),
                 None => "target not reachable before the deadline".to_owned(),
--- a/crates/sapphireknot/tests/rollout_planner.rs
+++ b/crates/sapphireknot/tests/rollout_planner.rs
@@ -219,6 +219,30 @@
     assert!(reason.contains("stale"), "{reason}");
 }
 
+/// Guards against a good version that is reverted after a late step although the steps left still fit before the spare time.
+#[test]
+fn late_step_catches_up() {
+    let stalled = |stale_until: u64| {
+        let mut bench = Bench::new(100, &["reports"]);
+        while bench.state.as_ref().is_none_or(|it| it.moved < TrafficShare::percent(27)) {
+            bench.run(1, &[("reports", 200, 0)]);
+        }
+        bench.is_fresh = false;
+        bench.run(stale_until - bench.second, &[("reports", 200, 0)]);
+        bench
+    };
+    // The spare time begins at 90 s; the steps to 47%, 67%, 87% and 100% and the verdict are four intervals of 5 s apart.
+    let mut bench = stalled(69);
+    assert_eq!(bench.verdict(), (RolloutVerdict::Running, String::new()));
+    bench.is_fresh = true;
+    bench.run(21, &[("reports", 200, 0)]);
+    assert_eq!(bench.verdict(), (RolloutVerdict::Done, String::new()));
+    assert_eq!(bench.state.as_ref().unwrap().stepped_at, WallTime(90_000));
+    let percent: Vec<_> = bench.history.iter().map(ToString::to_string).collect();
+    assert_eq!(percent, ["0%", "1%", "3%", "9%", "27%", "47%", "67%", "87%", "100%", "100%"]);
+    assert_eq!(stalled(71).verdict().0, RolloutVerdict::Reverted, "the steps do not fit any more");
+}
+
 /// Guards against a planner whose role was taken over and that decides nevertheless.
 #[test]
 fn lower_token_does_not_write() {
