steering: judge new versions by the outcomes of all hosts

Each host judged a new version by its own requests: three failures and a lead of 0.2 over the old version on that host. On many hosts the first of them gets there late, a version that fails few requests is found by luck or never, and a good one is doubted for what one host sees: few outcomes reach the lead by chance, and a stall weighs more on the version with the shorter history.

Each host now counts the outcomes of both versions since the order, and how many bad ones of the new version the rate of the old one at the same time and host explains. The collector of a region gets these cumulative counts with the load reports and tells each host the sum of the others; collectors tell each other the sums of their regions. The judgement is a likelihood ratio on the sum, and without the host that stands out most it must still speak against the version, unless the others have fewer than six outcomes. The module evidence has the arithmetic. A host without a collector judges by its own counts.

Ruled out: one entry for each host in all messages (a kilobyte and more for each host every 0.4 s instead of one entry for each region); leaving out a region, as a version may be bad on a route that only one region uses.

--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -9,6 +9,7 @@
 
 pub mod choice;
 pub mod core;
+pub mod evidence;
 pub mod fleet;
 pub mod loads;
 pub mod naming;
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -3,6 +3,7 @@
 //! The core takes what the store tells as [`FleetChange`]s and answers the questions of the request path. It is the only
 //! owner of this state; the request path locks it for the time of one question.
 
+mod evidence_exchange;
 mod load_exchange;
 mod quotas;
 
@@ -17,6 +18,7 @@
 use self::quotas::QuotaState;
 use super::{
     choice::{ChoiceMiss, ChoiceQuery, ChosenServer, ServicePicker, ServicePickers},
+    evidence::{EvidenceBoard, OutcomeQuality},
     fleet::{FleetTable, HostRecord, ServerRecord},
     loads::{LoadBoard, LoadReport, ReportPosition},
     plan::{RequestPriority, RouteRule, RoutingPlan},
@@ -113,6 +115,7 @@
     loads: LoadBoard,
     /// Reports up to which the collector was told.
     told_loads: ReportPosition,
+    evidence: EvidenceBoard,
     budgets: HashMap<ServiceId, RetryBudget>,
     evacuated: HashSet<DatacentreId>,
     /// Credit of each part of a split route.
@@ -132,6 +135,7 @@
             quotas: QuotaState::default(),
             loads: LoadBoard::default(),
             told_loads: ReportPosition::default(),
+            evidence: EvidenceBoard::default(),
             budgets: HashMap::new(),
             evacuated: HashSet::new(),
             turns: HashMap::new(),
@@ -327,12 +331,13 @@
             picker.record_end(chosen, outcome, target_ms, elapsed, now);
         }
         let is_slow = elapsed.as_secs_f64() * 1_000.0 > target_ms * BAD_SLOWNESS;
-        let is_bad = match outcome {
-            ServerOutcome::Succeeded => is_slow,
-            ServerOutcome::Failed | ServerOutcome::Broken => true,
+        let quality = match outcome {
+            ServerOutcome::Succeeded if is_slow => OutcomeQuality::Slow,
+            ServerOutcome::Succeeded => OutcomeQuality::Good,
+            ServerOutcome::Failed | ServerOutcome::Broken => OutcomeQuality::Failed,
             ServerOutcome::Shed | ServerOutcome::Cancelled => return false,
         };
-        self.versions.record_outcome(&record.service, &record.version, is_bad)
+        self.versions.record_outcome(&record.service, &record.version, quality)
     }
 
     /// Takes back a choice to which nothing was sent.
--- /dev/null
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -0,0 +1,346 @@
+//! Evidence on a new version, summed over hosts.
+//!
+//! Each host counts the outcomes of its own requests to both versions, and how many bad ones of the new version the rate
+//! of the old one at the same time and host explains. The counts are cumulative for an order and an incarnation of the
+//! host, so that a message that is lost or repeated does no harm. The collector of a region keeps the latest counts of
+//! each host and tells each of them the sum of the others; collectors tell each other the sums of their regions.
+//!
+//! The judgement compares two hypotheses on the sum: bad outcomes of the new version exceed the explained ones by at most
+//! [`TOLERATED`], or by one of [`EXCESSES`]. The likelihood ratio, averaged over the excesses, may be read after each
+//! outcome; a version that is no worse than tolerated reaches 1 / [`FALSE_ALARM`] with that probability at most, as far as
+//! the explained rate is exact. While the old version is sound, 3 bad responses of 5 decide, 6 of 30, 11 of 110 or 27 of
+//! 540. What a single host sees does not decide if the others have enough outcomes to tell: without the host that stands out most the
+//! ratio must still reach [`SUPPORT`]. A region alone may decide, as a version may be bad on a route that only one region
+//! uses.
+
+use std::{
+    collections::BTreeMap,
+    ops::{Add, Sub},
+};
+
+use crate::ids::{HostId, IncarnationId, RegionId, ServiceId};
+
+/// Share of bad outcomes beyond the explained ones that is no reason to revert; cold servers are slower for a moment.
+pub const TOLERATED: f64 = 0.02;
+/// Shares of bad outcomes beyond the explained ones for which the ratio is most sensitive.
+pub const EXCESSES: [f64; 3] = [0.06, 0.2, 0.5];
+/// Probability that a version that is no worse than tolerated is ever reverted.
+pub const FALSE_ALARM: f64 = 0.001;
+/// Likelihood ratio that must remain without the host that stands out most.
+const SUPPORT: f64 = 10.0;
+/// Outcomes of the new version at other hosts from which these have a say.
+const MIN_OTHERS: u32 = 6;
+/// Bad outcomes of the new version before it is judged.
+const MIN_BAD: u32 = 3;
+/// Highest rate of bad outcomes that is assumed.
+const MAX_RATE: f64 = 0.95;
+/// Outcomes of both versions over which the rate of the old one explains those of the new one; few enough to follow a
+/// stall of all servers, and enough for a rate.
+const BLOCK_SIZE: u32 = 20;
+/// Rate of bad outcomes of the old version before any is known.
+const FIRST_RATE: f64 = 0.02;
+
+/// How a request to a version ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutcomeQuality {
+    /// In time.
+    Good,
+    /// Several times slower than the target latency.
+    Slow,
+    /// Without a usable response.
+    Failed,
+}
+
+/// Outcomes of a version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct VersionTally {
+    /// Requests that ended.
+    pub requests: u32,
+    /// Those that failed.
+    pub failures: u32,
+    /// Those that succeeded slowly.
+    pub slow: u32,
+}
+
+impl VersionTally {
+    /// Counts an outcome.
+    pub fn record(&mut self, quality: OutcomeQuality) {
+        self.requests += 1;
+        self.failures += u32::from(quality == OutcomeQuality::Failed);
+        self.slow += u32::from(quality == OutcomeQuality::Slow);
+    }
+
+    /// Outcomes that speak against a version.
+    pub fn bad(&self) -> u32 {
+        self.failures + self.slow
+    }
+
+    fn combine(self, other: Self, combine: fn(u32, u32) -> u32) -> Self {
+        Self {
+            requests: combine(self.requests, other.requests),
+            failures: combine(self.failures, other.failures),
+            slow: combine(self.slow, other.slow),
+        }
+    }
+}
+
+/// Outcomes of both versions of a rollout.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct VersionCounts {
+    /// Old version.
+    pub old: VersionTally,
+    /// New version.
+    pub new: VersionTally,
+    /// Bad outcomes of the new version that the rate of the old one at the same time and host explains.
+    pub explained: f64,
+}
+
+impl Add for VersionCounts {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            old: self.old.combine(other.old, u32::saturating_add),
+            new: self.new.combine(other.new, u32::saturating_add),
+            explained: self.explained + other.explained,
+        }
+    }
+}
+
+impl Sub for VersionCounts {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            old: self.old.combine(other.old, u32::saturating_sub),
+            new: self.new.combine(other.new, u32::saturating_sub),
+            explained: (self.explained - other.explained).max(0.0),
+        }
+    }
+}
+
+impl VersionCounts {
+    /// Outcomes of both versions; never falls for one host.
+    pub fn requests(&self) -> u32 {
+        self.old.requests.saturating_add(self.new.requests)
+    }
+
+    /// Bad outcomes of the new version that nothing explains.
+    fn excess(&self) -> f64 {
+        let allowed = self.explained + TOLERATED * f64::from(self.new.requests);
+        f64::from(self.new.bad()) - allowed
+    }
+
+    /// Logarithm of the likelihood ratio against the new version.
+    fn log_ratio(&self) -> f64 {
+        let requests = f64::from(self.new.requests);
+        if self.new.requests == 0 {
+            return 0.0;
+        }
+        let bad = f64::from(self.new.bad()).min(requests);
+        let base = (self.explained / requests).min(MAX_RATE);
+        let allowed = (base + TOLERATED).min(MAX_RATE);
+        let ratio = |excess: f64| {
+            let worse = (base + excess).min(MAX_RATE);
+            let log = bad * (worse / allowed).ln()
+                + (requests - bad) * ((1.0 - worse) / (1.0 - allowed)).ln();
+            log.exp()
+        };
+        (EXCESSES.map(ratio).iter().sum::<f64>() / EXCESSES.len() as f64).ln()
+    }
+}
+
+/// Outcomes of this host's own requests since an order.
+#[derive(Debug)]
+pub struct OwnEvidence {
+    closed: VersionCounts,
+    block: VersionCounts,
+    /// Rate of bad outcomes of the old version when it was last used.
+    old_rate: f64,
+}
+
+impl Default for OwnEvidence {
+    fn default() -> Self {
+        let (closed, block) = (VersionCounts::default(), VersionCounts::default());
+        Self { closed, block, old_rate: FIRST_RATE }
+    }
+}
+
+impl OwnEvidence {
+    /// Counts an outcome of the new or the old version.
+    pub fn record(&mut self, is_new: bool, quality: OutcomeQuality) {
+        let block = &mut self.block;
+        let tally = if is_new { &mut block.new } else { &mut block.old };
+        tally.record(quality);
+        if block.requests() >= BLOCK_SIZE {
+            self.closed = self.counts();
+            self.old_rate = self.block_rate();
+            self.block = VersionCounts::default();
+        }
+    }
+
+    /// All outcomes.
+    pub fn counts(&self) -> VersionCounts {
+        let explained = f64::from(self.block.new.requests) * self.block_rate();
+        self.closed + VersionCounts { explained, ..self.block }
+    }
+
+    fn block_rate(&self) -> f64 {
+        let old = self.block.old;
+        (f64::from(old.bad()) + self.old_rate) / (f64::from(old.requests) + 1.0)
+    }
+}
+
+/// Outcomes of one host.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostEvidence {
+    /// Service.
+    pub service: ServiceId,
+    /// Revision of the order.
+    pub order: u64,
+    /// Host.
+    pub host: HostId,
+    /// Its incarnation, for which the counts are cumulative.
+    pub incarnation: IncarnationId,
+    /// Outcomes.
+    pub counts: VersionCounts,
+}
+
+/// Outcomes of a region's hosts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RegionEvidence {
+    /// Service.
+    pub service: ServiceId,
+    /// Revision of the order.
+    pub order: u64,
+    /// Region.
+    pub region: RegionId,
+    /// Outcomes of all hosts, or of all but the one that is told.
+    pub sum: VersionCounts,
+    /// Part of the host that stands out most.
+    pub most: VersionCounts,
+}
+
+/// What hosts tell each other.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EvidenceReport {
+    /// Outcomes of the host that tells them.
+    Host(HostEvidence),
+    /// Outcomes of a region.
+    Region(RegionEvidence),
+}
+
+/// Whether the new version is bad by this host's counts and those of `others`.
+pub fn is_bad<'a, I>(own: VersionCounts, others: I) -> bool
+where
+    I: Iterator<Item = &'a RegionEvidence>,
+{
+    let (mut sum, mut most) = (own, own);
+    for other in others {
+        sum = sum + other.sum;
+        most = standing_out(most, other.most);
+    }
+    if sum.new.bad() < MIN_BAD || sum.log_ratio() < -FALSE_ALARM.ln() {
+        return false;
+    }
+    let rest = sum - most;
+    rest.new.requests < MIN_OTHERS || rest.log_ratio() >= SUPPORT.ln()
+}
+
+fn standing_out(first: VersionCounts, second: VersionCounts) -> VersionCounts {
+    if second.excess() > first.excess() { second } else { first }
+}
+
+/// Position in what a host knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EvidencePosition(pub u64);
+
+/// Latest counts of each host and region, in the order of arrival. Holds one entry for each service and host at most.
+#[derive(Debug, Default)]
+pub struct EvidenceBoard {
+    hosts: BTreeMap<(ServiceId, HostId), (HostEvidence, EvidencePosition)>,
+    regions: BTreeMap<(ServiceId, RegionId), (RegionEvidence, EvidencePosition)>,
+    position: EvidencePosition,
+}
+
+impl EvidenceBoard {
+    /// Takes the counts of a host unless later ones are known.
+    pub fn add_host(&mut self, evidence: HostEvidence) {
+        let recency = |it: &HostEvidence| (it.order, it.incarnation, it.counts.requests());
+        let key = (evidence.service.clone(), evidence.host.clone());
+        if self.hosts.get(&key).is_some_and(|(it, _)| recency(it) >= recency(&evidence)) {
+            return;
+        }
+        self.position.0 += 1;
+        self.hosts.insert(key, (evidence, self.position));
+    }
+
+    /// Replaces the counts of another region.
+    pub fn add_region(&mut self, evidence: RegionEvidence) {
+        let key = (evidence.service.clone(), evidence.region.clone());
+        let known = self.regions.get(&key);
+        if known.is_some_and(|(it, _)| it.order > evidence.order || *it == evidence) {
+            return;
+        }
+        self.position.0 += 1;
+        self.regions.insert(key, (evidence, self.position));
+    }
+
+    /// Counts of `host` that are later than `position`.
+    pub fn host_since(&self, host: &HostId, position: EvidencePosition) -> Vec<HostEvidence> {
+        let entries = self.hosts.values().filter(|(it, at)| it.host == *host && *at > position);
+        entries.map(|(it, _)| it.clone()).collect()
+    }
+
+    /// Sums of the own region by service, without `except`, that changed after `position`.
+    pub fn own_region(
+        &self,
+        region: &RegionId,
+        except: Option<&HostId>,
+        position: EvidencePosition,
+    ) -> Vec<RegionEvidence> {
+        let mut sums: BTreeMap<&ServiceId, (RegionEvidence, EvidencePosition)> = BTreeMap::new();
+        for ((service, host), (evidence, at)) in &self.hosts {
+            if except == Some(host) {
+                continue;
+            }
+            let first = || {
+                let (service, region) = (service.clone(), region.clone());
+                let (sum, most) = (VersionCounts::default(), VersionCounts::default());
+                let order = evidence.order;
+                (RegionEvidence { service, order, region, sum, most }, EvidencePosition::default())
+            };
+            let (sum, changed) = sums.entry(service).or_insert_with(first);
+            if evidence.order < sum.order {
+                continue;
+            }
+            if evidence.order > sum.order {
+                (*sum, *changed) = first();
+            }
+            let has_none = sum.sum.requests() == 0;
+            sum.most =
+                if has_none { evidence.counts } else { standing_out(sum.most, evidence.counts) };
+            sum.sum = sum.sum + evidence.counts;
+            *changed = (*changed).max(*at);
+        }
+        let after = self.known(position);
+        sums.into_values().filter(|(_, at)| *at > after).map(|(it, _)| it).collect()
+    }
+
+    /// Counts of other regions that changed after `position`.
+    pub fn other_regions(&self, position: EvidencePosition) -> Vec<RegionEvidence> {
+        let after = self.known(position);
+        let entries = self.regions.values().filter(|(_, at)| *at > after);
+        entries.map(|(it, _)| it.clone()).collect()
+    }
+
+    /// Position after the last entry.
+    pub fn position(&self) -> EvidencePosition {
+        self.position
+    }
+
+    /// `position`, or the start if it is one of an earlier incarnation.
+    fn known(&self, position: EvidencePosition) -> EvidencePosition {
+        if position > self.position { EvidencePosition::default() } else { position }
+    }
+}
--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -2,15 +2,16 @@
 //!
 //! The state of a rollout is a record in the store that hosts change by compare-and-swap, so that no host leads. Between
 //! its changes every host derives the share of the new version from the time since the start. Each host judges the new
-//! version by its own requests and reverts the rollout for all hosts when it looks bad; the share returns to nothing on
-//! this host at once.
+//! version by its own requests and by what other hosts told of theirs ([`super::evidence`]), and reverts the rollout for
+//! all hosts when it looks bad; the share returns to nothing on this host at once.
 
 use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+use super::evidence::{OutcomeQuality, OwnEvidence, RegionEvidence, VersionCounts, is_bad};
 use crate::{
-    ids::{ServiceId, VersionId},
+    ids::{RegionId, ServiceId, VersionId},
     time::MonoTime,
 };
 
@@ -21,12 +22,6 @@
 /// Part of a rollout's time after which it completes. The old version got nothing for the time in between, so that its
 /// servers have answered what they had.
 const COMPLETE_AT: f64 = 0.76;
-/// Failures of the new version before it is judged.
-const MIN_FAILURES: u32 = 3;
-/// Lead of the failure rate of the new version over that of the old one that reverts the rollout.
-const FAILURE_LEAD: f64 = 0.2;
-/// Weight of a pseudo-sample without failure, so that a few failures of a few requests do not revert.
-const PRIOR_SAMPLES: f64 = 3.0;
 
 /// What operators asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -77,23 +72,6 @@
     pub replaces: u64,
 }
 
-#[derive(Debug, Default, Clone, Copy)]
-struct VersionTally {
-    samples: f64,
-    failures: u32,
-}
-
-impl VersionTally {
-    fn add(&mut self, is_bad: bool) {
-        self.samples += 1.0;
-        self.failures += u32::from(is_bad);
-    }
-
-    fn failure_rate(&self) -> f64 {
-        f64::from(self.failures) / (self.samples + PRIOR_SAMPLES)
-    }
-}
-
 /// Versions of one service.
 #[derive(Debug, Default)]
 struct ServiceVersions {
@@ -103,8 +81,10 @@
     common: Option<VersionId>,
     /// Orders whose target this host found bad.
     reverted: Option<u64>,
-    old: VersionTally,
-    new: VersionTally,
+    /// Outcomes on this host since the order.
+    own: OwnEvidence,
+    /// Outcomes on other hosts since the order, by region.
+    told: HashMap<RegionId, RegionEvidence>,
 }
 
 impl ServiceVersions {
@@ -115,6 +95,17 @@
         (is_current && self.reverted != Some(order.revision)).then_some((order, *seen))
     }
 
+    /// Judges a rollout that runs; says whether it looks bad.
+    fn judge(&mut self) -> bool {
+        let Some((order, _)) = self.running() else { return false };
+        let revision = order.revision;
+        let is_bad = is_bad(self.own.counts(), self.told.values());
+        if is_bad {
+            self.reverted = Some(revision);
+        }
+        is_bad
+    }
+
     fn stable(&self) -> Option<&VersionId> {
         let record = self.record.as_ref().map(|(record, _)| match record.phase {
             RolloutPhase::Completed => &record.target,
@@ -141,8 +132,8 @@
         if versions.order.as_ref().is_some_and(|(it, _)| it.revision == order.revision) {
             return;
         }
-        versions.old = VersionTally::default();
-        versions.new = VersionTally::default();
+        versions.own = OwnEvidence::default();
+        versions.told.clear();
         versions.order = Some((order, now));
     }
 
@@ -199,19 +190,40 @@
         &mut self,
         service: &ServiceId,
         version: &VersionId,
-        is_bad: bool,
+        quality: OutcomeQuality,
     ) -> bool {
         let Some(versions) = self.services.get_mut(service) else { return false };
         let Some((order, _)) = versions.running() else { return false };
-        let (is_new, revision) = (order.target == *version, order.revision);
-        let tally = if is_new { &mut versions.new } else { &mut versions.old };
-        tally.add(is_bad);
-        let lead = versions.new.failure_rate() - versions.old.failure_rate();
-        if versions.new.failures < MIN_FAILURES || lead < FAILURE_LEAD {
+        let is_new = order.target == *version;
+        versions.own.record(is_new, quality);
+        versions.judge()
+    }
+
+    /// Takes what other hosts told, and says whether the rollout looks bad since then.
+    pub fn take_evidence(&mut self, evidence: RegionEvidence) -> bool {
+        let Some(versions) = self.services.get_mut(&evidence.service) else { return false };
+        let is_current =
+            versions.order.as_ref().is_some_and(|(it, _)| it.revision == evidence.order);
+        if !is_current {
             return false;
         }
-        versions.reverted = Some(revision);
-        true
+        versions.told.insert(evidence.region.clone(), evidence);
+        versions.judge()
+    }
+
+    /// Outcomes on this host by service and revision of the order, of rollouts that run.
+    pub fn own_evidence(&self) -> impl Iterator<Item = (&ServiceId, u64, VersionCounts)> {
+        self.services.iter().filter_map(|(service, versions)| {
+            let (order, _) = versions.running()?;
+            Some((service, order.revision, versions.own.counts()))
+        })
+    }
+
+    /// Outcomes by which a rollout was judged, for reports.
+    pub fn known_evidence(&self, service: &ServiceId) -> Option<VersionCounts> {
+        let versions = self.services.get(service)?;
+        let told = versions.told.values().map(|it| it.sum);
+        Some(told.fold(versions.own.counts(), |sum, it| sum + it))
     }
 
     /// Changes of records that are due.
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -11,4 +11,5 @@
 mod share_bounds;
 #[cfg(test)]
 mod support;
+mod version_evidence;
 mod version_ramp;
--- /dev/null
+++ b/crates/sapphireknot/tests/steering/version_evidence.rs
@@ -0,0 +1,300 @@
+//! Evidence on a new version that hosts of all regions exchange.
+
+use std::{collections::HashMap, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use sapphireknot::{
+    ids::{IncarnationId, VersionId},
+    picker::ServerOutcome,
+    steering::{
+        choice::ChoiceQuery,
+        core::{AttemptReport, FleetChange, HostPlace, SteeringCore},
+        evidence::{
+            EvidenceBoard, EvidencePosition, HostEvidence, VersionCounts, VersionTally, is_bad,
+        },
+        fleet::{HostRecord, ServerRecord},
+        plan::RequestPriority,
+        server_state::ServerLoad,
+        version::{RolloutOrder, RolloutPhase, RolloutRecord},
+    },
+    time::MonoTime,
+};
+
+use crate::support::{REGIONS, at, bounds, host, id, place, plan, server};
+
+/// Requests per second of the service over all hosts.
+const RATE: u64 = 400;
+/// Time that the order leaves.
+const SPAN_S: u64 = 16;
+/// Interval of the exchange, in milliseconds.
+const EXCHANGE_MS: u64 = 400;
+
+/// Hosts of three regions in turn while a rollout runs.
+struct World {
+    cores: Vec<SteeringCore>,
+    /// Positions up to which a caller told a collector, and was told by it.
+    links: HashMap<(usize, usize), (EvidencePosition, EvidencePosition)>,
+    rng: StdRng,
+}
+
+/// How a simulated rollout went.
+#[derive(Debug, Clone, Copy)]
+struct Course {
+    /// When the first host found the version bad.
+    noticed: Option<u64>,
+    /// Bad responses of the new version until then.
+    bad: u32,
+}
+
+impl World {
+    fn new(count: usize, seed: u64) -> Self {
+        let names: Vec<String> = (0..count).map(|it| format!("h{it}")).collect();
+        let region = |idx: usize| REGIONS[idx % REGIONS.len()];
+        let mut changes = vec![FleetChange::Plan(plan(1).into())];
+        changes.extend(
+            names.iter().enumerate().map(|(idx, it)| FleetChange::Host(host(it, region(idx)))),
+        );
+        for region in REGIONS {
+            for idx in 0..8 {
+                for version in ["v1", "v2"] {
+                    let record = server(&format!("{region}-{version}-{idx}"), region);
+                    changes
+                        .push(FleetChange::Server(ServerRecord { version: id(version), ..record }));
+                }
+            }
+        }
+        let span = Duration::from_secs(SPAN_S);
+        let order = RolloutOrder { service: id("reports"), target: id("v2"), span, revision: 7 };
+        changes.push(FleetChange::Order(order));
+        let phase = RolloutPhase::Running;
+        let record = RolloutRecord {
+            service: id("reports"),
+            stable: id("v1"),
+            target: id("v2"),
+            order: 7,
+            phase,
+        };
+        changes.push(FleetChange::Rollout(record, 8));
+        let cores = names.iter().enumerate().map(|(idx, it)| {
+            let mut core =
+                SteeringCore::new(HostPlace { host: id(it), ..place(region(idx)) }, bounds());
+            core.take(changes.clone(), at(0));
+            core
+        });
+        Self { cores: cores.collect(), links: HashMap::new(), rng: StdRng::seed_from_u64(seed) }
+    }
+
+    /// Sends a request through the host `idx`; says whether it was a bad one of the new version, and whether the version
+    /// looks bad since then.
+    fn send<F>(&mut self, idx: usize, now: MonoTime, is_bad: &F) -> (bool, bool)
+    where
+        F: Fn(usize, bool, u64, f64) -> bool,
+    {
+        let query = ChoiceQuery {
+            target_ms: 200.0,
+            priority: RequestPriority(2),
+            object: Some(self.rng.random_range(0..1_000)),
+            version: None,
+            homes: None,
+            excluded: &[],
+            deadline: now.after(Duration::from_millis(1_200)),
+        };
+        let core = &mut self.cores[idx];
+        let Ok(chosen) = core.choose(&id("reports"), query, now, &mut self.rng) else {
+            return (false, false);
+        };
+        let is_new = chosen.record.version == id::<VersionId>("v2");
+        let millis = (now.0 - at(0).0) / 1_000;
+        let is_bad = is_bad(idx, is_new, millis, self.rng.random());
+        let outcome = if is_bad { ServerOutcome::Failed } else { ServerOutcome::Succeeded };
+        let load = Some(ServerLoad { running: 1, waiting: 0 });
+        let elapsed = Duration::from_millis(100);
+        let report = AttemptReport { chosen: &chosen, outcome, load, target_ms: 200.0, elapsed };
+        (is_new && is_bad, core.record_attempt(report, now))
+    }
+
+    /// Runs until a host finds the version bad, or to the end of the time; `is_bad` says of a host, whether the version is
+    /// the new one, the milliseconds since the start and a uniform draw whether the request ends badly.
+    fn run<F>(&mut self, is_bad: F) -> Course
+    where
+        F: Fn(usize, bool, u64, f64) -> bool,
+    {
+        let mut bad = 0;
+        let step_us = 1_000_000 / RATE;
+        for step in 0..RATE * SPAN_S * 3 / 4 {
+            let now = MonoTime(at(0).0 + step * step_us);
+            let millis = step * step_us / 1_000;
+            if (step * step_us).is_multiple_of(EXCHANGE_MS * 1_000) && self.exchange() {
+                return Course { noticed: Some(millis), bad };
+            }
+            let idx = self.rng.random_range(0..self.cores.len());
+            let (is_new_bad, is_noticed) = self.send(idx, now, &is_bad);
+            bad += u32::from(is_new_bad);
+            if is_noticed {
+                return Course { noticed: Some(millis), bad };
+            }
+        }
+        Course { noticed: None, bad }
+    }
+
+    /// One round of the calls that hosts make to their collector and collectors to each other; says whether a host finds
+    /// the version bad.
+    fn exchange(&mut self) -> bool {
+        let mut is_bad = false;
+        for idx in 0..self.cores.len() {
+            let collector = self.cores[idx].load_collector().expect("collector").clone();
+            if collector.id != *self.cores[idx].host() {
+                is_bad |= self.call(idx, &collector);
+                continue;
+            }
+            for other in self.cores[idx].far_collectors() {
+                is_bad |= self.call(idx, &other);
+            }
+        }
+        is_bad
+    }
+
+    fn call(&mut self, idx: usize, collector: &HostRecord) -> bool {
+        let place = self.cores.iter().position(|it| *it.host() == collector.id).expect("place");
+        let (told, heard) = self.links.get(&(idx, place)).copied().unwrap_or_default();
+        let caller = self.cores[idx].host().clone();
+        let (reports, told) = self.cores[idx].untold_evidence(collector, told, IncarnationId(1));
+        let is_near = REGIONS[idx % REGIONS.len()] == collector.region.as_str();
+        let peer = &mut self.cores[place];
+        let mut bad = peer.take_evidence(reports);
+        let (reply, heard) = peer.evidence_for(is_near.then_some(&caller), heard, IncarnationId(1));
+        bad.extend(self.cores[idx].take_evidence(reply));
+        self.links.insert((idx, place), (told, heard));
+        !bad.is_empty()
+    }
+}
+
+/// Seeds of the simulated rollouts.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
+
+/// Share of rollouts in which the version was found bad, and the mean of its bad responses until then.
+fn figures<F>(hosts: usize, is_bad: F) -> (f64, f64)
+where
+    F: Fn(usize, bool, u64, f64) -> bool,
+{
+    let courses: Vec<Course> = SEEDS.map(|seed| World::new(hosts, seed).run(&is_bad)).collect();
+    let noticed = courses.iter().filter(|it| it.noticed.is_some()).count() as f64;
+    let bad: u32 = courses.iter().map(|it| it.bad).sum();
+    let count = courses.len() as f64;
+    (noticed / count, f64::from(bad) / count)
+}
+
+/// A bad version must be noticed after few bad responses in all, however many hosts share them.
+#[test]
+fn bad_version() {
+    for hosts in [12, 70] {
+        for (percent, most) in [(50, 8.0), (20, 12.0), (10, 24.0), (5, 80.0)] {
+            let part = f64::from(percent) / 100.0;
+            let (noticed, bad) = figures(hosts, |_, is_new, _, draw| is_new && draw < part);
+            assert!(noticed > 0.9, "{hosts} hosts, {percent}%: {noticed}");
+            assert!(bad <= most, "{hosts} hosts, {percent}%: {bad}");
+        }
+    }
+}
+
+/// Says that a good version is never doubted with 12 and 70 hosts.
+fn assert_trusted<F>(what: &str, is_bad: F)
+where
+    F: Fn(usize, bool, u64, f64) -> bool,
+{
+    for hosts in [12, 70] {
+        let (noticed, _) = figures(hosts, &is_bad);
+        assert!(noticed == 0.0, "{what}, {hosts} hosts: {noticed}");
+    }
+}
+
+/// A good version must not be reverted for failures that the old one has as well.
+#[test]
+fn common_failures() {
+    assert_trusted("2% of both", |_, _, _, draw| draw < 0.02);
+    assert_trusted("10% of both", |_, _, _, draw| draw < 0.1);
+}
+
+/// A good version must not be reverted when all servers are slow for a moment while the share of it rises.
+#[test]
+fn shared_slowness() {
+    let is_stalled = |millis: u64| millis % 3_000 < 800;
+    assert_trusted("stalls", |_, _, millis, draw| {
+        millis < 9_000 && is_stalled(millis) && draw < 0.7
+    });
+}
+
+/// A good version must not be reverted for what one host sees, of both versions or of the new one alone.
+#[test]
+fn bad_host() {
+    assert_trusted("one host, both versions", |host, _, _, draw| host == 4 && draw < 0.5);
+    assert_trusted("one host, new version", |host, is_new, _, _| host == 4 && is_new);
+}
+
+/// A good version must not be reverted when the links of one region fail, which hits both versions there.
+#[test]
+fn bad_region() {
+    assert_trusted("one region", |host, _, millis, draw| {
+        host % REGIONS.len() == 1 && millis > 3_000 && draw < 0.5
+    });
+}
+
+/// A version may be bad on a route that only one region uses; its hosts must not be outvoted.
+#[test]
+fn one_region_uses_it() {
+    let (noticed, bad) = figures(12, |host, is_new, _, _| host % REGIONS.len() == 1 && is_new);
+    assert!(noticed == 1.0 && bad < 12.0, "{noticed}, {bad}");
+}
+
+fn counts(requests: u32, failures: u32) -> VersionCounts {
+    let new = VersionTally { requests, failures, slow: 0 };
+    VersionCounts {
+        new,
+        old: VersionTally { requests: 100, ..VersionTally::default() },
+        explained: 0.0,
+    }
+}
+
+fn evidence(name: &str, incarnation: u64, counts: VersionCounts) -> HostEvidence {
+    let incarnation = IncarnationId(incarnation);
+    HostEvidence { service: id("reports"), order: 7, host: id(name), incarnation, counts }
+}
+
+/// A message that comes twice, late or not at all must not change the sum, and nothing is told twice without a change.
+#[test]
+fn repeated_messages() {
+    let mut board = EvidenceBoard::default();
+    let sum = |board: &EvidenceBoard| {
+        let sums = board.own_region(&id("east"), None, EvidencePosition::default());
+        sums.first().map_or((0, 0), |it| (it.sum.new.requests, it.sum.new.failures))
+    };
+    board.add_host(evidence("h1", 1, counts(10, 2)));
+    board.add_host(evidence("h2", 1, counts(20, 1)));
+    assert_eq!(sum(&board), (30, 3));
+    let told = board.position();
+    board.add_host(evidence("h1", 1, counts(10, 2)));
+    board.add_host(evidence("h1", 1, counts(5, 1)));
+    assert_eq!(sum(&board), (30, 3), "repeated and late");
+    assert_eq!(board.position(), told, "nothing to tell");
+    assert!(board.own_region(&id("east"), None, told).is_empty());
+    board.add_host(evidence("h1", 1, counts(16, 4)));
+    assert_eq!(sum(&board), (36, 5), "cumulative, so that a lost one between does no harm");
+    let changed = board.own_region(&id("east"), Some(&id("h1")), told);
+    assert!(
+        changed.iter().all(|it| it.sum.new.requests == 20),
+        "without the counts of the host that is told"
+    );
+    board.add_host(evidence("h1", 2, counts(1, 0)));
+    assert_eq!(sum(&board), (21, 1), "another incarnation counts anew");
+    board.add_host(evidence("h1", 1, counts(17, 4)));
+    assert_eq!(sum(&board), (21, 1), "an earlier incarnation is late");
+    board.add_host(HostEvidence { order: 9, ..evidence("h3", 1, counts(2, 0)) });
+    assert_eq!(sum(&board), (2, 0), "a later order counts alone");
+}
+
+/// A host without a collector must judge by its own requests.
+#[test]
+fn own_counts() {
+    assert!(is_bad(counts(4, 4), [].iter()));
+    assert!(!is_bad(counts(40, 2), [].iter()));
+}
--- a/crates/sapphireknot/tests/steering/version_ramp.rs
+++ b/crates/sapphireknot/tests/steering/version_ramp.rs
@@ -4,7 +4,10 @@
 
 use sapphireknot::{
     ids::ServiceId,
-    steering::version::{RolloutOrder, RolloutPhase, RolloutRecord, VersionTable},
+    steering::{
+        evidence::OutcomeQuality,
+        version::{RolloutOrder, RolloutPhase, RolloutRecord, VersionTable},
+    },
     time::MonoTime,
 };
 
@@ -37,6 +40,10 @@
     table
 }
 
+fn quality(is_bad: bool) -> OutcomeQuality {
+    if is_bad { OutcomeQuality::Failed } else { OutcomeQuality::Good }
+}
+
 fn share(table: &VersionTable, now: MonoTime) -> f64 {
     let draws = (0..1_000).map(|it| f64::from(it) / 1_000.0);
     let new = draws.filter(|it| table.choose(&reports(), *it, now) == Some(id("v2")));
@@ -68,7 +75,7 @@
     let mut table = running();
     for step in 0..1_000 {
         let version = id(if step % 5 == 0 { "v2" } else { "v1" });
-        assert!(!table.record_outcome(&reports(), &version, step % 100 == 0));
+        assert!(!table.record_outcome(&reports(), &version, quality(step % 100 == 0)));
     }
     let done = (0..160).map(|it| at(it * 100)).find(|it| !table.due_changes(*it).is_empty());
     let done = done.expect("completed in time");
@@ -83,9 +90,9 @@
     let mut table = running();
     let mut failures = 0;
     let reverted = (0..100).any(|step| {
-        table.record_outcome(&reports(), &id("v1"), false);
+        table.record_outcome(&reports(), &id("v1"), quality(false));
         failures += usize::from(step % 2 == 0);
-        table.record_outcome(&reports(), &id("v2"), step % 2 == 0)
+        table.record_outcome(&reports(), &id("v2"), quality(step % 2 == 0))
     });
     assert!(reverted);
     assert!(failures <= 8, "{failures} failures before");
@@ -101,7 +108,7 @@
     let is_bad = |step: u32| step.is_multiple_of(3);
     let bad = (0..600).any(|step| {
         let version = id(if step % 2 == 0 { "v1" } else { "v2" });
-        table.record_outcome(&reports(), &version, is_bad(step / 2))
+        table.record_outcome(&reports(), &version, quality(is_bad(step / 2)))
     });
     assert!(!bad);
 }
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -7,6 +7,7 @@
 
 pub mod caller_server;
 pub mod decision_log;
+pub mod evidence_codec;
 pub mod fleet_actor;
 pub mod host_actor;
 pub mod load_peers;
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -1,13 +1,16 @@
 //! Exchange of load reports with the collector of the region, and of sums between collectors.
 //!
-//! Each call brings the reports of this host's own responses and returns those of other hosts. A collector that does not
-//! answer is left out for a moment; until then this host goes on with its own reports.
+//! Each call brings the reports of this host's own responses and returns those of other hosts; the same holds for the
+//! evidence on new versions while a rollout runs. A collector that does not answer is left out for a moment; until then
+//! this host goes on with its own reports.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use sapphireknot::{
-    ids::HostId,
+    ids::{HostId, ServiceId},
     steering::{
+        core::SteeringCore,
+        evidence::{EvidencePosition, EvidenceReport},
         fleet::HostRecord,
         loads::{LoadReport, RegionLoad, ReportPosition},
         server_state::ServerLoad,
@@ -18,18 +21,41 @@
 use tokio::time::{sleep, timeout};
 use tonic::{Response, Status};
 
-use super::{peer_channels::PeerChannels, state::EntryState};
+use super::{
+    evidence_codec::{decode_evidence, encode_evidence},
+    peer_channels::PeerChannels,
+    state::EntryState,
+};
 
 /// Interval of the exchange; half of the time after which a report counts for a third.
 const INTERVAL: Duration = Duration::from_millis(400);
 /// Time in which a collector answers; it may be a host with little processor time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Evidence that was exchanged with one collector.
+#[derive(Debug, Clone, Copy, Default)]
+struct EvidenceLink {
+    /// Position up to which the collector was told.
+    told: EvidencePosition,
+    /// Position up to which the collector told.
+    heard: EvidencePosition,
+}
+
+impl EvidenceLink {
+    /// Takes the positions of a call that was answered.
+    fn advance(&mut self, told: EvidencePosition, heard: EvidencePosition) {
+        // A position that falls is one of another incarnation, which knows nothing of what was told.
+        let told = if heard < self.heard { EvidencePosition::default() } else { told };
+        *self = Self { told, heard };
+    }
+}
+
 /// Exchanges load reports until the process ends.
 pub async fn run(state: Arc<EntryState>) {
     let channels = PeerChannels::new("load reports");
     let mut chosen: Option<HostId> = None;
     let mut position = ReportPosition::default();
+    let mut links: HashMap<HostId, EvidenceLink> = HashMap::new();
     // Hosts that start together do not call together.
     sleep(INTERVAL.mul_f64(rand::random())).await;
     loop {
@@ -43,10 +69,14 @@
         if collector.id == state.record.id {
             let others = state.core.lock().far_collectors();
             for collector in others {
-                exchange_regions(&state, &channels, &collector).await;
+                let link = links.entry(collector.id.clone()).or_default();
+                exchange_regions(&state, &channels, &collector, link).await;
+            }
+        } else {
+            let link = links.entry(collector.id.clone()).or_default();
+            if let Some(next) = exchange(&state, &channels, &collector, position, link).await {
+                position = next;
             }
-        } else if let Some(next) = exchange(&state, &channels, &collector, position).await {
-            position = next;
         }
     }
 }
@@ -57,37 +87,77 @@
     channels: &PeerChannels,
     collector: &HostRecord,
     position: ReportPosition,
+    link: &mut EvidenceLink,
 ) -> Option<ReportPosition> {
     let now = state.clock.now();
     let mut client = channels.client(collector, now)?;
-    let reports = state.core.lock().untold_loads(now);
-    if reports.is_empty() {
+    let (reports, (evidence, told)) = {
+        let mut core = state.core.lock();
+        let evidence = core.untold_evidence(collector, link.told, state.record.incarnation);
+        (core.untold_loads(now), evidence)
+    };
+    if reports.is_empty() && evidence.is_empty() {
         return None;
     }
-    let reports = Some(encode_reports(&reports, now));
-    let request = ShareLoadsRequest { reports, position: position.0, regions: Vec::new() };
+    let request = ShareLoadsRequest {
+        reports: Some(encode_reports(&reports, now)),
+        position: position.0,
+        regions: Vec::new(),
+        evidence: encode_evidence(&evidence),
+        evidence_position: link.heard.0,
+        host: state.record.id.to_string(),
+    };
     let reply = call(state, channels, collector, client.share_loads(request)).await?;
     let now = state.clock.now();
     let news = decode_reports(&reply.reports.unwrap_or_default(), now);
     state.meters.count_load_reports(news.len());
+    let evidence = decode_evidence(&reply.evidence);
+    link.advance(told, EvidencePosition(reply.evidence_position));
     let mut core = state.core.lock();
     core.take_loads(&news);
     core.take_region_loads(decode_regions(&reply.regions, now));
+    take_evidence(&mut core, evidence);
     Some(ReportPosition(reply.position))
 }
 
 /// Tells the collector of another region of the own region, and asks for the other one.
-async fn exchange_regions(state: &EntryState, channels: &PeerChannels, collector: &HostRecord) {
+async fn exchange_regions(
+    state: &EntryState,
+    channels: &PeerChannels,
+    collector: &HostRecord,
+    link: &mut EvidenceLink,
+) {
     let now = state.clock.now();
     let Some(mut client) = channels.client(collector, now) else { return };
-    let regions = encode_regions(&state.core.lock().own_region_loads(now), now);
-    if regions.is_empty() {
+    let (regions, (evidence, told)) = {
+        let mut core = state.core.lock();
+        let evidence = core.untold_evidence(collector, link.told, state.record.incarnation);
+        (encode_regions(&core.own_region_loads(now), now), evidence)
+    };
+    if regions.is_empty() && evidence.is_empty() {
         return;
     }
-    let request = ShareLoadsRequest { regions, ..ShareLoadsRequest::default() };
+    let request = ShareLoadsRequest {
+        regions,
+        evidence: encode_evidence(&evidence),
+        evidence_position: link.heard.0,
+        ..ShareLoadsRequest::default()
+    };
     if let Some(reply) = call(state, channels, collector, client.share_loads(request)).await {
         let regions = decode_regions(&reply.regions, state.clock.now());
-        state.core.lock().take_region_loads(regions);
+        link.advance(told, EvidencePosition(reply.evidence_position));
+        let mut core = state.core.lock();
+        core.take_region_loads(regions);
+        take_evidence(&mut core, decode_evidence(&reply.evidence));
+    }
+}
+
+/// Takes what another host told of new versions; the next tick writes what is due.
+pub fn take_evidence(core: &mut SteeringCore, reports: Vec<EvidenceReport>) {
+    let bad: Vec<ServiceId> = core.take_evidence(reports);
+    for service in bad {
+        let counts = core.known_evidence(&service);
+        log::warn!(service:%, counts:? = counts; "new version looks bad");
     }
 }
 
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use sapphireknot::{ids::OrganisationId, steering::loads::ReportPosition};
+use sapphireknot::{
+    ids::{HostId, OrganisationId},
+    steering::{evidence::EvidencePosition, loads::ReportPosition},
+};
 use sapphireknot_wire::entry::{
     ShareLoadsReply, ShareLoadsRequest, TakeTokensReply, TakeTokensRequest,
     entry_server::{Entry, EntryServer},
@@ -12,7 +15,8 @@
 use tonic::{Request, Response, Status, transport::Server};
 
 use super::{
-    load_peers::{decode_regions, decode_reports, encode_regions, encode_reports},
+    evidence_codec::{decode_evidence, encode_evidence},
+    load_peers::{decode_regions, decode_reports, encode_regions, encode_reports, take_evidence},
     state::EntryState,
 };
 
@@ -47,23 +51,45 @@
         &self,
         request: Request<ShareLoadsRequest>,
     ) -> Result<Response<ShareLoadsReply>, Status> {
-        let ShareLoadsRequest { reports, position, regions } = request.into_inner();
+        let ShareLoadsRequest { reports, position, regions, evidence, evidence_position, host } =
+            request.into_inner();
         let now = self.state.clock.now();
-        if !regions.is_empty() {
+        let evidence = decode_evidence(&evidence);
+        let heard = EvidencePosition(evidence_position);
+        let incarnation = self.state.record.incarnation;
+        // A region without servers of its own has no load to tell, but may have evidence.
+        let is_far = !regions.is_empty() || (host.is_empty() && !evidence.is_empty());
+        if is_far {
             let regions = decode_regions(&regions, now);
             let mut core = self.state.core.lock();
             core.take_region_loads(regions);
-            let regions = encode_regions(&core.own_region_loads(now), now);
-            return Ok(Response::new(ShareLoadsReply { regions, ..ShareLoadsReply::default() }));
+            take_evidence(&mut core, evidence);
+            let (evidence, after) = core.evidence_for(None, heard, incarnation);
+            let reply = ShareLoadsReply {
+                regions: encode_regions(&core.own_region_loads(now), now),
+                evidence: encode_evidence(&evidence),
+                evidence_position: after.0,
+                ..ShareLoadsReply::default()
+            };
+            return Ok(Response::new(reply));
         }
         let reports = decode_reports(&reports.unwrap_or_default(), now);
         self.state.meters.count_load_reports(reports.len());
         let position = ReportPosition(position);
         let mut core = self.state.core.lock();
         let (news, position) = core.collect_loads(&reports, position, now);
-        let regions = encode_regions(&core.region_loads(now), now);
-        let reports = Some(encode_reports(&news, now));
-        Ok(Response::new(ShareLoadsReply { reports, position: position.0, regions }))
+        take_evidence(&mut core, evidence);
+        // A host of an earlier release does not name itself and takes no evidence.
+        let caller = host.parse::<HostId>().ok();
+        let (evidence, after) = core.evidence_for(caller.as_ref(), heard, incarnation);
+        let reply = ShareLoadsReply {
+            reports: Some(encode_reports(&news, now)),
+            position: position.0,
+            regions: encode_regions(&core.region_loads(now), now),
+            evidence: encode_evidence(&evidence),
+            evidence_position: after.0,
+        };
+        Ok(Response::new(reply))
     }
 }
 
