--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -11,6 +11,7 @@
 pub mod choice;
 pub mod copy_search;
 pub mod core;
+pub mod evidence;
 pub mod feed_copy;
 pub mod fleet;
 mod limits;
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -9,6 +9,7 @@
 pub mod caller_server;
 mod decision_line;
 pub mod decision_log;
+pub mod evidence_codec;
 pub mod fleet_actor;
 pub mod host_actor;
 pub mod load_peers;
