buffers: let bodies wait for memory in tiers, so that they do not block one another

What callers saw: while 20 responses of 5 MB and more without an end were read, requests to a sound server of another service got their responses of 100 KB only after the others had reached their deadlines.

Cause: each body took memory piece by piece and held what it had while it waited for more. Partly read bodies could hold the whole budget, and then all responses waited, also complete ones.

Ruled out: - tiers alone: bodies without an end that wait for the last tier fill the second one (2.3 s beside others); - failing a body when memory is short: the request has run, so that its response would be lost.

Change: `TieredBudget` reserves at once what a body may need up to 64 KB, 1 MB or the longest allowed, and a longer body moves up a tier. Who waits holds only memory of lower tiers, and who is in the last tier waits for nothing. Bodies that tell their length reserve just that, in a half of the budget of their own, as the others may have no end. Long bodies no longer double their memory while they grow. Request bodies fail as before when memory is short (`BufferBudget`), so that `MemoryWait` is gone.

Bytes that the kernel has received and the host has not read are not bounded by this.

--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -25,7 +25,7 @@
     state::EntryState,
 };
 use crate::{
-    buffers::{BufferBudget, MemoryWait},
+    buffers::BufferBudget,
     constants,
     context::DrainStage,
     front::{
@@ -91,7 +91,7 @@
             fleet,
             quotas: QuotaPeers::default(),
             // A request that has not run is refused rather than kept waiting for memory.
-            buffers: BufferBudget::new(constants::MAX_BUFFERED_BYTES, MemoryWait::Fail),
+            buffers: BufferBudget::new(constants::MAX_BUFFERED_BYTES),
             busy: Arc::default(),
             has_traces,
         }
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -33,7 +33,7 @@
     refusals::FrontRefusal,
 };
 use crate::{
-    buffers::{BufferBudget, MemoryWait},
+    buffers::BufferBudget,
     context::{DrainStage, HostContext, QuotaVerdict},
     telemetry::{self, HopSpan, PathMeters},
     upstream::connections::{ConnectionPool, REQUEST_ID},
@@ -59,7 +59,7 @@
         let meters = PathMeters::default();
         // A request that has not run is refused rather than kept waiting for memory.
         let max_bytes = context.settings.limits.max_buffered_bytes;
-        let buffers = BufferBudget::new(max_bytes, MemoryWait::Fail);
+        let buffers = BufferBudget::new(max_bytes);
         let budget = Mutex::default();
         Self { context, connections, budget, buffers, meters, busy: Arc::default() }
     }
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -20,7 +20,7 @@
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use super::interim_limit::{InterimCount, InterimLimitStream};
-use crate::buffers::{BufferBudget, MemoryWait};
+use crate::buffers::TieredBudget;
 
 /// Time before a backend server closes an idle connection at which the connection is no longer used.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
@@ -105,7 +105,7 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     idle: Mutex<IdleConnections>,
-    buffers: BufferBudget,
+    buffers: TieredBudget,
     limits: PoolLimits,
 }
 
@@ -118,7 +118,7 @@
     /// A pool with other limits.
     pub fn with_limits(max_buffered_bytes: usize, limits: PoolLimits) -> Self {
         // The request ran, so its response waits for memory rather than being lost.
-        let buffers = BufferBudget::new(max_buffered_bytes, MemoryWait::Wait);
+        let buffers = TieredBudget::new(max_buffered_bytes);
         let sweep_at = Instant::now() + SWEEP_INTERVAL;
         let idle = IdleConnections { by_peer: HashMap::new(), sweep_at };
         Self { idle: Mutex::new(idle), buffers, limits }
