--- a/crates/sapphireknot-standin/tests/cut_relays.rs
+++ b/crates/sapphireknot-standin/tests/cut_relays.rs
@@ -2,6 +2,10 @@
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -121,3 +125,45 @@
     let probe = async || store.get("k").await.ok();
     assert_eq!(wait_until("the store answers", LIMIT, probe).await.unwrap(), None);
 }
+
+/// Passes bytes on until `is_silent`, and holds them back without a close from then on.
+async fn pass(
+    mut source: tokio::net::tcp::OwnedReadHalf,
+    mut sink: tokio::net::tcp::OwnedWriteHalf,
+    is_silent: Arc<AtomicBool>,
+) {
+    let mut buffer = [0; 4_096];
+    while let Ok(len @ 1..) = source.read(&mut buffer).await {
+        if !is_silent.load(Ordering::Relaxed) && sink.write_all(&buffer[..len]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against a client of the store that stays on a connection without answers while new connections work.
+#[tokio::test]
+async fn store_returns_on_new_connection() {
+    let any_port = SocketAddr::new(RECEIVER, 0);
+    let server = StoreServer::start(any_port, any_port).unwrap();
+    let target = server.addresses().store;
+    let listener = TcpListener::bind(any_port).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let first = Arc::new(AtomicBool::new(false));
+    let mut is_silent = first.clone();
+    tokio::spawn(async move {
+        loop {
+            let (near, _) = listener.accept().await.unwrap();
+            let far = TcpStream::connect(target).await.unwrap();
+            let ((from_near, to_near), (from_far, to_far)) = (near.into_split(), far.into_split());
+            tokio::spawn(pass(from_near, to_far, is_silent.clone()));
+            tokio::spawn(pass(from_far, to_near, is_silent));
+            is_silent = Arc::default();
+        }
+    });
+    let store = GrpcStore::new(address, SILENCE);
+    assert_eq!(store.get("k").await, Ok(None));
+    first.store(true, Ordering::Relaxed);
+    assert!(matches!(store.get("k").await, Err(StoreError::Unanswered { .. })));
+    let probe = async || store.get("k").await.ok();
+    assert_eq!(wait_until("the store answers", LIMIT, probe).await.unwrap(), None);
+}
--- a/crates/sapphireknot/tests/steering/version_ramp.rs
+++ b/crates/sapphireknot/tests/steering/version_ramp.rs
@@ -130,3 +130,17 @@
     assert_eq!(change.record.stable, id("v1"));
     assert_eq!(change.replaces, 12);
 }
+
+/// Guards against a host that started during a rollout, or was without the store at its beginning, and still sends
+/// requests to the old version when another host completes the rollout, upon which the old servers stop at once.
+#[test]
+fn late_host_leaves_old_version() {
+    let first = running();
+    let mut late = table();
+    late.add_order(order(7), at(6_000));
+    late.add_record(record(RolloutPhase::Running), 8);
+    let done = (0..160).map(|it| at(it * 100)).find(|it| !first.due_changes(*it).is_empty());
+    let done = done.expect("completed in time");
+    assert_eq!(share(&first, done), 1.0);
+    assert_eq!(share(&late, done), 1.0, "share of the new version on the late host");
+}
