entry: notice a missing answer in time, and take failed revision reads for no outage

The check after 1.5 s, in addition to the pause of 0.6 s, exceeds the two seconds in which a change is due (2.1 s); it is half of that time now. A revision read that fails was taken for a lost store: rollouts were not written and removed servers were kept for two seconds while the watch worked; now it is counted only. The warning is written when the next answer brings changes, as the revision may move by what no watch tells. A call that failed in the pause between two watches went unnoticed, as each watch listened anew.

--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -63,18 +63,19 @@
 /// Longest wait of one watch. A silent connection is noticed by its keep-alive probes and a lost answer by
 /// [`FLEET_REVISION_CHECK`], not by this limit.
 pub const FLEET_WATCH_WAIT: ClockSpan = ClockSpan::from_secs(20);
-/// Interval at which a host that waits for changes compares its revision with that of the store; below the two seconds in
-/// which a change takes effect. A read that may lag costs a tenth of a watch.
-pub const FLEET_REVISION_CHECK: ClockSpan = ClockSpan::from_millis(1_500);
 /// Time in which a change in the store takes effect on every host.
 pub const APPLY_TIME: ClockSpan = ClockSpan::from_secs(2);
 /// Part of that time for which a host waits between watches: changes gather meanwhile, as each call is paid for.
 pub const FLEET_WATCH_PAUSE: f64 = 0.3;
+/// Part of that time after which a host that waits for changes compares its revision with that of the store. The pause and
+/// this leave a fifth of the time for two calls; a read that may lag costs a tenth of a watch.
+pub const FLEET_REVISION_CHECK: f64 = 0.5;
 /// First pause after a failed call to the store.
 pub const FLEET_FIRST_RETRY: ClockSpan = ClockSpan::from_millis(200);
 /// Longest pause after failed calls; short enough that a host follows soon after the store's return.
 pub const FLEET_MAX_RETRY: ClockSpan = ClockSpan::from_millis(500);
 /// Lease of a host's registration; callers are told of a host that died for no longer than this.
 pub const HOST_LEASE: ClockSpan = ClockSpan::from_millis(3_500);
-/// Interval at which the lease is renewed; a lost renewal is followed by two more before the lease ends.
+/// Interval at which the lease is renewed. A renewal that is refused is followed by two more before the lease ends, one
+/// that is not answered by one.
 pub const HOST_RENEWAL: ClockSpan = ClockSpan::from_millis(1_000);
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -20,9 +20,9 @@
     time::MonoTime,
 };
 use sapphireknot_platform::{
-    FeedError, FeedPage, FleetStore, ReadRecency, StoreError, StoreRevision, WriteOutcome,
+    FeedError, FeedPage, ReadRecency, StoreError, StoreRevision, WriteOutcome,
 };
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 use super::state::EntryState;
 use crate::constants::{
@@ -285,7 +285,11 @@
     // read, a failure or a missing answer the first call therefore waits for nothing, so that its answer is due at once.
     let mut wait = Duration::ZERO;
     let mut pause = FLEET_FIRST_RETRY.0;
+    let mut failures = state.store_failures();
+    // Revision of the store of which the last watch did not tell.
+    let mut untold: Option<StoreRevision> = None;
     loop {
+        let apply_time = state.settings.load().bounds.apply_time.0;
         let result = match known {
             None => {
                 let page = store.read_all(recency).await.map_err(FeedError::Store);
@@ -294,15 +298,12 @@
             Some(revision) => tokio::select! {
                 page = store.next_changes(revision, wait) => page.map(FleetMessage::Changed),
                 // A watch that waits at a store that answers nothing else may wait for ever.
-                err = state.store_failure() => Err(FeedError::Store(err)),
-                newer = newer_revision(store.as_ref(), revision) => match newer {
-                    Ok(newer) => {
-                        log::warn!(revision:%, newer:%; "answer to a watch is missing");
-                        wait = Duration::ZERO;
-                        continue;
-                    }
-                    Err(err) => Err(FeedError::Store(err)),
-                },
+                err = next_failure(&mut failures) => Err(FeedError::Store(err)),
+                newer = newer_revision(&state, revision, apply_time.mul_f64(FLEET_REVISION_CHECK)) => {
+                    untold = Some(newer);
+                    wait = Duration::ZERO;
+                    continue;
+                }
             },
         };
         let message = match result {
@@ -311,6 +312,13 @@
                 match &message {
                     FleetMessage::Read(page, ReadRecency::MayLag) => known = Some(page.revision),
                     FleetMessage::Read(page, _) | FleetMessage::Changed(page) => {
+                        // The revision also moves by what no watch tells.
+                        if let Some(newer) = untold.take()
+                            && !page.entries.is_empty()
+                        {
+                            state.meters.count_store_failure("watch");
+                            log::warn!(revision:? = known, newer:%; "answer to a watch was missing");
+                        }
                         known = Some(page.revision);
                         recency = ReadRecency::Latest;
                     }
@@ -324,17 +332,15 @@
                 continue;
             }
             Err(FeedError::Store(err)) => {
-                let step = match &err {
-                    StoreError::Refused { step, .. } | StoreError::Unanswered { step, .. } => step,
-                };
-                state.meters.count_store_failure(step);
-                log::debug!(error:% = err; "follow the store");
+                count_failure(&state, &err);
                 if actor.cast(FleetMessage::Failed).is_err() {
                     return;
                 }
                 wait = Duration::ZERO;
                 sleep(pause).await;
                 pause = (pause * 2).min(FLEET_MAX_RETRY.0);
+                // Calls that failed until now are part of the same loss.
+                failures.mark_unchanged();
                 continue;
             }
         };
@@ -347,21 +353,43 @@
             }
             continue;
         }
-        let apply_time = state.settings.load().bounds.apply_time.0;
         sleep(apply_time.mul_f64(FLEET_WATCH_PAUSE)).await;
     }
 }
 
+/// Waits for a call that the store did not answer since the last one.
+async fn next_failure(failures: &mut watch::Receiver<Option<StoreError>>) -> StoreError {
+    loop {
+        // The sender lives as long as the state of the host.
+        if failures.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        if let Some(err) = failures.borrow_and_update().clone() {
+            return err;
+        }
+    }
+}
+
 /// Waits until the store has a later revision than `known`, of which a watch should have told.
-async fn newer_revision<S>(store: &S, known: StoreRevision) -> Result<StoreRevision, StoreError>
-where
-    S: FleetStore + ?Sized,
-{
+///
+/// A read that fails says nothing of the watch; a store that answers nothing shows in the renewals of the registration.
+async fn newer_revision(
+    state: &EntryState,
+    known: StoreRevision,
+    interval: Duration,
+) -> StoreRevision {
     loop {
-        sleep(FLEET_REVISION_CHECK.0).await;
-        let revision = store.lagging_revision().await?;
-        if revision > known {
-            return Ok(revision);
+        sleep(interval).await;
+        match state.platform.store.lagging_revision().await {
+            Ok(revision) if revision > known => return revision,
+            Ok(_) => {}
+            Err(err) => count_failure(state, &err),
         }
     }
 }
+
+fn count_failure(state: &EntryState, err: &StoreError) {
+    let (StoreError::Refused { step, .. } | StoreError::Unanswered { step, .. }) = err;
+    state.meters.count_store_failure(step);
+    log::debug!(error:% = err; "follow the store");
+}
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -84,18 +84,9 @@
         self.store_failures.send_replace(Some(err));
     }
 
-    /// Waits for a call that the store does not answer from now on.
-    pub async fn store_failure(&self) -> StoreError {
-        let mut failures = self.store_failures.subscribe();
-        loop {
-            // The sender lives as long as this state.
-            if failures.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-            if let Some(err) = failures.borrow_and_update().clone() {
-                return err;
-            }
-        }
+    /// Calls that the store does not answer from now on.
+    pub fn store_failures(&self) -> watch::Receiver<Option<StoreError>> {
+        self.store_failures.subscribe()
     }
 
     /// Whether callers may be sent here.
