entry: register again when the store no longer lists this host

Callers would not be sent to a host that believes it is registered. Cause: a registration that the store executes late overwrites the repeated one and is bound to the first lease; with that lease the entry ends, while the host renews the second one for ever. After each renewal the host now looks whether the store still lists it, once it did.

store_faults::late_registration failed before (not registered again within 15 s) and passes.

--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -380,6 +380,11 @@
         &self.place.host
     }
 
+    /// Whether this host is among the registered ones.
+    pub fn lists_this_host(&self) -> bool {
+        self.fleet.hosts().any(|it| it.id == self.place.host)
+    }
+
     /// The plan in force.
     pub fn plan(&self) -> Option<&Arc<RoutingPlan>> {
         self.plan.as_ref()
--- a/crates/sapphireknotd/src/entry/host_actor.rs
+++ b/crates/sapphireknotd/src/entry/host_actor.rs
@@ -34,6 +34,8 @@
 pub struct HostActorState {
     state: Arc<EntryState>,
     lease: Option<LeaseId>,
+    /// Whether the store told of the registration under this lease.
+    was_listed: bool,
     has_left: bool,
 }
 
@@ -50,7 +52,12 @@
     ) -> Result<HostActorState, ActorProcessingErr> {
         // Soon after the start the plan is read; the first registration need not wait for a whole interval.
         myself.send_after(HOST_RENEWAL.0 / 10, || HostMessage::Renew);
-        Ok(HostActorState { state: arguments.state, lease: None, has_left: false })
+        Ok(HostActorState {
+            state: arguments.state,
+            lease: None,
+            was_listed: false,
+            has_left: false,
+        })
     }
 
     async fn handle(
@@ -99,17 +106,30 @@
         if let Some(lease) = self.lease {
             if store.renew_lease(lease).await? {
                 self.record_lease(began.after(ttl));
-                return Ok(());
+                let is_listed = self.state.core.lock().lists_this_host();
+                if is_listed || !self.was_listed {
+                    self.was_listed = is_listed;
+                    return Ok(());
+                }
+                // A registration that the store executed late is bound to an earlier lease and ends with that.
+                log::warn!(lease:%; "registration of this host is missing");
+                return self.register(lease, began.after(ttl)).await;
             }
             log::warn!(lease:%; "registration of this host lapsed");
             self.lease = None;
         }
         let began = self.state.clock.now();
         let lease = store.grant_lease(ttl).await?;
+        self.register(lease, began.after(ttl)).await
+    }
+
+    async fn register(&mut self, lease: LeaseId, until: MonoTime) -> Result<(), StoreError> {
+        let store = self.state.platform.store.clone();
         match store.register_host(&self.state.record, lease).await? {
             WriteOutcome::Written => {
                 self.lease = Some(lease);
-                self.record_lease(began.after(ttl));
+                self.was_listed = false;
+                self.record_lease(until);
                 log::info!(lease:%; "host registered");
             }
             outcome => log::warn!(lease:%, outcome:?; "host not registered"),
