platform, peer: leave gRPC connections that have gone silent

The clients of the store and of other hosts stayed on a connection without answers while new ones worked. The store's connection is probed each second; a peer's connection is replaced after a call without an answer.

cut_relays::store_returns_on_new_connection failed before (no answer in 10 s) and passes. The part of the peers has no test of its own.

--- a/crates/sapphireknot-platform/src/grpc.rs
+++ b/crates/sapphireknot-platform/src/grpc.rs
@@ -22,6 +22,8 @@
 
 /// Largest message, above the 1 MB that a value may hold.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Interval of keep-alive probes: a connection that has gone silent is replaced after this and the time limit of a call.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Connection to the platform that is opened when it is first used.
 #[derive(Debug, Clone)]
@@ -35,7 +37,12 @@
     fn new(address: SocketAddr, call_timeout: Duration) -> Self {
         let endpoint =
             Endpoint::from(format!("http://{address}").parse::<http::Uri>().unwrap_or_default());
-        let channel = endpoint.connect_timeout(call_timeout).connect_lazy();
+        let channel = endpoint
+            .connect_timeout(call_timeout)
+            .http2_keep_alive_interval(PROBE_INTERVAL)
+            .keep_alive_timeout(call_timeout)
+            .keep_alive_while_idle(true)
+            .connect_lazy();
         Self { channel, peer: address.to_string(), call_timeout }
     }
 
--- a/crates/sapphireknotd/src/peer/client.rs
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -138,7 +138,11 @@
                 return Ok(response.into_inner());
             }
             Ok(Err(status)) => format!("{}: {}", status.code(), status.message()),
-            Err(_) => "time limit exceeded".to_owned(),
+            Err(_) => {
+                // The connection may have gone silent; the next call opens a new one.
+                self.cache.lock().channels.remove(&peer);
+                "time limit exceeded".to_owned()
+            }
         };
         span.set_status(SpanStatus::error(reason.clone()));
         span.end();
