steering: tell failures among responses with the load reports

A server that answers with failures was avoided by each host only after its own requests had failed there, which on many hosts takes one failure after another.

A load report now carries a rate of failures among recent responses. Each host updates the latest rate that it knows by its own responses and takes a later one of another host, so that a good response anywhere ends it. Failures without a response are left out, as they may be those of a link. A host that sees failures at more than a quarter of the servers that it used lately tells no rate.

Ruled out: the host's failure rate as it is, which includes broken exchanges and shed requests, so that a host that is cut off would tell all servers to fail; votes over hosts.

Seen red: failure_reports::grey_server on the code before; load_exchange:: grey_server with the rates not taken; failure_reports::failing_host with the rates of a host that fails widely told. failure_reports::recovered_server passes on either code and guards against a rate that stays.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -357,10 +357,19 @@
                     Some(load) => server.record_load(load, report.at),
                     None => server.record_unreached(report.at),
                 }
+                if let Some(rate) = report.failing {
+                    server.record_failing(rate, report.at);
+                }
             }
         }
     }
 
+    /// Rate of failures among responses of `id` to all hosts.
+    pub fn shared_failures(&self, id: &ServerId, now: MonoTime) -> Option<f64> {
+        let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id)).ok()?;
+        self.servers.get(idx).map(|it| it.shared_failures(now))
+    }
+
     /// Counts the end of a request at the server that was chosen for it.
     pub fn record_end(
         &mut self,
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -319,17 +319,24 @@
     pub fn record_attempt(&mut self, report: AttemptReport<'_>, now: MonoTime) -> bool {
         let AttemptReport { chosen, outcome, load, target_ms, elapsed } = report;
         let record = &chosen.record;
+        let mut is_reported = false;
         if let Some(picker) = self.pickers.get_mut(&record.service) {
             let is_unreached =
                 outcome == ServerOutcome::Broken && picker.is_silent(&record.id, now);
             if load.is_some() || is_unreached {
-                self.loads.add(LoadReport { server: server_hash(&record.id), load, at: now });
+                is_reported = true;
             }
             if let Some(load) = load {
                 picker.record_load(&record.id, load, now);
             }
             picker.record_end(chosen, outcome, target_ms, elapsed, now);
         }
+        if is_reported {
+            let picker = self.pickers.get(&record.service);
+            let failing = picker.and_then(|it| it.shared_failures(&record.id, now));
+            let server = server_hash(&record.id);
+            self.loads.add(LoadReport { server, load, failing, at: now });
+        }
         let is_slow = elapsed.as_secs_f64() * 1_000.0 > target_ms * BAD_SLOWNESS;
         let quality = match outcome {
             ServerOutcome::Succeeded if is_slow => OutcomeQuality::Slow,
@@ -358,7 +365,12 @@
         if let Some(picker) = self.pickers.get_mut(&record.service) {
             picker.pause(&record.id, now);
         }
-        self.loads.add(LoadReport { server: server_hash(&record.id), load: None, at: now });
+        self.loads.add(LoadReport {
+            server: server_hash(&record.id),
+            load: None,
+            failing: None,
+            at: now,
+        });
     }
 
     /// Retries of a service.
--- a/crates/sapphireknot/src/steering/core/load_exchange.rs
+++ b/crates/sapphireknot/src/steering/core/load_exchange.rs
@@ -16,6 +16,10 @@
 /// Seed by which the collector of a region is chosen; differs from the hashes of organisations in all likelihood.
 const COLLECTOR_SEED: u64 = 0x10ad;
 
+/// Part of the servers that a host used lately, as a divisor, above which its failures are not told. Servers that fail by
+/// themselves are few; a host with a bad link or a caller whose requests fail everywhere sees failures at most.
+const FAILING_PARTS: usize = 4;
+
 impl SteeringCore {
     /// Host that collects the load reports of this region.
     pub fn load_collector(&self) -> Option<&HostRecord> {
@@ -57,11 +61,25 @@
     /// Takes out the reports that the collector was not told yet.
     pub fn untold_loads(&mut self, now: MonoTime) -> Vec<LoadReport> {
         self.loads.expire(now);
-        let reports = self.loads.since(self.told_loads);
+        let mut reports = self.loads.since(self.told_loads);
         self.told_loads = self.loads.position();
+        if self.fails_widely(now) {
+            reports.iter_mut().for_each(|it| it.failing = None);
+        }
         reports
     }
 
+    /// Whether requests of this host fail at so many servers that the cause is hardly theirs.
+    fn fails_widely(&self, now: MonoTime) -> bool {
+        let servers = self.pickers.values().flat_map(|it| it.servers());
+        let (mut used, mut failing) = (0, 0);
+        for is_failing in servers.filter_map(|it| it.recent_answers(now)) {
+            used += 1;
+            failing += usize::from(is_failing);
+        }
+        failing > 1 && failing * FAILING_PARTS > used
+    }
+
     /// Takes reports of other hosts for the choice of servers.
     pub fn take_loads(&mut self, reports: &[LoadReport]) {
         let reports: HashMap<u64, LoadReport> = reports.iter().map(|it| (it.server, *it)).collect();
--- a/crates/sapphireknot/src/steering/loads.rs
+++ b/crates/sapphireknot/src/steering/loads.rs
@@ -17,12 +17,14 @@
 const REPORT_LIFE: Duration = Duration::from_secs(2);
 
 /// What some host saw of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadReport {
     /// Hash of the server's id.
     pub server: u64,
     /// Load that the server told; `None` if it could not be reached.
     pub load: Option<ServerLoad>,
+    /// Rate of failures among its recent responses to all hosts; `None` from a host that fails at many servers.
+    pub failing: Option<f64>,
     /// When that was.
     pub at: MonoTime,
 }
--- a/crates/sapphireknot/src/steering/server_state.rs
+++ b/crates/sapphireknot/src/steering/server_state.rs
@@ -1,7 +1,9 @@
 //! What this host knows of one backend server.
 //!
 //! Load reports come with responses and are old for servers that this host seldom uses; requests sent since are added.
-//! Outcomes of this host's own requests lower the preference for a server that fails, slows down or falls silent.
+//! Outcomes of this host's own requests lower the preference for a server that fails, slows down or falls silent. Besides,
+//! hosts share a rate of failures among the responses of a server: each updates the latest one that it knows by its own
+//! responses, and takes one of another host that is later.
 
 use std::{sync::Arc, time::Duration};
 
@@ -29,6 +31,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Time for which a server counts as silent after another host could not reach it; hosts exchange reports more often.
 const TOLD_SILENCE: Duration = Duration::from_secs(1);
+/// Rate of failures from which one of them is recent; a failure adds 0.2, of which a third is left after its time.
+const RECENT_FAILURE: f64 = 0.06;
 /// Highest failure rate that is assumed, so that a failing server is still comparable.
 const MAX_FAILURE_RATE: f64 = 0.95;
 
@@ -37,6 +41,25 @@
     xxh3_64(id.as_str().as_bytes())
 }
 
+/// Rate of recent failures, with the time of the last response that it covers.
+#[derive(Debug, Clone, Copy, Default)]
+struct FailureTrace {
+    rate: f64,
+    at: MonoTime,
+}
+
+impl FailureTrace {
+    fn record(&mut self, is_failure: bool, now: MonoTime) {
+        let decayed = self.rate(now);
+        let sample = if is_failure { 1.0 } else { 0.0 };
+        *self = Self { rate: decayed + (sample - decayed) * OUTCOME_WEIGHT, at: now };
+    }
+
+    fn rate(&self, now: MonoTime) -> f64 {
+        self.rate * decay(now.since(self.at), FAILURE_MEMORY)
+    }
+}
+
 /// Load that a server reports with a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -62,8 +85,12 @@
     sent_at: MonoTime,
     load: f64,
     load_at: MonoTime,
-    failure_rate: f64,
-    failed_at: MonoTime,
+    /// Failures of this host's own requests, with and without a response.
+    failures: FailureTrace,
+    /// Failures among the responses to this host.
+    answered: FailureTrace,
+    /// Failures among the responses to all hosts, as far as they are known.
+    shared: FailureTrace,
     slowness: f64,
     paused_until: MonoTime,
     pauses: u32,
@@ -87,8 +114,9 @@
             sent_at: MonoTime::default(),
             load: 0.0,
             load_at: MonoTime::default(),
-            failure_rate: 0.0,
-            failed_at: MonoTime::default(),
+            failures: FailureTrace::default(),
+            answered: FailureTrace::default(),
+            shared: FailureTrace::default(),
             slowness: 1.0,
             paused_until: MonoTime::default(),
             pauses: 0,
@@ -133,6 +161,13 @@
         }
     }
 
+    /// Takes the rate of failures among responses that some host knew at `at`, unless a later one is known.
+    pub fn record_failing(&mut self, rate: f64, at: MonoTime) {
+        if at > self.shared.at {
+            self.shared = FailureTrace { rate: rate.clamp(0.0, 1.0), at };
+        }
+    }
+
     /// Notes that another host could not reach the server at `at`, unless it was heard of later.
     pub fn record_unreached(&mut self, at: MonoTime) {
         if at > self.load_at {
@@ -144,10 +179,12 @@
     pub fn record_end(&mut self, outcome: ServerOutcome, slowness: Option<f64>, now: MonoTime) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let is_failure = outcome != ServerOutcome::Succeeded;
-        let decayed = self.failure_rate(now);
-        let sample = if is_failure { 1.0 } else { 0.0 };
-        self.failure_rate = decayed + (sample - decayed) * OUTCOME_WEIGHT;
-        self.failed_at = now;
+        self.failures.record(is_failure, now);
+        // Only a response shows that the link works; a shed request says nothing of the others.
+        if matches!(outcome, ServerOutcome::Succeeded | ServerOutcome::Failed) {
+            self.answered.record(is_failure, now);
+            self.shared.record(is_failure, now);
+        }
         if let Some(slowness) = slowness {
             self.slowness += (slowness.clamp(0.2, 20.0) - self.slowness) * OUTCOME_WEIGHT;
         }
@@ -192,15 +229,26 @@
         (believed + fresh).max(f64::from(self.in_flight))
     }
 
-    /// Share of this host's recent requests that failed there.
+    /// Share of recent requests that failed there, of this host or of the hosts that exchange reports.
     pub fn failure_rate(&self, now: MonoTime) -> f64 {
-        let rate = self.failure_rate * decay(now.since(self.failed_at), FAILURE_MEMORY);
-        rate.min(MAX_FAILURE_RATE)
+        self.failures.rate(now).max(self.shared.rate(now)).min(MAX_FAILURE_RATE)
+    }
+
+    /// Rate of failures among responses to tell other hosts.
+    pub fn shared_failures(&self, now: MonoTime) -> f64 {
+        self.shared.rate(now)
+    }
+
+    /// Whether this host had responses from it a moment ago, and whether one of them was a failure.
+    pub fn recent_answers(&self, now: MonoTime) -> Option<bool> {
+        let is_recent =
+            self.answered.at > MonoTime::default() && now < self.answered.at.after(FAILURE_MEMORY);
+        is_recent.then(|| self.answered.rate(now) > RECENT_FAILURE)
     }
 
     /// Time of its recent requests divided by the expected one, at least one.
     pub fn slowness(&self, now: MonoTime) -> f64 {
-        1.0 + (self.slowness - 1.0).max(0.0) * decay(now.since(self.failed_at), FAILURE_MEMORY)
+        1.0 + (self.slowness - 1.0).max(0.0) * decay(now.since(self.failures.at), FAILURE_MEMORY)
     }
 
     /// Time for which requests have been waiting without any response.
--- a/crates/sapphireknot/tests/steering/load_reports.rs
+++ b/crates/sapphireknot/tests/steering/load_reports.rs
@@ -50,7 +50,7 @@
 }
 
 fn report(server: u64, millis: u64) -> LoadReport {
-    LoadReport { server, load: Some(FULL), at: at(millis) }
+    LoadReport { server, load: Some(FULL), failing: None, at: at(millis) }
 }
 
 /// A host that never used a full server must not send its first requests there when another host knows better.
@@ -178,8 +178,12 @@
     assert_eq!(east.far_collectors()[0].id, id("h2"));
     let load = |running| Some(ServerLoad { running, waiting: 0 });
     let seen = |core: &mut SteeringCore, names: [&str; 2], running: u32, now: MonoTime| {
-        let report =
-            |it: &str| LoadReport { server: server_hash(&id(it)), load: load(running), at: now };
+        let report = |it: &str| LoadReport {
+            server: server_hash(&id(it)),
+            load: load(running),
+            failing: None,
+            at: now,
+        };
         core.take_loads(&names.map(report));
     };
     // Objects move with the choices of requests.
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -2,6 +2,7 @@
 
 mod affinity_choice;
 mod core_state;
+mod failure_reports;
 mod fleet_table;
 mod host_naming;
 mod load_reports;
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -4,7 +4,7 @@
 //! evidence on new versions while a rollout runs. A collector that does not answer is left out for a moment; until then
 //! this host goes on with its own reports.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, iter::repeat, sync::Arc, time::Duration};
 
 use sapphireknot::{
     ids::{HostId, ServiceId},
@@ -220,17 +220,29 @@
         waiting: reports.iter().map(|it| it.load.map_or(0, |load| load.waiting)).collect(),
         age_ms: reports.iter().map(age).collect(),
         unreached: reports.iter().map(|it| it.load.is_none()).collect(),
+        failing_permille: reports.iter().map(|it| encode_rate(it.failing)).collect(),
     }
 }
 
+fn encode_rate(rate: Option<f64>) -> u32 {
+    rate.map_or(0, |it| (it.clamp(0.0, 1.0) * 1_000.0) as u32 + 1)
+}
+
+fn decode_rate(permille: u32) -> Option<f64> {
+    permille.checked_sub(1).map(|it| f64::from(it) / 1_000.0)
+}
+
 /// Reports of a message that arrived at `now`; lists of unequal length end with the shortest.
 pub fn decode_reports(reports: &LoadReports, now: MonoTime) -> Vec<LoadReport> {
-    let LoadReports { servers, running, waiting, age_ms, unreached } = reports;
+    let LoadReports { servers, running, waiting, age_ms, unreached, failing_permille } = reports;
     let loads = running.iter().zip(waiting).zip(unreached);
-    let rows = servers.iter().zip(loads).zip(age_ms);
-    rows.map(|((server, ((running, waiting), is_unreached)), age)| LoadReport {
+    // A host of an earlier release does not tell failures.
+    let rates = failing_permille.iter().copied().chain(repeat(0));
+    let rows = servers.iter().zip(loads).zip(age_ms).zip(rates);
+    rows.map(|(((server, ((running, waiting), is_unreached)), age), rate)| LoadReport {
         server: *server,
         load: (!is_unreached).then_some(ServerLoad { running: *running, waiting: *waiting }),
+        failing: decode_rate(rate),
         at: now.before(Duration::from_millis((*age).into())),
     })
     .collect()
