steering: keep no objects in a region without a warm server

Cause: the share of objects that a region keeps stayed as it was, or was 1 after a restart, when the region had no usable warm server of the service. All candidates then counted as servers in another region: rank 3, no affinity, and refused from 0.75 requests a slot on.

Change: the share holds only while the own region has a warm server; without one, objects go to the other regions by slots.

--- a/crates/sapphireknot/src/steering/place.rs
+++ b/crates/sapphireknot/src/steering/place.rs
@@ -3,7 +3,8 @@
 //! A backend server is faster for objects that it served lately, so that all hosts of a region send an object to the
 //! same region. Most objects stay in their callers' region; where it has less than its part of the capacity, a share of
 //! the objects is kept elsewhere. The share follows the utilisation in small steps, so that traffic between regions
-//! moves slowly. Objects of requests that are bound to home regions are kept in one of these.
+//! moves slowly. A region without a warm server keeps none: its servers elsewhere would all count as overflow, with the
+//! lower limits of load that hold for it. Objects of requests that are bound to home regions are kept in one of these.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -46,6 +47,8 @@
     own: RegionId,
     /// Share of the objects that is kept at home; `None` until servers are known.
     home_share: Option<f64>,
+    /// Whether the own region has a warm server.
+    has_own_room: bool,
     regions: Vec<(RegionId, u64, u32)>,
     next_step: MonoTime,
 }
@@ -53,7 +56,13 @@
 impl PlaceTable {
     /// A table for callers of `own`.
     pub fn new(own: RegionId) -> Self {
-        Self { own, home_share: None, regions: Vec::new(), next_step: MonoTime::default() }
+        Self {
+            own,
+            home_share: None,
+            has_own_room: false,
+            regions: Vec::new(),
+            next_step: MonoTime::default(),
+        }
     }
 
     /// Region of the callers.
@@ -80,7 +89,9 @@
         self.regions =
             others.map(|it| (it.region.clone(), region_hash(&it.region), it.slots)).collect();
         let own = rooms.iter().find(|it| it.region == self.own);
-        let Some(own) = own.filter(|it| it.slots > 0) else { return };
+        let own = own.filter(|it| it.slots > 0);
+        self.has_own_room = own.is_some();
+        let Some(own) = own else { return };
         let total: u32 = rooms.iter().map(|it| it.slots).sum();
         let Some(share) = self.home_share else {
             // Callers of all regions are taken as equally many until the utilisation shows otherwise.
@@ -140,9 +151,9 @@
         }
     }
 
-    /// Whether the share that is kept in the own region covers the object.
+    /// Whether the share that is kept in the own region covers the object; none is kept there without a warm server.
     fn stays_home(&self, object: u64) -> bool {
-        rendezvous_draw(object, 0) < self.home_share()
+        self.has_own_room && rendezvous_draw(object, 0) < self.home_share()
     }
 }
 
--- a/crates/sapphireknot/tests/steering/affinity_choice.rs
+++ b/crates/sapphireknot/tests/steering/affinity_choice.rs
@@ -205,6 +205,23 @@
     assert_eq!(refused, 0, "of 50 at one request a slot");
 }
 
+/// Callers in a region without a server of the service need ranks elsewhere; while their objects count as kept at home, every
+/// server is held to the limit for overflow and requests are refused for which others have room.
+#[test]
+fn region_without_servers() {
+    let (mut far, near) = (picker("east", &west(4)), picker("west", &west(4)));
+    for object in 0..50 {
+        let (there, here) =
+            (choose(&far, object, at(1)).unwrap(), choose(&near, object, at(1)).unwrap());
+        assert_eq!((there.rank, name(&there)), (0, name(&here)), "object {object}");
+    }
+    for record in west(4) {
+        far.record_load(&record.id, ServerLoad { running: 4, waiting: 0 }, at(100));
+    }
+    let refused = (0..50).filter(|it| choose(&far, *it, at(100)).is_err()).count();
+    assert_eq!(refused, 0, "of 50 at one request a slot");
+}
+
 /// A cold server takes single requests at a pace that all hosts together keep; more of them crash it.
 #[test]
 fn cold_server() {
--- a/crates/sapphireknot/tests/steering/object_place.rs
+++ b/crates/sapphireknot/tests/steering/object_place.rs
@@ -140,3 +140,19 @@
     assert_eq!(kept_in("east", &table("east", &without_west), &["east", "west"]), 1.0);
     assert_eq!(kept_in("east", &table("north", &without_west), &["east", "west"]), 1.0);
 }
+
+/// A region that loses its last server must not keep its objects, and keeps them again once it has one.
+#[test]
+fn lost_and_regained() {
+    let mut table = table("east", &small_home(0.3, 0.3));
+    let objects = || (0..OBJECTS).map(|it| it.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let at_home = |table: &PlaceTable| {
+        objects().filter(|it| *table.region_of(*it) == id("east")).count() as f64 / OBJECTS as f64
+    };
+    let before = at_home(&table);
+    assert!(before > 0.3, "{before}");
+    table.step(&small_home(0.3, 0.3)[1..], None, at(500));
+    assert_eq!((at_home(&table), kept_in("east", &table, &["east", "west"])), (0.0, 0.0));
+    table.step(&small_home(0.3, 0.3), None, at(1_000));
+    assert!((at_home(&table) - before).abs() < 0.03, "{before} before");
+}
