--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -10,7 +10,7 @@
 //! outcome; a version that is no worse than tolerated reaches 1 / [`FALSE_ALARM`] with that probability at most, as far as
 //! the explained rate is exact. While the old version is sound, 3 bad responses of 5 decide, 6 of 30, 11 of 110 or 27 of
 //! 540. What a single host sees does not decide if the others have enough outcomes to tell: without the host that stands out most the
-//! ratio must still reach [`SUPPORT`]. A region alone may decide, as a version may be bad on a route that only one region
+//! ratio must still reach `SUPPORT`. A region alone may decide, as a version may be bad on a route that only one region
 //! uses.
 
 use std::{
