--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -6,6 +6,7 @@
 //! ([`quota_peers`]), for the loads of servers ([`load_peers`]), and for what the store holds when it cannot be read
 //! ([`peer_source`]).
 
+mod attempt;
 pub mod caller_server;
 mod decision_line;
 pub mod decision_log;
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -15,32 +15,28 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use http::{HeaderMap, Method, Request, Response, Uri};
-use http_body_util::Full;
-use opentelemetry::trace::SpanKind;
+use http::{HeaderMap, Method, Response, Uri};
 use sapphireknot::{
     ids::{OrganisationId, RegionId, ServerId, ServiceId},
-    picker::ServerOutcome,
     refusal::{RefusalReason, RequestRefusal, RunState},
     retry::{AttemptEnd, RetryPolicy, RetryVerdict},
     steering::{
-        core::AttemptReport,
         fleet::ServerRecord,
         miss::ChoiceMiss,
         plan::{RequestPriority, RouteRule},
         query::{ChoiceQuery, ChosenServer},
-        server_state::ServerLoad,
     },
     time::MonoTime,
 };
-use sapphireknot_platform::{AnswerKind, CallerHead, ServerAnswer, ServerHead};
+use sapphireknot_platform::CallerHead;
 use tokio::time::timeout_at;
 
 use super::{
-    caller_server::CallerServer, decision_line::AttemptNotes, decision_log::LineKind,
-    fleet_actor::FleetMessage,
+    attempt::{AttemptEnded, AttemptFailure, failed},
+    caller_server::CallerServer,
+    decision_line::AttemptNotes,
 };
-use crate::{constants, telemetry::HopSpan, upstream::connections::ExchangeError};
+use crate::telemetry::HopSpan;
 
 /// Least time after which a caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(60);
@@ -110,65 +106,6 @@
     }
 }
 
-/// Attempt that ended without a response to pass on.
-struct AttemptFailure {
-    end: AttemptEnd,
-    reason: RefusalReason,
-    /// What the caller gets if no attempt follows.
-    fallback: Option<Response<Bytes>>,
-}
-
-/// Attempt that ended.
-struct AttemptEnded {
-    chosen: ChosenServer,
-    result: Result<Response<Bytes>, AttemptFailure>,
-}
-
-/// Attempt in flight; when dropped before its end it counts as cancelled, or as broken if another one was made beside it.
-struct AttemptTicket<'a> {
-    server: &'a CallerServer,
-    chosen: ChosenServer,
-    target_ms: f64,
-    started: MonoTime,
-    is_overtaken: Arc<AtomicBool>,
-    has_ended: bool,
-}
-
-impl AttemptTicket<'_> {
-    fn finish(&mut self, outcome: ServerOutcome, load: Option<ServerLoad>) {
-        self.has_ended = true;
-        let state = &self.server.state;
-        let service = &self.chosen.record.service;
-        state.meters.count_attempt(service.as_str(), outcome_name(outcome));
-        let now = state.clock.now();
-        let elapsed = now.since(self.started);
-        let report = AttemptReport {
-            chosen: &self.chosen,
-            outcome,
-            load,
-            target_ms: self.target_ms,
-            elapsed,
-        };
-        let is_bad = state.core.lock().record_attempt(report, now);
-        if is_bad
-            && let Err(err) = self.server.fleet.cast(FleetMessage::RolloutBad(service.clone()))
-        {
-            log::error!(error:% = err; "tell of a bad version");
-        }
-    }
-}
-
-impl Drop for AttemptTicket<'_> {
-    fn drop(&mut self) {
-        if !self.has_ended {
-            let is_overtaken = self.is_overtaken.load(Ordering::Relaxed);
-            let outcome =
-                if is_overtaken { ServerOutcome::Broken } else { ServerOutcome::Cancelled };
-            self.finish(outcome, None);
-        }
-    }
-}
-
 /// Latest attempt, for which another one may be made beside it.
 struct LatestAttempt {
     record: Arc<ServerRecord>,
@@ -316,117 +253,9 @@
         let chosen = self.state.core.lock().choose(request.service, query, now, &mut rand::rng());
         chosen.map_err(AttemptMiss::Choice)
     }
-
-    async fn attempt(
-        &self,
-        request: &EntryRequest<'_>,
-        chosen: ChosenServer,
-        may_repeat: bool,
-        is_overtaken: Arc<AtomicBool>,
-        span: Option<&HopSpan>,
-    ) -> AttemptEnded {
-        let span = span.map(|it| HopSpan::start("attempt", SpanKind::Client, it.context()));
-        if let Some(span) = &span {
-            span.note("server", chosen.record.id.to_string());
-        }
-        let started = self.state.clock.now();
-        let record = Arc::clone(&chosen.record);
-        let mut ticket = AttemptTicket {
-            server: self,
-            chosen: chosen.clone(),
-            target_ms: target_ms(request.route),
-            started,
-            is_overtaken,
-            has_ended: false,
-        };
-        let dialect = &self.state.platform.dialect;
-        let request_id = request.head.request_id.as_ref();
-        let read = |head: &http::response::Parts| {
-            dialect.read_response(request_id, head.status, &head.headers)
-        };
-        let check = |head: &http::response::Parts| match read(head).kind {
-            AnswerKind::Foreign => Err("response to another request".to_owned()),
-            AnswerKind::Ran | AnswerKind::NotRun | AnswerKind::OtherServer => Ok(()),
-        };
-        let outgoing = self.outgoing(request, &record.id, started);
-        let exchange = self.connections.exchange_checked(
-            record.address,
-            outgoing,
-            constants::MAX_RESPONSE_BYTES,
-            check,
-        );
-        let result = timeout_at(self.state.clock.instant(request.deadline), exchange).await;
-        let (outcome, load, result) = match result {
-            Ok(Ok(response)) => {
-                let (parts, body) = response.into_parts();
-                let ServerAnswer { kind, load } = read(&parts);
-                let response = Response::from_parts(parts, body);
-                let (outcome, ended) = judge(kind, response, may_repeat);
-                if kind == AnswerKind::OtherServer {
-                    self.state.core.lock().pause_server(&record, self.state.clock.now());
-                }
-                (outcome, load, ended)
-            }
-            Ok(Err(err)) => {
-                let now = self.state.clock.now();
-                let end = match &err {
-                    ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
-                    ExchangeError::Broken { .. } => AttemptEnd::MaybeRan,
-                };
-                if end == AttemptEnd::NotSent {
-                    self.state.core.lock().pause_server(&record, now);
-                }
-                self.log_failure(request, &record.id, &err.to_string(), now);
-                (ServerOutcome::Broken, None, Err(failed(end, RefusalReason::UpstreamFailed)))
-            }
-            Err(_) => {
-                let now = self.state.clock.now();
-                self.log_failure(request, &record.id, "no answer in time", now);
-                let failure = failed(AttemptEnd::MaybeRan, RefusalReason::Deadline);
-                (ServerOutcome::Broken, None, Err(failure))
-            }
-        };
-        ticket.finish(outcome, load);
-        AttemptEnded { chosen, result }
-    }
-
-    fn log_failure(
-        &self,
-        request: &EntryRequest<'_>,
-        server: &ServerId,
-        cause: &str,
-        now: MonoTime,
-    ) {
-        let request_id = request.head.request_id.as_ref();
-        let line = self.state.decisions.take_line(LineKind::Failed, request_id, now);
-        let Some(dropped) = line else { return };
-        let id = request_id.and_then(|it| it.to_str().ok());
-        log::info!(
-            request = id, service:% = request.service, server:%, cause,
-            left_ms = now.until(request.deadline).as_millis() as u64, lines_dropped = dropped;
-            "attempt failed"
-        );
-    }
-
-    fn outgoing(
-        &self,
-        request: &EntryRequest<'_>,
-        server: &ServerId,
-        now: MonoTime,
-    ) -> Request<Full<Bytes>> {
-        let mut outgoing = Request::new(Full::new(request.body.clone()));
-        *outgoing.method_mut() = request.method.clone();
-        *outgoing.uri_mut() = request.target.clone();
-        let mut headers = request.headers.clone();
-        let patience = request.caller_deadline.map(|it| now.until(it));
-        let head = ServerHead { server, organisation: request.organisation, patience };
-        self.state.platform.dialect.write_request(&mut headers, &head);
-        *outgoing.headers_mut() = headers;
-        outgoing
-    }
 }
 
-fn target_ms(route: &RouteRule) -> f64 {
+pub(super) fn target_ms(route: &RouteRule) -> f64 {
     route.target_latency.as_secs_f64() * 1_000.0
 }
 
@@ -437,38 +266,6 @@
     now.after((expected + MIN_PATIENCE).max(left.mul_f64(PATIENCE_PART))).min(request.deadline)
 }
 
-fn failed(end: AttemptEnd, reason: RefusalReason) -> AttemptFailure {
-    AttemptFailure { end, reason, fallback: None }
-}
-
-/// What a complete response means.
-fn judge(
-    kind: AnswerKind,
-    response: Response<Bytes>,
-    may_repeat: bool,
-) -> (ServerOutcome, Result<Response<Bytes>, AttemptFailure>) {
-    match kind {
-        AnswerKind::NotRun => {
-            (ServerOutcome::Shed, Err(failed(AttemptEnd::Shed, RefusalReason::NoRoom)))
-        }
-        AnswerKind::OtherServer => {
-            (ServerOutcome::Broken, Err(failed(AttemptEnd::Shed, RefusalReason::NoServer)))
-        }
-        AnswerKind::Foreign | AnswerKind::Ran if response.status().is_server_error() => {
-            if !may_repeat {
-                return (ServerOutcome::Failed, Ok(response));
-            }
-            let failure = AttemptFailure {
-                end: AttemptEnd::MaybeRan,
-                reason: RefusalReason::UpstreamFailed,
-                fallback: Some(response),
-            };
-            (ServerOutcome::Failed, Err(failure))
-        }
-        AnswerKind::Foreign | AnswerKind::Ran => (ServerOutcome::Succeeded, Ok(response)),
-    }
-}
-
 /// The result of the last attempt, or `refusal` if there was none.
 fn give_up(
     policy: &RetryPolicy,
@@ -483,13 +280,3 @@
     let retry_at = refusal.retry_at.filter(|_| ran == RunState::NotRun);
     Err(RequestRefusal { reason: failure.reason, ran, retry_at })
 }
-
-fn outcome_name(outcome: ServerOutcome) -> &'static str {
-    match outcome {
-        ServerOutcome::Succeeded => "succeeded",
-        ServerOutcome::Failed => "failed",
-        ServerOutcome::Shed => "shed",
-        ServerOutcome::Broken => "broken",
-        ServerOutcome::Cancelled => "cancelled",
-    }
-}
