--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -4,9 +4,9 @@
 //! picks a backend server for a request ([`query`]) by what [`server_state`], the reports of other hosts ([`loads`]) and
 //! the measured [`work`] say of it, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
 //! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
-//! quotas. [`version`] decides which version of a service takes a request while a rollout runs, and [`naming`] which hosts
-//! a caller is told. [`core`] holds them together. [`feed_copy`] keeps what the store told for hosts that cannot read it,
-//! and [`copy_search`] picks one of several copies.
+//! quotas. [`version`] decides which version of a service takes a request while a rollout runs, by the [`evidence`] that
+//! all hosts have on it, and [`naming`] which hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what
+//! the store told for hosts that cannot read it, and [`copy_search`] picks one of several copies.
 
 pub mod choice;
 pub mod copy_search;
