entry: ask other hosts for what is new while the store is lost

A host that lost the store alone went on with what it knew, as other hosts were asked at the start only: withdrawn keys were accepted and servers that had left were tried until the store answered again.

Such a host now asks two hosts, drawn anew at each interval, for what is new. Ruled out: the seeds as at the start, as all hosts may have lost the store and a few hosts would answer them all. Changes that the store tells after its return and that the host has from others already are left out, as an older state of an entry would come back for a moment.

--- a/crates/sapphireknot/src/steering/feed_copy.rs
+++ b/crates/sapphireknot/src/steering/feed_copy.rs
@@ -1,4 +1,4 @@
-//! Copy of what the store holds, for hosts that start without it.
+//! Copy of what the store holds, for hosts that start without it or lose it.
 //!
 //! The copy keeps keys and values as the store's adapter got them and reads neither. Revisions are those of the store, so
 //! that of two copies the one with the higher revision is the newer one. A host offers its copy to others together with
@@ -96,6 +96,8 @@
     /// When the store last answered; `None` until the copy is complete.
     confirmed_at: Option<MonoTime>,
     source: CopySource,
+    /// Whether the store has stopped to tell what changes.
+    is_lost: bool,
 }
 
 impl FeedCopy {
@@ -130,11 +132,17 @@
     pub fn confirm(&mut self, now: MonoTime) {
         self.confirmed_at = Some(now);
         self.source = CopySource::Store;
+        self.is_lost = false;
     }
 
-    /// Whether the store, rather than another host, told the whole of it.
-    pub fn is_from_store(&self) -> bool {
-        self.source == CopySource::Store && self.confirmed_at.is_some()
+    /// Notes that the store does not answer, so that other hosts may know more from now on.
+    pub fn lose_store(&mut self) {
+        self.is_lost = true;
+    }
+
+    /// Whether the store, rather than another host, told the whole of it and still tells what changes.
+    pub fn follows_store(&self) -> bool {
+        self.source == CopySource::Store && self.confirmed_at.is_some() && !self.is_lost
     }
 
     /// Who told it.
@@ -166,10 +174,10 @@
 
     /// Takes the offer of another host, and returns what is new in it.
     ///
-    /// Nothing is taken once the store has told everything, nor from an offer that is older than this copy or that
+    /// Nothing is taken while the store tells what changes, nor from an offer that is older than this copy or that
     /// relies on entries which this copy lacks.
     pub fn adopt(&mut self, offer: CopyOffer) -> Option<CopyNews> {
-        if self.is_from_store() || self.is_after(offer.revision) {
+        if self.follows_store() || self.is_after(offer.revision) {
             return None;
         }
         let known = self.known();
--- a/crates/sapphireknot/tests/steering/feed_copies.rs
+++ b/crates/sapphireknot/tests/steering/feed_copies.rs
@@ -88,6 +88,27 @@
     assert_eq!(copy.source(), CopySource::Store);
 }
 
+/// Guards against a host that keeps an old state after it has lost the store although another one knows more, and against
+/// one that listens to others again after the store's return.
+#[test]
+fn lost_store() {
+    let mut peer = stored(vec![entry("a", 2, Some("1")), entry("b", 3, Some("2"))], 5);
+    let mut copy = stored(vec![entry("a", 2, Some("1")), entry("b", 3, Some("2"))], 5);
+    copy.lose_store();
+    assert!(!copy.follows_store());
+    assert_eq!(copy.adopt(offer_of(&peer, copy.known())), None, "nothing is new");
+    assert_eq!(copy.source(), CopySource::Store);
+    peer.take(vec![entry("a", 6, None), entry("c", 7, Some("3"))], CopyRevision(7));
+    peer.confirm(at(1_000));
+    let news = copy.adopt(offer_of(&peer, copy.known())).expect("news");
+    let changes = vec![entry("c", 7, Some("3")), entry("a", 7, None)];
+    assert_eq!(news, CopyNews { is_complete: false, entries: changes });
+    assert_eq!(copy.source(), CopySource::Peer);
+    copy.confirm(at(2_000));
+    peer.take(vec![entry("b", 9, None)], CopyRevision(9));
+    assert_eq!(copy.adopt(offer_of(&peer, copy.known())), None);
+}
+
 /// Guards against changes, removals above all, that a host misses when it asks again, and against values that are sent
 /// again although the host has them.
 #[test]
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -5,7 +5,8 @@
 //! in their order, publishes the plan, and writes the records of rollouts that are due. After a failed call the task goes
 //! on from the same revision; when the store has dropped that history it reads the latest state. While a watch waits, the
 //! task compares revisions with the store at intervals, as the answer to a watch may be lost while other calls succeed.
-//! Until the store has told everything, the actor also takes what other hosts offer ([`super::peer_source`]).
+//! Until the store has told everything, and while it does not answer, the actor also takes what other hosts offer
+//! ([`super::peer_source`]).
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -14,6 +15,7 @@
     ids::ServiceId,
     steering::{
         copy_search::CopyAnswer,
+        core::FleetChange,
         feed_copy::{CopyNews, CopyRevision, CopySource},
         version::{RecordChange, RolloutPhase},
     },
@@ -126,11 +128,12 @@
                 if actor.is_ahead(revision) {
                     return Ok(());
                 }
+                let changes = actor.unknown_changes(&page);
                 actor.state.copy.lock().take(page.entries, revision);
                 actor.confirm(now);
-                if !page.changes.is_empty() {
-                    log::debug!(changes:? = page.changes, revision:% = page.revision; "store changed");
-                    actor.state.core.lock().take(page.changes, now);
+                if !changes.is_empty() {
+                    log::debug!(changes:?, revision:% = page.revision; "store changed");
+                    actor.state.core.lock().take(changes, now);
                 }
                 actor.publish();
                 actor.write_due(now);
@@ -141,6 +144,7 @@
                     log::warn!("store lost");
                 }
                 actor.state.core.lock().record_outage(now);
+                actor.state.copy.lock().lose_store();
             }
             FleetMessage::RolloutBad(service) => {
                 log::warn!(service:%; "new version looks bad");
@@ -176,6 +180,16 @@
         is_ahead
     }
 
+    /// Changes that this host does not have from another one already; an older state of an entry must not come back.
+    fn unknown_changes(&self, page: &FeedPage) -> Vec<FleetChange> {
+        if !self.has_peer_copy() {
+            return page.changes.clone();
+        }
+        let known = self.state.copy.lock().known();
+        let later = page.entries.iter().filter(|it| it.revision > known);
+        later.filter_map(|it| self.state.platform.store.decode_entry(it)).collect()
+    }
+
     /// Whether this host works with what another one told.
     fn has_peer_copy(&self) -> bool {
         self.state.copy.lock().source() == CopySource::Peer
@@ -194,6 +208,7 @@
         let CopyAnswer { peer, offer } = answer;
         let age_ms = now.since(offer.confirmed_at).as_millis() as u64;
         let revision = offer.revision.0;
+        let had_store = self.state.copy.lock().source() == CopySource::Store;
         let Some(CopyNews { is_complete, entries }) = self.state.copy.lock().adopt(offer) else {
             return;
         };
@@ -204,6 +219,9 @@
             log::info!(peer:%, source, revision, age_ms, entries = count; "copy of another host taken");
             self.state.core.lock().replace(changes, now);
         } else {
+            if had_store {
+                log::info!(peer:%, source, revision, age_ms; "other hosts followed instead of the store");
+            }
             log::debug!(peer:%, source, revision, age_ms, entries = count; "changes of another host taken");
             self.state.core.lock().take(changes, now);
         }
--- a/crates/sapphireknotd/src/entry/peer_source.rs
+++ b/crates/sapphireknotd/src/entry/peer_source.rs
@@ -1,8 +1,11 @@
-//! What the store holds, from other hosts while this one cannot read the store since its start.
+//! What the store holds, from other hosts while this one cannot read the store.
 //!
-//! All known hosts are asked at once and the newest of their answers is taken, as the first one may be that of a host
-//! which lost the store long ago. Until the store answers, they are asked again for what is new. [`CopySearch`] decides
-//! which answer is taken.
+//! At the start all known hosts are asked at once and the newest of their answers is taken, as the first one may be that
+//! of a host which lost the store long ago. Until the store answers, they are asked again for what is new.
+//! [`CopySearch`] decides which answer is taken.
+//!
+//! A host that loses the store later asks a few hosts at a time, drawn anew each time, whether they know more. All hosts
+//! may have lost it, and the seeds must not have to answer them all.
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -36,6 +39,10 @@
 const FURTHER_ANSWERS: Duration = Duration::from_millis(200);
 /// Hosts beside the seeds that are asked at once.
 const MORE_HOSTS: usize = 3;
+/// Hosts that a host which has lost the store asks at once; one of them may have lost it too.
+const DRAWN_HOSTS: usize = 2;
+/// Longest interval at which hosts that have lost the store, as all have, are asked.
+const MAX_ASK_INTERVAL: Duration = Duration::from_secs(4);
 /// Age above which the host that answered has lost the store: the longest wait of a watch and the time for its answer.
 pub const STALE_AGE: Duration = FLEET_WATCH_WAIT.0.saturating_add(FLEET_CALL_TIMEOUT.0);
 /// Bytes of the values in one message.
@@ -43,19 +50,47 @@
 /// Bytes of a copy that is taken; several times the largest one that is expected.
 const MAX_COPY_BYTES: usize = 16 << 20;
 
-/// Asks other hosts until the store has told everything.
+/// Asks other hosts until the store has told everything, and whenever it stops to tell what changes.
 pub async fn run(state: Arc<EntryState>, actor: ActorRef<FleetMessage>) {
     sleep(HEAD_START).await;
+    start(&state, &actor).await;
+    let mut pause = ASK_INTERVAL;
+    loop {
+        sleep(pause).await;
+        if state.copy.lock().follows_store() {
+            pause = ASK_INTERVAL;
+            continue;
+        }
+        let known = state.copy.lock().known();
+        let answers = ask_all(&state, drawn_hosts(&state), known).await;
+        let newer = |best: CopyAnswer, it: CopyAnswer| {
+            if it.offer.is_newer(&best.offer) { it } else { best }
+        };
+        let newest = answers.into_iter().flatten().reduce(newer);
+        pause = match &newest {
+            Some(answer) if is_fresh(&state, &answer.offer) => ASK_INTERVAL,
+            _ => (pause * 2).min(MAX_ASK_INTERVAL),
+        };
+        if let Some(answer) = newest
+            && actor.cast(FleetMessage::Offered(answer)).is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Asks other hosts until the store has told everything.
+async fn start(state: &EntryState, actor: &ActorRef<FleetMessage>) {
     let mut search = CopySearch::default();
     let mut has_told = false;
-    while !state.copy.lock().is_from_store() {
+    while !state.copy.lock().follows_store() {
         let known = state.copy.lock().known();
-        let peers = peers(&state, &search);
+        let peers = peers(state, &search);
         let asked = peers.len();
-        let answers = ask_all(&state, peers, known).await;
+        let answers = ask_all(state, peers, known).await;
         let answered = answers.len();
         let offers: Vec<CopyAnswer> = answers.into_iter().flatten().collect();
-        let others = |offer: &CopyOffer| !named_hosts(&state, offer).is_empty();
+        let others = |offer: &CopyOffer| !named_hosts(state, offer).is_empty();
         match search.settle(offers, STALE_AGE, state.clock.now(), others) {
             SearchStep::Take(answer) => {
                 if actor.cast(FleetMessage::Offered(answer)).is_err() {
@@ -88,6 +123,21 @@
     seeds.into_iter().chain(more).filter(|it| known.insert(*it)).collect()
 }
 
+/// Some of the hosts that this host knows, without itself.
+fn drawn_hosts(state: &EntryState) -> Vec<SocketAddr> {
+    let own = state.record.peer_address;
+    let mut hosts: Vec<SocketAddr> = state.core.lock().hosts().map(|it| it.peer_address).collect();
+    hosts.retain(|it| *it != own);
+    hosts.shuffle(&mut rand::rng());
+    hosts.truncate(DRAWN_HOSTS);
+    hosts
+}
+
+/// Whether the host that offers this copy still hears of the store, as far as can be told.
+fn is_fresh(state: &EntryState, offer: &CopyOffer) -> bool {
+    state.clock.now().since(offer.confirmed_at) <= STALE_AGE
+}
+
 /// Hosts that an offer names, without this one.
 fn named_hosts(state: &EntryState, offer: &CopyOffer) -> Vec<SocketAddr> {
     let entries = offer.entries.iter().filter_map(|it| {
@@ -114,9 +164,7 @@
     while let Ok(Some((peer, result))) = timeout_at(deadline, calls.next()).await {
         match result {
             Ok(offer) => {
-                let now = state.clock.now();
-                let is_fresh = |it: &CopyOffer| now.since(it.confirmed_at) <= STALE_AGE;
-                if offer.as_ref().is_some_and(is_fresh) {
+                if offer.as_ref().is_some_and(|it| is_fresh(state, it)) {
                     deadline = deadline.min(Instant::now() + FURTHER_ANSWERS);
                 }
                 answers.push(offer.map(|offer| CopyAnswer { peer, offer }));
