entry: read one copy of the store, not that of each host asked

A host now asks the others for revision and age first, and reads the entries of the newest copy alone, from the host that answered first if there are several. The calls are a module of their own; peer_source keeps what is asked and when. Ruled out: a longer head start of the store, which delays all hosts while the store is silent.

The metric sapphireknot_entry_sent_copies_total counts them.

--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 pub mod caller_server;
+pub mod copy_calls;
 mod decision_line;
 pub mod decision_log;
 pub mod evidence_codec;
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/copy_calls.rs
@@ -0,0 +1,180 @@
+//! Calls by which hosts hand each other their copies of the store.
+//!
+//! A host first asks several others for the revision and the age of their copies, and then reads the entries of the newest
+//! one alone. Many hosts may start at once, and each copy takes time on the link of the host that sends it.
+
+use std::{cmp::Reverse, net::SocketAddr, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use sapphireknot::{
+    steering::{
+        copy_search::CopyAnswer,
+        feed_copy::{CopyOffer, CopyRevision, OfferedEntry},
+    },
+    time::MonoTime,
+};
+use sapphireknot_wire::entry::{CopiedEntry, CopyPart, ReadCopyRequest, entry_client::EntryClient};
+use tokio::time::{Instant, timeout, timeout_at};
+use tonic::{
+    Status,
+    transport::{Channel, Endpoint},
+};
+
+use super::state::EntryState;
+use crate::constants::{FLEET_CALL_TIMEOUT, FLEET_WATCH_WAIT};
+
+/// Time to open a connection; several trips between regions, as seeds may be far away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which a host with little processor time answers.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time in which a copy of some megabytes arrives from such a host.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for further answers once a host that is in touch with the store has answered.
+const FURTHER_ANSWERS: Duration = Duration::from_millis(200);
+/// Age above which the host that answered has lost the store: the longest wait of a watch and the time for its answer.
+pub const STALE_AGE: Duration = FLEET_WATCH_WAIT.0.saturating_add(FLEET_CALL_TIMEOUT.0);
+/// Known revision of a host that asks for revision and age only.
+const HEAD_ONLY: CopyRevision = CopyRevision(u64::MAX);
+/// Bytes of the values in one message.
+const PART_BYTES: usize = 128 << 10;
+/// Bytes of a copy that is taken; several times the largest one that is expected.
+const MAX_COPY_BYTES: usize = 16 << 20;
+
+/// Result of asking several hosts.
+#[derive(Debug)]
+pub struct CopyRound {
+    /// Hosts that answered, also that they have no copy.
+    pub answered: usize,
+    /// Newest copy.
+    pub newest: Option<CopyAnswer>,
+}
+
+/// Answer of a host about its copy.
+struct CopyHead {
+    client: EntryClient<Channel>,
+    /// The copy without entries; `None` if the host has none.
+    answer: Option<CopyAnswer>,
+}
+
+/// Asks `peers` for their copies and reads from the newest one what is later than `known`.
+pub async fn read_newest(
+    state: &EntryState,
+    peers: Vec<SocketAddr>,
+    known: CopyRevision,
+) -> CopyRound {
+    let heads = ask_all(state, peers).await;
+    let answered = heads.len();
+    let mut heads: Vec<_> =
+        heads.into_iter().filter_map(|it| Some((it.client, it.answer?))).collect();
+    // Of equal copies the one of the host that answered first, as the sort is stable.
+    heads.sort_by_key(|(_, it)| Reverse((it.offer.revision, is_fresh(state, &it.offer))));
+    for (client, head) in heads {
+        if head.offer.revision <= known {
+            return CopyRound { answered, newest: Some(head) };
+        }
+        let peer = head.peer;
+        match timeout(READ_TIMEOUT, read_copy(state, client, known)).await {
+            Ok(Ok(Some(offer))) => {
+                return CopyRound { answered, newest: Some(CopyAnswer { peer, offer }) };
+            }
+            Ok(Ok(None)) => {}
+            Ok(Err(status)) => log::debug!(peer:%, error:% = status; "read a copy"),
+            Err(_) => log::debug!(peer:%; "a copy did not arrive in time"),
+        }
+    }
+    CopyRound { answered, newest: None }
+}
+
+/// Whether the host that offers this copy still hears of the store, as far as can be told.
+pub fn is_fresh(state: &EntryState, offer: &CopyOffer) -> bool {
+    state.clock.now().since(offer.confirmed_at) <= STALE_AGE
+}
+
+async fn ask_all(state: &EntryState, peers: Vec<SocketAddr>) -> Vec<CopyHead> {
+    let mut calls: FuturesUnordered<_> =
+        peers.into_iter().map(|peer| async move { (peer, ask(state, peer).await) }).collect();
+    let mut deadline = Instant::now() + ASK_TIMEOUT;
+    let mut heads = Vec::new();
+    while let Ok(Some((peer, result))) = timeout_at(deadline, calls.next()).await {
+        match result {
+            Ok(head) => {
+                if head.answer.as_ref().is_some_and(|it| is_fresh(state, &it.offer)) {
+                    deadline = deadline.min(Instant::now() + FURTHER_ANSWERS);
+                }
+                heads.push(head);
+            }
+            Err(status) => log::debug!(peer:%, error:% = status; "ask for a copy"),
+        }
+    }
+    heads
+}
+
+async fn ask(state: &EntryState, peer: SocketAddr) -> Result<CopyHead, Status> {
+    // A new connection each time, as a kept one may have gone silent.
+    let endpoint = Endpoint::from_shared(format!("http://{peer}"))
+        .map_err(|err| Status::invalid_argument(err.to_string()))?;
+    let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
+    let channel = endpoint.connect().await;
+    let channel = channel.map_err(|err| Status::unavailable(err.to_string()))?;
+    let client = EntryClient::new(channel);
+    let offer = read_copy(state, client.clone(), HEAD_ONLY).await?;
+    Ok(CopyHead { client, answer: offer.map(|offer| CopyAnswer { peer, offer }) })
+}
+
+async fn read_copy(
+    state: &EntryState,
+    mut client: EntryClient<Channel>,
+    known: CopyRevision,
+) -> Result<Option<CopyOffer>, Status> {
+    // The age was true when the host sent it, which was after this.
+    let began = state.clock.now();
+    let request = ReadCopyRequest { known_revision: known.0 };
+    let mut parts = client.read_copy(request).await?.into_inner();
+    let mut offer: Option<CopyOffer> = None;
+    let mut bytes = 0;
+    while let Some(CopyPart { revision, age_ms, entries }) = parts.message().await? {
+        bytes += entries.iter().map(entry_bytes).sum::<usize>();
+        if bytes > MAX_COPY_BYTES {
+            return Err(Status::resource_exhausted(format!("more than {MAX_COPY_BYTES} bytes")));
+        }
+        let offer = offer.get_or_insert_with(|| CopyOffer {
+            revision: CopyRevision(revision),
+            confirmed_at: began.before(Duration::from_millis(age_ms)),
+            entries: Vec::new(),
+        });
+        offer.entries.extend(entries.into_iter().map(|it| OfferedEntry {
+            key: it.key,
+            revision: CopyRevision(it.revision),
+            value: it.value.map(Into::into),
+        }));
+    }
+    Ok(offer)
+}
+
+fn entry_bytes(entry: &CopiedEntry) -> usize {
+    entry.key.len() + entry.value.as_ref().map_or(0, Vec::len)
+}
+
+/// Parts of `offer`, each encoded when it is sent; the first one has the revision and the age at `now`.
+pub fn parts(offer: CopyOffer, now: MonoTime) -> impl Iterator<Item = CopyPart> {
+    let CopyOffer { revision, confirmed_at, entries } = offer;
+    let age_ms = u64::try_from(now.since(confirmed_at).as_millis()).unwrap_or(u64::MAX);
+    let mut entries = entries.into_iter().peekable();
+    let mut is_first = true;
+    std::iter::from_fn(move || {
+        if !std::mem::take(&mut is_first) && entries.peek().is_none() {
+            return None;
+        }
+        let mut part = CopyPart { revision: revision.0, age_ms, entries: Vec::new() };
+        let mut bytes = 0;
+        while bytes < PART_BYTES
+            && let Some(OfferedEntry { key, revision, value }) = entries.next()
+        {
+            let value = value.map(|it| it.to_vec());
+            let entry = CopiedEntry { key, revision: revision.0, value };
+            bytes += entry_bytes(&entry);
+            part.entries.push(entry);
+        }
+        Some(part)
+    })
+}
--- a/crates/sapphireknotd/src/entry/meters.rs
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -21,6 +21,7 @@
     store_failures: Counter<u64>,
     load_reports: Counter<u64>,
     exchange_failures: Counter<u64>,
+    sent_copies: Counter<u64>,
 }
 
 impl Default for EntryMeters {
@@ -39,6 +40,7 @@
             exchange_failures: meter
                 .u64_counter("sapphireknot.entry.load_exchange_failures")
                 .build(),
+            sent_copies: meter.u64_counter("sapphireknot.entry.sent_copies").build(),
         }
     }
 }
@@ -69,6 +71,11 @@
         self.exchange_failures.add(1, &[]);
     }
 
+    /// Counts a copy of the store, or what is new in it, that another host reads.
+    pub fn count_sent_copy(&self) {
+        self.sent_copies.add(1, &[]);
+    }
+
     /// Counts a failed call to the store.
     pub fn count_store_failure(&self, step: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("step", step)]);
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -17,9 +17,9 @@
 use tonic::{Request, Response, Status, transport::Server};
 
 use super::{
+    copy_calls,
     evidence_codec::{decode_evidence, encode_evidence},
     load_peers::{decode_regions, decode_reports, encode_regions, encode_reports, take_evidence},
-    peer_source,
     state::EntryState,
 };
 
@@ -44,8 +44,11 @@
         let permit = self.copies.clone().acquire_owned().await;
         let permit = permit.map_err(|err| Status::unavailable(err.to_string()))?;
         let offer = self.state.copy.lock().offer(known);
+        if offer.as_ref().is_some_and(|it| !it.entries.is_empty()) {
+            self.state.meters.count_sent_copy();
+        }
         let now = self.state.clock.now();
-        let parts = offer.into_iter().flat_map(move |it| peer_source::parts(it, now));
+        let parts = offer.into_iter().flat_map(move |it| copy_calls::parts(it, now));
         let parts = stream::iter(parts).map(move |part| {
             let _held = &permit;
             Ok(part)
