steering: try requests again that an old estimate of work refuses

A route whose time limit is shorter than the work that is assumed before the first response was refused for ever: no request was sent, so no sample ever corrected the assumption. The same holds for an estimate that rose above the limit of all callers.

A request that lacks time only, at a server with a free slot, is now sent with a probability of 0.05 if the last sample is older than a second, and the first samples after such a gap weigh as much as those at the start. Ruled out: a smaller assumption, as any limit can be below it; a trial at fixed intervals, which needs state for each route that the choice does not change.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -211,6 +211,8 @@
         let at_home = |it: &ServerState| home.is_none_or(|region| it.region == *region);
         ranked.sort_unstable_by_key(|(score, it)| (!at_home(it), std::cmp::Reverse(*score)));
         let mut best: Option<(f64, &ServerState, ServerEstimate)> = None;
+        // First server with a free slot that only lacks time.
+        let mut trial: Option<(&ServerState, ServerEstimate)> = None;
         let mut shortest_wait = f64::INFINITY;
         let mut nearest = NearestServer::default();
         for (position, (_, server)) in ranked.iter().enumerate() {
@@ -243,6 +245,9 @@
             if load >= passed.load_limit || expected_ms > passed.time_limit_ms {
                 shortest_wait = shortest_wait.min(wait.max(work.warm()));
                 nearest.add(passed);
+                if load < server.slots().min(passed.load_limit) && trial.is_none() {
+                    trial = Some((server, ServerEstimate { work_ms, expected_ms, rank, load }));
+                }
                 continue;
             }
             let failing = (1.0 - server.failure_rate(now)).powi(2);
@@ -259,7 +264,9 @@
             }
         }
         let kept_in = home.filter(|_| query.homes.is_some()).cloned();
-        if let Some((_, server, estimate)) = best {
+        let best = best.map(|(_, server, estimate)| (server, estimate));
+        if let Some((server, estimate)) = best.or_else(|| trial.filter(|_| work.is_trial(now, rng)))
+        {
             let ServerEstimate { work_ms, expected_ms, rank, load } = estimate;
             let region = query.homes.map(|_| server.region.clone());
             let place = region.map(|region| ChosenPlace { kept_in, region });
@@ -385,7 +392,7 @@
             let slots = f64::from(chosen.record.slots.0.max(1));
             let rounds = 1.0 + queue_rounds(chosen.load, slots);
             let mut work = self.work_of(target_ms);
-            work.record(chosen.rank, elapsed_ms / rounds);
+            work.record(chosen.rank, elapsed_ms / rounds, now);
             self.work.insert(target_ms.to_bits(), work);
         }
     }
--- a/crates/sapphireknot/src/steering/work.rs
+++ b/crates/sapphireknot/src/steering/work.rs
@@ -1,7 +1,14 @@
 //! Work of requests at backend servers, and the wait for a slot.
 //!
 //! Work is told apart by the rank of the server for the object, as it is shorter where the object was served lately. Each
-//! host measures it by its own requests.
+//! host measures it by its own requests. An estimate that refuses all requests gets no more samples, so that a few of them
+//! are sent all the same once the last sample is old.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use crate::time::MonoTime;
 
 /// Chance that a server does not know an object, by its rank for the object, until its work was measured. Requests
 /// overflow to the next ranks, so that these know a part of the objects too.
@@ -16,6 +23,10 @@
 const WORK_WEIGHT: f64 = 0.02;
 /// Samples that the first assumption about the work counts for.
 const FIRST_SAMPLES: f64 = 8.0;
+/// Age of the last sample from which an estimate may be wrong.
+const STALE_AGE: Duration = Duration::from_secs(1);
+/// Share of the requests without enough time that are sent while the estimate may be wrong; low, as they may be in vain.
+const TRIAL_SHARE: f64 = 0.05;
 /// Wait that a full slot count costs below the limit, as a part of the work; spreads requests before queues form.
 const CROWDING: f64 = 0.4;
 
@@ -28,6 +39,7 @@
     /// Milliseconds by the rank of the server for the object.
     pub(super) by_rank: [f64; RANKS],
     samples: [f64; RANKS],
+    sampled_at: Option<MonoTime>,
 }
 
 impl WorkEstimate {
@@ -35,7 +47,7 @@
     pub(super) fn first(target_ms: f64) -> Self {
         let (warm, cold) = (target_ms * FIRST_WARM, target_ms * FIRST_COLD);
         let by_rank = UNKNOWN_BY_RANK.map(|it| warm + (cold - warm) * it);
-        Self { by_rank, samples: [FIRST_SAMPLES; RANKS] }
+        Self { by_rank, samples: [FIRST_SAMPLES; RANKS], sampled_at: None }
     }
 
     /// Work at a server that knows the object.
@@ -43,8 +55,24 @@
         self.by_rank[0]
     }
 
+    /// Whether to send a request although its time does not suffice by this estimate.
+    pub(super) fn is_trial<R>(&self, now: MonoTime, rng: &mut R) -> bool
+    where
+        R: Rng,
+    {
+        self.is_stale(now) && rng.random_bool(TRIAL_SHARE)
+    }
+
+    fn is_stale(&self, now: MonoTime) -> bool {
+        self.sampled_at.is_none_or(|it| now.since(it) > STALE_AGE)
+    }
+
     /// Takes a sample.
-    pub(super) fn record(&mut self, rank: usize, elapsed_ms: f64) {
+    pub(super) fn record(&mut self, rank: usize, elapsed_ms: f64, now: MonoTime) {
+        if self.is_stale(now) {
+            self.samples = self.samples.map(|it| it.min(FIRST_SAMPLES));
+        }
+        self.sampled_at = Some(now);
         self.samples[rank] += 1.0;
         let weight = WORK_WEIGHT.max(1.0 / self.samples[rank]);
         self.by_rank[rank] += (elapsed_ms - self.by_rank[rank]) * weight;
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -12,6 +12,7 @@
 mod quota_owners;
 mod route_index;
 mod share_bounds;
+mod stale_work;
 #[cfg(test)]
 mod support;
 mod version_evidence;
