--- a/crates/sapphireknotd/src/clock.rs
+++ b/crates/sapphireknotd/src/clock.rs
@@ -4,6 +4,10 @@
 
 use sapphireknot::time::{MonoTime, WallTime};
 
+/// Monotonic time of the start of the process, in microseconds. A day, so that what other hosts saw before this process
+/// started has a time of its own.
+const START_US: u64 = 86_400_000_000;
+
 /// Monotonic and wall clock.
 #[derive(Debug, Clone, Copy)]
 pub struct HostClock {
@@ -11,7 +15,7 @@
 }
 
 impl HostClock {
-    /// A clock whose monotonic time starts at one second, so that earlier points in time exist.
+    /// A clock whose monotonic time starts late enough that earlier points in time exist.
     pub fn start() -> Self {
         Self { origin: Instant::now() }
     }
@@ -19,7 +23,7 @@
     /// The monotonic time.
     pub fn now(&self) -> MonoTime {
         let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
-        MonoTime(micros.saturating_add(1_000_000))
+        MonoTime(micros.saturating_add(START_US))
     }
 
     /// The wall time.
