steering: settle a rollout before its end, and exchange the age of its order

Each host counted a rollout's time from when it saw the order. One that started 6 s late, or was without the store at the beginning, still sent nine tenths to the old version when another host completed the rollout, upon which the old servers stop at once.

Hosts now tell each other with the evidence how long ago the order was first seen (order_age_ms; a host of an earlier release tells none) and each counts from the earliest time. The age is no news by itself, so that nothing more is sent. And before a rollout is completed its record is settled: a host that reads that sends everything to the new version, and the rollout is completed once the record has had the time to reach all hosts (the configuration's apply time), at 0.76 of the order's time at the earliest and 0.88 at the latest.

Ruled out: ages alone, as a host that no other one answers is not helped; the settled record alone, as the deadline is missed when all hosts that saw the order first have restarted; a wall-clock time in the record, as clocks differ by seconds.

--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -51,6 +51,8 @@
     pub retry_ratio: f64,
     /// Retries beyond that part in one window.
     pub retry_slack: u32,
+    /// Time in which a change in the store takes effect on every host.
+    pub apply_time: Duration,
 }
 
 /// Place of this host.
@@ -219,7 +221,9 @@
             }
             FleetChange::Host(record) => self.fleet.add_host(record, now),
             FleetChange::HostGone(id) => self.fleet.remove_host(&id, now),
-            FleetChange::Rollout(record, revision) => self.versions.add_record(record, revision),
+            FleetChange::Rollout(record, revision) => {
+                self.versions.add_record(record, revision, now)
+            }
         }
     }
 
@@ -409,7 +413,7 @@
 
     /// Changes of rollout records that are due.
     pub fn due_rollouts(&self, now: MonoTime) -> Vec<RecordChange> {
-        self.versions.due_changes(now)
+        self.versions.due_changes(self.bounds.apply_time, now)
     }
 
     /// Pickers by service.
--- a/crates/sapphireknot/src/steering/core/evidence_exchange.rs
+++ b/crates/sapphireknot/src/steering/core/evidence_exchange.rs
@@ -88,9 +88,11 @@
     }
 
     fn post_own(&mut self, incarnation: IncarnationId) {
-        for (service, order, counts) in self.versions.own_evidence() {
-            let (service, host) = (service.clone(), self.place.host.clone());
-            self.evidence.add_host(HostEvidence { service, order, host, incarnation, counts });
+        for (order, seen, counts) in self.versions.own_evidence() {
+            let (service, host) = (order.service.clone(), self.place.host.clone());
+            let order = order.revision;
+            let evidence = HostEvidence { service, order, host, incarnation, seen, counts };
+            self.evidence.add_host(evidence);
         }
     }
 }
--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -18,7 +18,10 @@
     ops::{Add, Sub},
 };
 
-use crate::ids::{HostId, IncarnationId, RegionId, ServiceId};
+use crate::{
+    ids::{HostId, IncarnationId, RegionId, ServiceId},
+    time::MonoTime,
+};
 
 /// Share of bad outcomes beyond the explained ones that is no reason to revert; cold servers are slower for a moment.
 pub const TOLERATED: f64 = 0.02;
@@ -202,6 +205,8 @@
     pub host: HostId,
     /// Its incarnation, for which the counts are cumulative.
     pub incarnation: IncarnationId,
+    /// When the first host saw the order, as far as this one knows; a later time alone is no news.
+    pub seen: MonoTime,
     /// Outcomes.
     pub counts: VersionCounts,
 }
@@ -215,6 +220,8 @@
     pub order: u64,
     /// Region.
     pub region: RegionId,
+    /// When the first of its hosts saw the order; its time of travel differs between messages and is no news.
+    pub seen: MonoTime,
     /// Outcomes of all hosts, or of all but the one that is told.
     pub sum: VersionCounts,
     /// Part of the host that stands out most.
@@ -278,8 +285,11 @@
     /// Replaces the counts of another region.
     pub fn add_region(&mut self, evidence: RegionEvidence) {
         let key = (evidence.service.clone(), evidence.region.clone());
-        let known = self.regions.get(&key);
-        if known.is_some_and(|(it, _)| it.order > evidence.order || *it == evidence) {
+        let is_known = |it: &RegionEvidence| {
+            let is_same = it.sum == evidence.sum && it.most == evidence.most;
+            it.order > evidence.order || (it.order == evidence.order && is_same)
+        };
+        if self.regions.get(&key).is_some_and(|(it, _)| is_known(it)) {
             return;
         }
         self.position.0 += 1;
@@ -307,8 +317,9 @@
             let first = || {
                 let (service, region) = (service.clone(), region.clone());
                 let (sum, most) = (VersionCounts::default(), VersionCounts::default());
-                let order = evidence.order;
-                (RegionEvidence { service, order, region, sum, most }, EvidencePosition::default())
+                let (order, seen) = (evidence.order, evidence.seen);
+                let first = RegionEvidence { service, order, region, seen, sum, most };
+                (first, EvidencePosition::default())
             };
             let (sum, changed) = sums.entry(service).or_insert_with(first);
             if evidence.order < sum.order {
@@ -321,6 +332,7 @@
             sum.most =
                 if has_none { evidence.counts } else { standing_out(sum.most, evidence.counts) };
             sum.sum = sum.sum + evidence.counts;
+            sum.seen = sum.seen.min(evidence.seen);
             *changed = (*changed).max(*at);
         }
         let after = self.known(position);
--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -4,6 +4,12 @@
 //! its changes every host derives the share of the new version from the time since the start. Each host judges the new
 //! version by its own requests and by what other hosts told of theirs ([`super::evidence`]), and reverts the rollout for
 //! all hosts when it looks bad; the share returns to nothing on this host at once.
+//!
+//! Hosts see an order at different times: one may start during the rollout, or may have been without the store. They
+//! tell each other with the evidence how long ago they saw it, and the earliest time counts. The servers of the old
+//! version may stop as soon as a rollout is completed, so that it is settled first: this record sends all requests of a
+//! host that reads it to the new version, also when no other host told it anything, and a rollout is completed when the
+//! record has had the time to reach all hosts.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -18,10 +24,15 @@
 /// Share of the new version from a part of the rollout's time on. A bad version that shows itself before the share
 /// reaches a quarter has had less than a twentieth of the requests.
 const RAMP: [(f64, f64); 6] =
-    [(0.0, 0.02), (0.10, 0.05), (0.30, 0.10), (0.44, 0.25), (0.54, 0.50), (0.62, 1.0)];
+    [(0.0, 0.02), (0.10, 0.05), (0.30, 0.10), (0.44, 0.25), (0.54, 0.50), (SETTLE_AT, 1.0)];
+/// Part of a rollout's time after which it is settled; the share is whole from here on.
+const SETTLE_AT: f64 = 0.62;
 /// Part of a rollout's time after which it completes. The old version got nothing for the time in between, so that its
 /// servers have answered what they had.
 const COMPLETE_AT: f64 = 0.76;
+/// Part of a rollout's time after which it completes even if the record that settled it may not have reached all hosts,
+/// so that an order with little time is completed before its deadline.
+const COMPLETE_BY: f64 = 0.88;
 
 /// What operators asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +53,8 @@
 pub enum RolloutPhase {
     /// The share of the new version rises.
     Running,
+    /// The new version takes all requests, and the servers of the old one still run.
+    Settled,
     /// The new version takes all requests.
     Completed,
     /// The old version takes all requests.
@@ -75,8 +88,11 @@
 /// Versions of one service.
 #[derive(Debug, Default)]
 struct ServiceVersions {
+    /// Latest order and when the first host saw it, as far as this one knows.
     order: Option<(RolloutOrder, MonoTime)>,
     record: Option<(RolloutRecord, u64)>,
+    /// When this host saw that the rollout of the record is settled.
+    settled: Option<MonoTime>,
     /// Version that most servers run, while there is no record.
     common: Option<VersionId>,
     /// Orders whose target this host found bad.
@@ -91,7 +107,8 @@
     fn running(&self) -> Option<(&RolloutOrder, MonoTime)> {
         let (order, seen) = self.order.as_ref()?;
         let (record, _) = self.record.as_ref()?;
-        let is_current = record.order == order.revision && record.phase == RolloutPhase::Running;
+        let is_running = matches!(record.phase, RolloutPhase::Running | RolloutPhase::Settled);
+        let is_current = record.order == order.revision && is_running;
         (is_current && self.reverted != Some(order.revision)).then_some((order, *seen))
     }
 
@@ -109,7 +126,9 @@
     fn stable(&self) -> Option<&VersionId> {
         let record = self.record.as_ref().map(|(record, _)| match record.phase {
             RolloutPhase::Completed => &record.target,
-            RolloutPhase::Running | RolloutPhase::Reverted => &record.stable,
+            RolloutPhase::Running | RolloutPhase::Settled | RolloutPhase::Reverted => {
+                &record.stable
+            }
         });
         record.or(self.common.as_ref())
     }
@@ -117,6 +136,46 @@
     fn progress(order: &RolloutOrder, seen: MonoTime, now: MonoTime) -> f64 {
         now.since(seen).as_secs_f64() / order.span.as_secs_f64().max(0.001)
     }
+
+    /// State that a rollout in state `phase` is to get.
+    fn due_phase(
+        &self,
+        phase: RolloutPhase,
+        apply_time: Duration,
+        now: MonoTime,
+    ) -> Option<RolloutPhase> {
+        let (order, seen) = self.order.as_ref()?;
+        let progress = Self::progress(order, *seen, now);
+        let is_everywhere = self.settled.is_some_and(|it| now >= it.after(apply_time));
+        match phase {
+            RolloutPhase::Completed | RolloutPhase::Reverted => None,
+            _ if self.reverted == Some(order.revision) => Some(RolloutPhase::Reverted),
+            RolloutPhase::Running if progress >= SETTLE_AT => Some(RolloutPhase::Settled),
+            RolloutPhase::Settled
+                if progress >= COMPLETE_BY || (progress >= COMPLETE_AT && is_everywhere) =>
+            {
+                Some(RolloutPhase::Completed)
+            }
+            RolloutPhase::Running | RolloutPhase::Settled => None,
+        }
+    }
+
+    /// Takes from a settled rollout that its order was seen long enough ago for that.
+    fn catch_up(&mut self) {
+        let (Some((order, seen)), Some((record, _)), Some(settled)) =
+            (&mut self.order, &self.record, self.settled)
+        else {
+            return;
+        };
+        if record.order == order.revision {
+            *seen = (*seen).min(settled.before(order.span.mul_f64(SETTLE_AT)));
+        }
+    }
+
+    /// Whether all requests go to the new version of a rollout that runs.
+    fn is_settled(&self) -> bool {
+        self.record.as_ref().is_some_and(|(it, _)| it.phase == RolloutPhase::Settled)
+    }
 }
 
 /// Versions of all services.
@@ -135,6 +194,7 @@
         versions.own = OwnEvidence::default();
         versions.told.clear();
         versions.order = Some((order, now));
+        versions.catch_up();
     }
 
     /// Ends an order; its record stays.
@@ -145,10 +205,12 @@
     }
 
     /// Takes a record as the store holds it at `revision`.
-    pub fn add_record(&mut self, record: RolloutRecord, revision: u64) {
+    pub fn add_record(&mut self, record: RolloutRecord, revision: u64, now: MonoTime) {
         let versions = self.services.entry(record.service.clone()).or_default();
         if versions.record.as_ref().is_none_or(|(_, known)| *known < revision) {
+            versions.settled = (record.phase == RolloutPhase::Settled).then_some(now);
             versions.record = Some((record, revision));
+            versions.catch_up();
         }
     }
 
@@ -176,7 +238,7 @@
         let Some((order, seen)) = versions.running() else { return versions.stable().cloned() };
         let progress = ServiceVersions::progress(order, seen, now);
         let step = RAMP.iter().rev().find(|(from, _)| progress >= *from);
-        let share = step.map_or(0.0, |(_, share)| *share);
+        let share = if versions.is_settled() { 1.0 } else { step.map_or(0.0, |(_, it)| *it) };
         if draw < share { Some(order.target.clone()) } else { versions.stable().cloned() }
     }
 
@@ -202,20 +264,21 @@
     /// Takes what other hosts told, and says whether the rollout looks bad since then.
     pub fn take_evidence(&mut self, evidence: RegionEvidence) -> bool {
         let Some(versions) = self.services.get_mut(&evidence.service) else { return false };
-        let is_current =
-            versions.order.as_ref().is_some_and(|(it, _)| it.revision == evidence.order);
-        if !is_current {
+        let Some((_, seen)) =
+            versions.order.as_mut().filter(|(it, _)| it.revision == evidence.order)
+        else {
             return false;
-        }
+        };
+        *seen = (*seen).min(evidence.seen);
         versions.told.insert(evidence.region.clone(), evidence);
         versions.judge()
     }
 
-    /// Outcomes on this host by service and revision of the order, of rollouts that run.
-    pub fn own_evidence(&self) -> impl Iterator<Item = (&ServiceId, u64, VersionCounts)> {
-        self.services.iter().filter_map(|(service, versions)| {
-            let (order, _) = versions.running()?;
-            Some((service, order.revision, versions.own.counts()))
+    /// Outcomes on this host of rollouts that run, with the order and when the first host saw it.
+    pub fn own_evidence(&self) -> impl Iterator<Item = (&RolloutOrder, MonoTime, VersionCounts)> {
+        self.services.values().filter_map(|versions| {
+            let (order, seen) = versions.running()?;
+            Some((order, seen, versions.own.counts()))
         })
     }
 
@@ -226,21 +289,16 @@
         Some(told.fold(versions.own.counts(), |sum, it| sum + it))
     }
 
-    /// Changes of records that are due.
-    pub fn due_changes(&self, now: MonoTime) -> Vec<RecordChange> {
+    /// Changes of records that are due, if a record reaches all hosts within `apply_time`.
+    pub fn due_changes(&self, apply_time: Duration, now: MonoTime) -> Vec<RecordChange> {
         let changes = self.services.iter().filter_map(|(service, versions)| {
-            let (order, seen) = versions.order.as_ref()?;
+            let (order, _) = versions.order.as_ref()?;
             let known = versions.record.as_ref().filter(|(it, _)| it.order == order.revision);
             let replaces = versions.record.as_ref().map_or(0, |(_, revision)| *revision);
             let stable = versions.stable()?.clone();
             let phase = match known {
                 None => RolloutPhase::Running,
-                Some((record, _)) if record.phase != RolloutPhase::Running => return None,
-                Some(_) if versions.reverted == Some(order.revision) => RolloutPhase::Reverted,
-                Some(_) if ServiceVersions::progress(order, *seen, now) >= COMPLETE_AT => {
-                    RolloutPhase::Completed
-                }
-                Some(_) => return None,
+                Some((record, _)) => versions.due_phase(record.phase, apply_time, now)?,
             };
             let record = RolloutRecord {
                 service: service.clone(),
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -106,11 +106,15 @@
     HostPlace { host: id("h1"), region: id(region), regions }
 }
 
+/// Time in which a record of the store reaches all hosts.
+pub(crate) const APPLY_TIME: Duration = Duration::from_secs(2);
+
 pub(crate) fn bounds() -> SharedBounds {
     SharedBounds {
         quota: QuotaSlack { tolerance: 0.1, requests: 20 },
         retry_ratio: 0.2,
         retry_slack: 64,
+        apply_time: APPLY_TIME,
     }
 }
 
--- a/crates/sapphireknotd/src/entry/evidence_codec.rs
+++ b/crates/sapphireknotd/src/entry/evidence_codec.rs
@@ -1,21 +1,26 @@
-//! Evidence on new versions as messages between hosts carry it.
+//! Evidence on new versions as messages between hosts carry it, with ages instead of times.
+
+use std::time::Duration;
 
 use sapphireknot::{
     ids::IncarnationId,
     steering::evidence::{
         EvidenceReport, HostEvidence, RegionEvidence, VersionCounts, VersionTally,
     },
+    time::MonoTime,
 };
 use sapphireknot_wire::entry as wire;
 
-/// Reports as messages carry them.
-pub fn encode_evidence(reports: &[EvidenceReport]) -> Vec<wire::VersionEvidence> {
+/// Reports as messages carry them, with their ages at `now`.
+pub fn encode_evidence(reports: &[EvidenceReport], now: MonoTime) -> Vec<wire::VersionEvidence> {
+    let age = |seen: MonoTime| u32::try_from(now.since(seen).as_millis()).unwrap_or(u32::MAX);
     let encode = |report: &EvidenceReport| match report {
         EvidenceReport::Host(it) => wire::VersionEvidence {
             service: it.service.to_string(),
             order: it.order,
             host: it.host.to_string(),
             incarnation: it.incarnation.0,
+            order_age_ms: age(it.seen),
             sum: Some(encode_counts(it.counts)),
             ..wire::VersionEvidence::default()
         },
@@ -23,6 +28,7 @@
             service: it.service.to_string(),
             order: it.order,
             region: it.region.to_string(),
+            order_age_ms: age(it.seen),
             sum: Some(encode_counts(it.sum)),
             most: Some(encode_counts(it.most)),
             ..wire::VersionEvidence::default()
@@ -31,18 +37,20 @@
     reports.iter().map(encode).collect()
 }
 
-/// Reports of a message; those with a name that is none are left out.
-pub fn decode_evidence(reports: &[wire::VersionEvidence]) -> Vec<EvidenceReport> {
+/// Reports of a message that arrived at `now`; those with a name that is none are left out.
+pub fn decode_evidence(reports: &[wire::VersionEvidence], now: MonoTime) -> Vec<EvidenceReport> {
     let decode = |it: &wire::VersionEvidence| {
         let (service, order) = (it.service.parse().ok()?, it.order);
         let sum = decode_counts(it.sum.as_ref()?)?;
+        // A host of an earlier release tells no age.
+        let seen = now.before(Duration::from_millis(it.order_age_ms.into()));
         if !it.host.is_empty() {
             let (host, incarnation) = (it.host.parse().ok()?, IncarnationId(it.incarnation));
-            let evidence = HostEvidence { service, order, host, incarnation, counts: sum };
+            let evidence = HostEvidence { service, order, host, incarnation, seen, counts: sum };
             return Some(EvidenceReport::Host(evidence));
         }
         let (region, most) = (it.region.parse().ok()?, decode_counts(it.most.as_ref()?)?);
-        Some(EvidenceReport::Region(RegionEvidence { service, order, region, sum, most }))
+        Some(EvidenceReport::Region(RegionEvidence { service, order, region, seen, sum, most }))
     };
     reports.iter().filter_map(decode).collect()
 }
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -103,7 +103,7 @@
         reports: Some(encode_reports(&reports, now)),
         position: position.0,
         regions: Vec::new(),
-        evidence: encode_evidence(&evidence),
+        evidence: encode_evidence(&evidence, now),
         evidence_position: link.heard.0,
         host: state.record.id.to_string(),
     };
@@ -111,7 +111,7 @@
     let now = state.clock.now();
     let news = decode_reports(&reply.reports.unwrap_or_default(), now);
     state.meters.count_load_reports(news.len());
-    let evidence = decode_evidence(&reply.evidence);
+    let evidence = decode_evidence(&reply.evidence, now);
     link.advance(told, EvidencePosition(reply.evidence_position));
     let mut core = state.core.lock();
     core.take_loads(&news);
@@ -139,16 +139,17 @@
     }
     let request = ShareLoadsRequest {
         regions,
-        evidence: encode_evidence(&evidence),
+        evidence: encode_evidence(&evidence, now),
         evidence_position: link.heard.0,
         ..ShareLoadsRequest::default()
     };
     if let Some(reply) = call(state, channels, collector, client.share_loads(request)).await {
-        let regions = decode_regions(&reply.regions, state.clock.now());
+        let now = state.clock.now();
+        let regions = decode_regions(&reply.regions, now);
         link.advance(told, EvidencePosition(reply.evidence_position));
         let mut core = state.core.lock();
         core.take_region_loads(regions);
-        take_evidence(&mut core, decode_evidence(&reply.evidence));
+        take_evidence(&mut core, decode_evidence(&reply.evidence, now));
     }
 }
 
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -80,7 +80,7 @@
         let ShareLoadsRequest { reports, position, regions, evidence, evidence_position, host } =
             request.into_inner();
         let now = self.state.clock.now();
-        let evidence = decode_evidence(&evidence);
+        let evidence = decode_evidence(&evidence, now);
         let heard = EvidencePosition(evidence_position);
         let incarnation = self.state.record.incarnation;
         // A region without servers of its own has no load to tell, but may have evidence.
@@ -93,7 +93,7 @@
             let (evidence, after) = core.evidence_for(None, heard, incarnation);
             let reply = ShareLoadsReply {
                 regions: encode_regions(&core.own_region_loads(now), now),
-                evidence: encode_evidence(&evidence),
+                evidence: encode_evidence(&evidence, now),
                 evidence_position: after.0,
                 ..ShareLoadsReply::default()
             };
@@ -112,7 +112,7 @@
             reports: Some(encode_reports(&news, now)),
             position: position.0,
             regions: encode_regions(&core.region_loads(now), now),
-            evidence: encode_evidence(&evidence),
+            evidence: encode_evidence(&evidence, now),
             evidence_position: after.0,
         };
         Ok(Response::new(reply))
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -170,6 +170,7 @@
             },
             retry_ratio: self.bounds.retry_ratio,
             retry_slack: self.bounds.retry_slack,
+            apply_time: self.bounds.apply_time.0,
         }
     }
 }
