entry: pass on long responses while they arrive

A host read each response to its end before it answered, so that a response of 1 MB took 1 MB of the host until its caller had read it, a caller waited for the last byte before it saw the first, and the work of a server went on when the caller of a long response had left.

A response of more than 64 KB whose length is told is now passed on once its first 64 KB are there. It holds a place of 96 KB of the memory for responses, whatever its length: bytes are read from the server only when the caller took the ones before. The first 64 KB are read as before, so that a break in them is repaired by another attempt; a later one closes the caller's connection before the told length. The attempt and the request end with the last byte: load in flight, outcome, metrics, spans and log line are reported then, as `broken-off` after a break. Time for which the caller kept the server waiting does not count as the server's. A wait for the server ends at the deadline of the request, and a caller that reads slowly gets ten seconds more.

Ruled out: starting to pass on after a time, which would take the way to another server from requests that may be repeated; passing on bodies whose length is not told, since nothing tells them from bodies without an end, which another server must repair (tests of endless responses). Those are read whole as before, up to 8 MB and within their part of the memory.

--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -350,6 +350,15 @@
         self.versions.record_outcome(&record.service, &record.version, quality)
     }
 
+    /// Takes the load that a server reported of itself with a response that still comes.
+    pub fn record_load(&mut self, record: &ServerRecord, load: ServerLoad, now: MonoTime) {
+        let Some(picker) = self.pickers.get_mut(&record.service) else { return };
+        picker.record_load(&record.id, load, now);
+        let failing = picker.shared_failures(&record.id, now);
+        let load = Some(load);
+        self.loads.add(LoadReport { server: server_hash(&record.id), load, failing, at: now });
+    }
+
     /// Takes back a choice to which nothing was sent.
     pub fn withdraw_choice(&mut self, chosen: &ChosenServer) {
         if let Some(picker) = self.pickers.get_mut(&chosen.record.service) {
--- a/crates/sapphireknotd/src/buffers.rs
+++ b/crates/sapphireknotd/src/buffers.rs
@@ -7,6 +7,9 @@
 //! the most that a body of its tier may need at once, and a longer body moves to the next tier: whoever waits holds only
 //! memory of tiers below, and whoever has a place in the last tier waits for nothing. Bodies whose length is told have half
 //! of the budget for themselves, as the others may have no end and then keep their places until their deadlines.
+//!
+//! A long body whose length is told may also be passed on while it arrives. It then holds a [`WindowPlace`] of the tiers
+//! for such bodies, whatever its length.
 
 use std::{fmt, sync::Arc};
 
@@ -18,8 +21,12 @@
 
 /// Bytes that one permit stands for; the semaphore's counts are too small for single bytes.
 const PERMIT_BYTES: usize = 1 << 10;
-/// Longest body of the first tier; most responses are shorter.
-const SMALL_BODY: usize = 64 << 10;
+/// Longest body of the first tier, and the longest that is always read whole; most responses are shorter.
+pub(crate) const SMALL_BODY: usize = 64 << 10;
+/// Bytes of a body that are read at a time while it is passed on.
+pub(crate) const PIECE_BYTES: usize = 16 << 10;
+/// Memory of a body that is passed on: its first part, a piece that waits behind it, and the connection's own buffer.
+const WINDOW_BYTES: usize = SMALL_BODY + 2 * PIECE_BYTES;
 /// Longest body of the second tier; eight of them fit into an eighth of 64 MB.
 const MEDIUM_BODY: usize = 1 << 20;
 
@@ -69,15 +76,31 @@
     bytes: usize,
 }
 
+/// Place of a body that is passed on while it arrives.
+#[derive(Debug)]
+pub(crate) struct WindowPlace {
+    permit: OwnedSemaphorePermit,
+}
+
+impl WindowPlace {
+    /// `bytes` that keep the place until they are gone.
+    pub(crate) fn hold(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBytes { bytes, _permit: Some(self.permit) })
+    }
+}
+
 /// Bytes with their part of the budget.
-struct HeldBytes {
-    bytes: Vec<u8>,
+struct HeldBytes<T> {
+    bytes: T,
     _permit: Option<OwnedSemaphorePermit>,
 }
 
-impl AsRef<[u8]> for HeldBytes {
+impl<T> AsRef<[u8]> for HeldBytes<T>
+where
+    T: AsRef<[u8]>,
+{
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
@@ -147,6 +170,16 @@
         BodyBudget::Tiered { budget: self, declared }.collect(body, max_bytes).await
     }
 
+    /// A place for a body whose length is told and that is passed on while it arrives.
+    pub(crate) async fn window(&self) -> Result<WindowPlace, CollectError> {
+        let [_, medium, long] = &self.declared;
+        let permit = tokio::select! {
+            permit = medium.acquire(WINDOW_BYTES) => permit?,
+            permit = long.acquire(WINDOW_BYTES) => permit?,
+        };
+        Ok(WindowPlace { permit })
+    }
+
     /// A place for `needed` bytes, of which more may follow up to `max_bytes` unless the length is declared.
     async fn place(
         &self,
@@ -162,10 +195,17 @@
             Some(_) => needed,
             None => tier.max_bytes.unwrap_or(max_bytes).min(max_bytes),
         };
-        let count = u32::try_from(permits_of(bytes).min(tier.total));
+        Ok(BufferPlace { permit: Some(tier.acquire(bytes).await?), bytes })
+    }
+}
+
+impl BufferTier {
+    /// Waits for `bytes`, or for the whole tier if it is smaller.
+    async fn acquire(&self, bytes: usize) -> Result<OwnedSemaphorePermit, CollectError> {
+        let count = u32::try_from(permits_of(bytes).min(self.total));
         let count = count.map_err(|_| CollectError::NoMemory)?;
-        let permit = tier.permits.clone().acquire_many_owned(count).await;
-        Ok(BufferPlace { permit: Some(permit.map_err(|_| CollectError::NoMemory)?), bytes })
+        let permit = self.permits.clone().acquire_many_owned(count).await;
+        permit.map_err(|_| CollectError::NoMemory)
     }
 }
 
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -7,6 +7,8 @@
 //! ([`peer_source`]).
 
 mod attempt;
+mod attempt_ticket;
+mod caller_body;
 pub mod caller_server;
 mod decision_line;
 pub mod decision_log;
@@ -20,6 +22,7 @@
 pub mod peer_source;
 pub mod quota_peers;
 pub mod reload;
+mod request_report;
 pub mod settings;
 pub mod side_servers;
 pub mod state;
--- a/crates/sapphireknotd/src/entry/attempt.rs
+++ b/crates/sapphireknotd/src/entry/attempt.rs
@@ -1,29 +1,25 @@
-//! One attempt of a request at a backend server: the exchange, what its end means, and the report of its outcome.
+//! One attempt of a request at a backend server: the exchange, and what its end means.
+//!
+//! The attempt whose long response is passed on ends with the last byte of it, and reports its outcome then.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
-};
+use std::sync::{Arc, atomic::AtomicBool};
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use opentelemetry::trace::SpanKind;
 use sapphireknot::{
-    ids::ServerId,
-    picker::ServerOutcome,
-    refusal::RefusalReason,
-    retry::AttemptEnd,
-    steering::{core::AttemptReport, query::ChosenServer, server_state::ServerLoad},
-    time::MonoTime,
+    ids::ServerId, picker::ServerOutcome, refusal::RefusalReason, retry::AttemptEnd,
+    steering::query::ChosenServer, time::MonoTime,
 };
 use sapphireknot_platform::{AnswerKind, ServerAnswer, ServerHead};
 use tokio::time::timeout_at;
 
 use super::{
+    attempt_ticket::AttemptTicket,
+    caller_body::EntryBody,
     caller_server::CallerServer,
     decision_log::LineKind,
-    fleet_actor::FleetMessage,
     forward::{EntryRequest, target_ms},
 };
 use crate::{constants, telemetry::HopSpan, upstream::connections::ExchangeError};
@@ -33,58 +29,13 @@
     pub(super) end: AttemptEnd,
     pub(super) reason: RefusalReason,
     /// What the caller gets if no attempt follows.
-    pub(super) fallback: Option<Response<Bytes>>,
+    pub(super) fallback: Option<Response<EntryBody>>,
 }
 
 /// Attempt that ended.
 pub(super) struct AttemptEnded {
     pub(super) chosen: ChosenServer,
-    pub(super) result: Result<Response<Bytes>, AttemptFailure>,
-}
-
-/// Attempt in flight; when dropped before its end it counts as cancelled, or as broken if another one was made beside it.
-struct AttemptTicket<'a> {
-    server: &'a CallerServer,
-    chosen: ChosenServer,
-    target_ms: f64,
-    started: MonoTime,
-    is_overtaken: Arc<AtomicBool>,
-    has_ended: bool,
-}
-
-impl AttemptTicket<'_> {
-    fn finish(&mut self, outcome: ServerOutcome, load: Option<ServerLoad>) {
-        self.has_ended = true;
-        let state = &self.server.state;
-        let service = &self.chosen.record.service;
-        state.meters.count_attempt(service.as_str(), outcome_name(outcome));
-        let now = state.clock.now();
-        let elapsed = now.since(self.started);
-        let report = AttemptReport {
-            chosen: &self.chosen,
-            outcome,
-            load,
-            target_ms: self.target_ms,
-            elapsed,
-        };
-        let is_bad = state.core.lock().record_attempt(report, now);
-        if is_bad
-            && let Err(err) = self.server.fleet.cast(FleetMessage::RolloutBad(service.clone()))
-        {
-            log::error!(error:% = err; "tell of a bad version");
-        }
-    }
-}
-
-impl Drop for AttemptTicket<'_> {
-    fn drop(&mut self) {
-        if !self.has_ended {
-            let is_overtaken = self.is_overtaken.load(Ordering::Relaxed);
-            let outcome =
-                if is_overtaken { ServerOutcome::Broken } else { ServerOutcome::Cancelled };
-            self.finish(outcome, None);
-        }
-    }
+    pub(super) result: Result<Response<EntryBody>, AttemptFailure>,
 }
 
 impl CallerServer {
@@ -103,14 +54,14 @@
         }
         let started = self.state.clock.now();
         let record = Arc::clone(&chosen.record);
-        let mut ticket = AttemptTicket {
-            server: self,
-            chosen: chosen.clone(),
-            target_ms: target_ms(request.route),
-            started,
+        let target_ms = target_ms(request.route);
+        let mut ticket = AttemptTicket::new(
+            self.state.clone(),
+            self.fleet.clone(),
+            chosen.clone(),
+            target_ms,
             is_overtaken,
-            has_ended: false,
-        };
+        );
         let dialect = &self.state.platform.dialect;
         let request_id = request.head.request_id.as_ref();
         let read = |head: &http::response::Parts| {
@@ -121,17 +72,18 @@
             AnswerKind::Ran | AnswerKind::NotRun | AnswerKind::OtherServer => Ok(()),
         };
         let outgoing = self.outgoing(request, &record.id, started);
-        let exchange = self.connections.exchange_checked(
+        let exchange = self.connections.exchange_pieces(
             record.address,
             outgoing,
             constants::MAX_RESPONSE_BYTES,
             check,
         );
         let result = timeout_at(self.state.clock.instant(request.deadline), exchange).await;
-        let (outcome, load, result) = match result {
+        let (outcome, load, mut result) = match result {
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
                 let ServerAnswer { kind, load } = read(&parts);
+                let body = EntryBody::new(body, self.state.clock, request.deadline);
                 let response = Response::from_parts(parts, body);
                 let (outcome, ended) = judge(kind, response, may_repeat);
                 if kind == AnswerKind::OtherServer {
@@ -158,7 +110,17 @@
                 (ServerOutcome::Broken, None, Err(failure))
             }
         };
-        ticket.finish(outcome, load);
+        let rest = result.as_mut().ok().and_then(|it| it.body_mut().passed_mut());
+        match rest {
+            Some(rest) => {
+                if let Some(load) = load {
+                    let now = self.state.clock.now();
+                    self.state.core.lock().record_load(&record, load, now);
+                }
+                rest.report_attempt(ticket.passing(), outcome, span);
+            }
+            None => ticket.finish(outcome, load),
+        }
         AttemptEnded { chosen, result }
     }
 
@@ -205,9 +167,9 @@
 /// What a complete response means.
 fn judge(
     kind: AnswerKind,
-    response: Response<Bytes>,
+    response: Response<EntryBody>,
     may_repeat: bool,
-) -> (ServerOutcome, Result<Response<Bytes>, AttemptFailure>) {
+) -> (ServerOutcome, Result<Response<EntryBody>, AttemptFailure>) {
     match kind {
         AnswerKind::NotRun => {
             (ServerOutcome::Shed, Err(failed(AttemptEnd::Shed, RefusalReason::NoRoom)))
@@ -229,13 +191,3 @@
         AnswerKind::Foreign | AnswerKind::Ran => (ServerOutcome::Succeeded, Ok(response)),
     }
 }
-
-fn outcome_name(outcome: ServerOutcome) -> &'static str {
-    match outcome {
-        ServerOutcome::Succeeded => "succeeded",
-        ServerOutcome::Failed => "failed",
-        ServerOutcome::Shed => "shed",
-        ServerOutcome::Broken => "broken",
-        ServerOutcome::Cancelled => "cancelled",
-    }
-}
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/attempt_ticket.rs
@@ -0,0 +1,105 @@
+//! Report of an attempt's outcome.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use ractor::ActorRef;
+use sapphireknot::{
+    picker::ServerOutcome,
+    steering::{core::AttemptReport, query::ChosenServer, server_state::ServerLoad},
+    time::MonoTime,
+};
+
+use super::{fleet_actor::FleetMessage, state::EntryState};
+
+/// Attempt in flight; when dropped before its end it counts as cancelled, or as broken if another one was made beside it.
+pub(super) struct AttemptTicket {
+    state: Arc<EntryState>,
+    fleet: ActorRef<FleetMessage>,
+    chosen: ChosenServer,
+    target_ms: f64,
+    started: MonoTime,
+    is_overtaken: Arc<AtomicBool>,
+    has_ended: bool,
+}
+
+impl AttemptTicket {
+    /// An attempt at `chosen` that starts now.
+    pub(super) fn new(
+        state: Arc<EntryState>,
+        fleet: ActorRef<FleetMessage>,
+        chosen: ChosenServer,
+        target_ms: f64,
+        is_overtaken: Arc<AtomicBool>,
+    ) -> Self {
+        let started = state.clock.now();
+        Self { state, fleet, chosen, target_ms, started, is_overtaken, has_ended: false }
+    }
+
+    /// The same attempt while its response is passed on; other attempts beside it have ended.
+    pub(super) fn passing(mut self) -> Self {
+        self.is_overtaken = Arc::default();
+        self
+    }
+
+    /// Time since the attempt started.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.state.clock.now().since(self.started)
+    }
+
+    /// Counts the end of the attempt.
+    pub(super) fn finish(&mut self, outcome: ServerOutcome, load: Option<ServerLoad>) {
+        self.finish_after(outcome, load, self.elapsed());
+    }
+
+    /// Counts the end of the attempt, for which the server took `elapsed`.
+    pub(super) fn finish_after(
+        &mut self,
+        outcome: ServerOutcome,
+        load: Option<ServerLoad>,
+        elapsed: Duration,
+    ) {
+        self.has_ended = true;
+        let state = &self.state;
+        let service = &self.chosen.record.service;
+        state.meters.count_attempt(service.as_str(), outcome_name(outcome));
+        let now = state.clock.now();
+        let report = AttemptReport {
+            chosen: &self.chosen,
+            outcome,
+            load,
+            target_ms: self.target_ms,
+            elapsed,
+        };
+        let is_bad = state.core.lock().record_attempt(report, now);
+        if is_bad && let Err(err) = self.fleet.cast(FleetMessage::RolloutBad(service.clone())) {
+            log::error!(error:% = err; "tell of a bad version");
+        }
+    }
+}
+
+impl Drop for AttemptTicket {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let is_overtaken = self.is_overtaken.load(Ordering::Relaxed);
+            let outcome =
+                if is_overtaken { ServerOutcome::Broken } else { ServerOutcome::Cancelled };
+            self.finish(outcome, None);
+        }
+    }
+}
+
+fn outcome_name(outcome: ServerOutcome) -> &'static str {
+    match outcome {
+        ServerOutcome::Succeeded => "succeeded",
+        ServerOutcome::Failed => "failed",
+        ServerOutcome::Shed => "shed",
+        ServerOutcome::Broken => "broken",
+        ServerOutcome::Cancelled => "cancelled",
+    }
+}
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -2,9 +2,7 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use opentelemetry::trace::SpanKind;
 use ractor::ActorRef;
@@ -18,15 +16,16 @@
 use tokio::net::TcpListener;
 
 use super::{
-    decision_line::{AttemptNotes, RequestEnd, RequestTrail},
-    decision_log::LineKind,
+    caller_body::EntryBody,
+    decision_line::{AttemptNotes, RequestTrail},
     fleet_actor::FleetMessage,
     forward::EntryRequest,
     quota_peers::QuotaPeers,
+    request_report::{RequestReport, RequestResult},
     state::EntryState,
 };
 use crate::{
-    buffers::BufferBudget,
+    buffers::{BufferBudget, PIECE_BYTES},
     constants,
     context::DrainStage,
     front::{
@@ -57,7 +56,7 @@
 /// Server for callers.
 pub struct CallerServer {
     pub(super) state: Arc<EntryState>,
-    pub(super) connections: ConnectionPool,
+    pub(super) connections: Arc<ConnectionPool>,
     pub(super) fleet: ActorRef<FleetMessage>,
     quotas: QuotaPeers,
     buffers: BufferBudget,
@@ -75,11 +74,13 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             unacknowledged: Some(UNACKNOWLEDGED),
+            receive_bytes: Some(PIECE_BYTES),
         };
+        let connections = ConnectionPool::with_limits(constants::MAX_BUFFERED_BYTES, limits);
         let has_traces = state.settings.load().telemetry.otlp.is_some();
         Self {
             state,
-            connections: ConnectionPool::with_limits(constants::MAX_BUFFERED_BYTES, limits),
+            connections: Arc::new(connections),
             fleet,
             quotas: QuotaPeers::default(),
             // A request that has not run is refused rather than kept waiting for memory.
@@ -121,10 +122,7 @@
         }
     }
 
-    async fn handle(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<EntryBody>, Infallible> {
         let started = self.state.clock.now();
         let head = self.state.platform.dialect.read_request(request.headers());
         let span = self.has_traces.then(|| {
@@ -138,9 +136,9 @@
             plan.find_route(host_name, parts.uri.path()).cloned()
         });
         let mut trail = RequestTrail {
-            head: &head,
-            plan: plan.as_deref(),
-            route: route.as_deref(),
+            head: head.clone(),
+            plan: plan.clone(),
+            route: route.clone(),
             organisation: None,
             service: None,
             notes: AttemptNotes::default(),
@@ -156,23 +154,21 @@
                 self.answer(inputs, parts, body, &mut trail, span.as_ref()).await
             }
         };
-        if let (Some(span), Err(_)) = (&span, &result) {
-            span.fail("refused");
-        }
-        Ok(self.finish(result, &trail, started).map(Full::new))
+        let report = RequestReport { state: self.state.clone(), trail, started, span };
+        Ok(self.finish(result, report))
     }
 
-    async fn answer<'a>(
+    async fn answer(
         &self,
-        inputs: RequestInputs<'a>,
+        inputs: RequestInputs<'_>,
         parts: http::request::Parts,
         body: Incoming,
-        trail: &mut RequestTrail<'a>,
+        trail: &mut RequestTrail,
         span: Option<&HopSpan>,
-    ) -> Result<Response<Bytes>, FrontRefusal> {
+    ) -> Result<Response<EntryBody>, FrontRefusal> {
         let RequestInputs { plan, route, head, started } = inputs;
         let organisation = if route.is_open { None } else { Some(key_owner(plan, head)?) };
-        trail.organisation = organisation;
+        trail.organisation = organisation.cloned();
         let patience = head.patience.unwrap_or(route.timeout);
         let deadline = started.after(patience.min(route.timeout));
         let caller_deadline = head.patience.map(|it| started.after(it));
@@ -218,54 +214,34 @@
         Ok(result?)
     }
 
-    /// The response to the caller, with its log line and metrics.
+    /// The response to the caller, whose end is reported once it is complete.
     fn finish(
         &self,
-        result: Result<Response<Bytes>, FrontRefusal>,
-        trail: &RequestTrail<'_>,
-        started: MonoTime,
-    ) -> Response<Bytes> {
-        let now = self.state.clock.now();
-        let elapsed = now.since(started);
-        let name = match &result {
-            Ok(response) if response.status().is_success() => "passed",
-            Ok(_) => "server-error",
-            Err(refusal) => refusal.refusal.reason.as_str(),
-        };
-        let service = trail.service.as_ref().map_or("", |it| it.as_str());
-        self.state.meters.count_request(service, name, elapsed);
-        let kind = match (&result, trail.route) {
-            (Ok(response), Some(route)) if response.status().is_success() => {
-                if elapsed > route.target_latency { LineKind::Late } else { LineKind::Good }
-            }
-            (Err(refusal), _) if is_callers_fault(refusal.refusal.reason) => LineKind::Rejected,
-            _ => LineKind::Failed,
-        };
-        let request_id = trail.head.request_id.as_ref();
-        if let Some(dropped) = self.state.decisions.take_line(kind, request_id, now) {
-            // What a host believes of the service decides a refusal without an attempt.
-            let refused_at_once = trail.notes.attempts == 0 && result.is_err();
-            let refused_by = trail.service.as_ref().filter(|_| refused_at_once);
-            let belief = refused_by
-                .and_then(|it| Some(self.state.core.lock().pickers().get(it)?.summary(now)));
-            let refusal = result.as_ref().err().map(|it| &it.refusal);
-            let end = RequestEnd { result: name, kind, refusal, elapsed, belief, dropped };
-            trail.write(&end, now);
-        }
+        result: Result<Response<EntryBody>, FrontRefusal>,
+        report: RequestReport,
+    ) -> Response<EntryBody> {
         let mut response = match result {
             Ok(mut response) => {
                 drop_hop_by_hop(response.headers_mut());
+                let status = response.status();
+                match response.body_mut().passed_mut() {
+                    Some(body) => body.report_request(report, status),
+                    None => report.finish(RequestResult::Answered(status)),
+                }
                 response
             }
             Err(refusal) => {
                 let dialect = &self.state.platform.dialect;
+                let now = self.state.clock.now();
                 let mut response = dialect.refuse(&refusal.refusal, refusal.status, now);
-                if let Some(id) = &trail.head.request_id {
+                if let Some(id) = &report.trail.head.request_id {
                     response.headers_mut().insert(request_id_header(), id.clone());
                 }
-                response
+                report.finish(RequestResult::Refused(&refusal.refusal));
+                response.map(EntryBody::from)
             }
         };
+        // The length is that of the body, which the library tells.
         response.headers_mut().remove(header::CONTENT_LENGTH);
         if *self.state.drain.borrow() >= DrainStage::Leaving {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -283,17 +259,6 @@
     started: MonoTime,
 }
 
-/// Whether the same request would be refused by every host at any time.
-fn is_callers_fault(reason: RefusalReason) -> bool {
-    matches!(
-        reason,
-        RefusalReason::KeyMissing
-            | RefusalReason::KeyRejected
-            | RefusalReason::UnknownRoute
-            | RefusalReason::BadRequest
-    )
-}
-
 fn key_owner<'a>(
     plan: &'a RoutingPlan,
     head: &CallerHead,
--- a/crates/sapphireknotd/src/entry/decision_line.rs
+++ b/crates/sapphireknotd/src/entry/decision_line.rs
@@ -2,7 +2,7 @@
 //!
 //! A field that was not computed is absent, so that a zero is always a measured one.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use sapphireknot::{
     ids::{OrganisationId, RegionId, ServiceId},
@@ -20,12 +20,12 @@
 use super::decision_log::LineKind;
 
 /// Request that was answered, for logs and metrics.
-pub(super) struct RequestTrail<'a> {
-    pub(super) head: &'a CallerHead,
+pub(super) struct RequestTrail {
+    pub(super) head: CallerHead,
     /// Configuration that was in force when it arrived.
-    pub(super) plan: Option<&'a RoutingPlan>,
-    pub(super) route: Option<&'a RouteRule>,
-    pub(super) organisation: Option<&'a OrganisationId>,
+    pub(super) plan: Option<Arc<RoutingPlan>>,
+    pub(super) route: Option<Arc<RouteRule>>,
+    pub(super) organisation: Option<OrganisationId>,
     pub(super) service: Option<ServiceId>,
     pub(super) notes: AttemptNotes,
 }
@@ -48,6 +48,8 @@
     pub(super) result: &'a str,
     pub(super) kind: LineKind,
     pub(super) refusal: Option<&'a RequestRefusal>,
+    /// Why a response broke off after a part of it was passed on.
+    pub(super) cause: Option<&'a str>,
     pub(super) elapsed: Duration,
     /// What the host believes of the service, for a refusal without an attempt.
     pub(super) belief: Option<PickerSummary>,
@@ -99,7 +101,7 @@
     }
 }
 
-impl RequestTrail<'_> {
+impl RequestTrail {
     /// Writes the line.
     pub(super) fn write(&self, end: &RequestEnd<'_>, now: MonoTime) {
         let notes = &self.notes;
@@ -107,13 +109,13 @@
         let retry_at = end.refusal.and_then(|it| it.retry_at);
         log::info!(
             request = self.head.request_id.as_ref().and_then(|it| it.to_str().ok()),
-            route = self.route.map(|it| it.id.as_str()),
-            organisation = self.organisation.map(|it| it.as_str()),
+            route = self.route.as_ref().map(|it| it.id.as_str()),
+            organisation = self.organisation.as_ref().map(|it| it.as_str()),
             service = self.service.as_ref().map_or("", |it| it.as_str()),
-            result = end.result, is_late = end.kind == LineKind::Late,
+            result = end.result, cause = end.cause, is_late = end.kind == LineKind::Late,
             ran = end.refusal.map(|it| it.ran.to_string()),
             elapsed_ms = end.elapsed.as_millis() as u64,
-            target_ms = self.route.map(|it| it.target_latency.as_millis() as u64),
+            target_ms = self.route.as_ref().map(|it| it.target_latency.as_millis() as u64),
             patience_ms = self.head.patience.map(|it| it.as_millis() as u64),
             retry_ms = retry_at.map(|it| now.until(it).as_millis() as u64),
             attempts = notes.attempts,
@@ -135,7 +137,7 @@
             usable_servers = end.belief.as_ref().map(|it| it.usable),
             cold_servers = end.belief.as_ref().map(|it| it.cold),
             load_per_slot = end.belief.as_ref().map(|it| it.load_per_slot),
-            plan = self.plan.map(|it| it.generation.0),
+            plan = self.plan.as_ref().map(|it| it.generation.0),
             lines_dropped = end.dropped;
             "request ended"
         );
@@ -143,7 +145,7 @@
 
     /// Regions in which the request may be served, in alphabetical order; `None` for all.
     fn homes(&self) -> Option<String> {
-        let homes = self.plan?.homes(self.route?, self.organisation)?;
+        let homes = self.plan.as_ref()?.homes(self.route.as_ref()?, self.organisation.as_ref())?;
         let mut names: Vec<&str> = homes.iter().map(|it| it.as_str()).collect();
         names.sort_unstable();
         Some(names.join(","))
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -33,6 +33,7 @@
 
 use super::{
     attempt::{AttemptEnded, AttemptFailure, failed},
+    caller_body::EntryBody,
     caller_server::CallerServer,
     decision_line::AttemptNotes,
 };
@@ -121,7 +122,7 @@
         request: &EntryRequest<'_>,
         notes: &mut AttemptNotes,
         span: Option<&HopSpan>,
-    ) -> Result<Response<Bytes>, RequestRefusal> {
+    ) -> Result<Response<EntryBody>, RequestRefusal> {
         let route = request.route;
         let mut policy = RetryPolicy::new(route.is_idempotent, route.max_attempts);
         let mut tried: Vec<ServerId> = Vec::new();
@@ -271,7 +272,7 @@
     policy: &RetryPolicy,
     failure: Option<AttemptFailure>,
     refusal: RequestRefusal,
-) -> Result<Response<Bytes>, RequestRefusal> {
+) -> Result<Response<EntryBody>, RequestRefusal> {
     let Some(failure) = failure else { return Err(refusal) };
     if let Some(response) = failure.fallback {
         return Ok(response);
--- a/crates/sapphireknotd/src/front/connections.rs
+++ b/crates/sapphireknotd/src/front/connections.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    error::Error,
     net::SocketAddr,
     sync::{
         Arc,
@@ -12,8 +13,11 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -81,7 +85,7 @@
 /// Serves one connection until it ends, or until the host closes and its last request is answered.
 ///
 /// `busy` is held while the connection may have a request in flight.
-pub async fn serve_connection<S, F>(
+pub async fn serve_connection<S, F, B>(
     stream: TcpStream,
     limits: ConnectionLimits,
     drain: &watch::Sender<DrainStage>,
@@ -89,7 +93,9 @@
     answer: S,
 ) where
     S: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Result<Response<Full<Bytes>>, Infallible>>,
+    F: Future<Output = Result<Response<B>, Infallible>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!(error:% = err; "set TCP_NODELAY");
--- a/crates/sapphireknotd/src/upstream.rs
+++ b/crates/sapphireknotd/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Backend side: connections, load probes and the choice of a backend server.
 
+pub mod body_pieces;
 pub mod connections;
 pub mod pool;
 pub mod probes;
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -6,21 +6,28 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header, response};
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use super::interim_limit::{InterimCount, InterimLimitStream};
-use crate::buffers::TieredBudget;
+use super::{
+    body_pieces::{BodyPieces, ResponseBody},
+    interim_limit::{InterimCount, InterimLimitStream},
+};
+use crate::buffers::{SMALL_BODY, TieredBudget};
 
 /// Time before a backend server closes an idle connection at which the connection is no longer used.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
@@ -40,6 +47,9 @@
     pub idle_timeout: Duration,
     /// Time for which sent bytes may stay unacknowledged; `None` for the system's own.
     pub unacknowledged: Option<Duration>,
+    /// Bytes that are read of a connection before they are asked for; bounds the head of a response too. `None` for the
+    /// limit of the library.
+    pub receive_bytes: Option<usize>,
 }
 
 impl Default for PoolLimits {
@@ -50,6 +60,7 @@
             connect_timeout: Duration::from_millis(500),
             idle_timeout: Duration::from_secs(60),
             unacknowledged: None,
+            receive_bytes: None,
         }
     }
 }
@@ -80,7 +91,7 @@
 
 /// One connection; closed when dropped.
 #[derive(Debug)]
-struct Connection {
+pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     interim: InterimCount,
     driver: AbortHandle,
@@ -154,11 +165,51 @@
         max_bytes: usize,
         check: C,
     ) -> Result<Response<Bytes>, ExchangeError>
+    where
+        C: Fn(&response::Parts) -> Result<(), String>,
+    {
+        let (connection, head, body) = self.begin(peer, request, check).await?;
+        let body = self.collect(peer, connection, &head, body, max_bytes).await?;
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Like [`Self::exchange_checked`], except that a long body whose length is told is not read to its end. A body
+    /// without a length may have no end, so that it is complete before any of it is passed on.
+    pub async fn exchange_pieces<C>(
+        self: &Arc<Self>,
+        peer: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        check: C,
+    ) -> Result<Response<ResponseBody>, ExchangeError>
+    where
+        C: Fn(&response::Parts) -> Result<(), String>,
+    {
+        let (mut connection, head, body) = self.begin(peer, request, check).await?;
+        let length = body.size_hint().exact().filter(|it| *it > SMALL_BODY as u64);
+        let Some(length) = length else {
+            let body = self.collect(peer, connection, &head, body, max_bytes).await?;
+            return Ok(Response::from_parts(head, ResponseBody::Whole(body)));
+        };
+        let place = self.buffers.window().await;
+        let place = place.map_err(|err| ExchangeError::Broken { peer, cause: err.to_string() })?;
+        connection.usable_until = Instant::now() + self.idle_time(&head.headers);
+        let pieces = BodyPieces::begin(self.clone(), peer, connection, body, length, place).await?;
+        Ok(Response::from_parts(head, ResponseBody::Pieces(pieces)))
+    }
+
+    /// Sends `request` and reads the head of the response.
+    async fn begin<C>(
+        &self,
+        peer: SocketAddr,
+        request: Request<Full<Bytes>>,
+        check: C,
+    ) -> Result<(Connection, response::Parts, Incoming), ExchangeError>
     where
         C: Fn(&response::Parts) -> Result<(), String>,
     {
         let mut request = request;
-        let (mut connection, response) = loop {
+        let (connection, response) = loop {
             let (mut connection, is_new) = self.connection(peer).await?;
             connection.interim.watch(&mut request);
             match connection.sender.try_send_request(request).await {
@@ -183,14 +234,36 @@
             return Err(broken("unexpected change of protocol".to_owned()));
         }
         check(&head).map_err(broken)?;
+        Ok((connection, head, body))
+    }
+
+    /// Reads a body to its end, after which the connection is kept.
+    async fn collect(
+        &self,
+        peer: SocketAddr,
+        mut connection: Connection,
+        head: &response::Parts,
+        body: Incoming,
+        max_bytes: usize,
+    ) -> Result<Bytes, ExchangeError> {
         let body = self.buffers.collect(body, max_bytes).await;
-        let body = body.map_err(|err| broken(err.to_string()))?;
+        let body = body.map_err(|err| ExchangeError::Broken { peer, cause: err.to_string() })?;
         connection.usable_until = Instant::now() + self.idle_time(&head.headers);
         // The connection is ready once the last byte was read; if it is not, it is closing.
         if connection.sender.ready().await.is_ok() {
             self.keep(peer, connection);
         }
-        Ok(Response::from_parts(head, body))
+        Ok(body)
+    }
+
+    /// Keeps a connection whose last byte was handed out, as soon as it has noticed that.
+    pub(super) fn keep_when_ready(self: &Arc<Self>, peer: SocketAddr, mut connection: Connection) {
+        let pool = self.clone();
+        tokio::spawn(async move {
+            if connection.sender.ready().await.is_ok() {
+                pool.keep(peer, connection);
+            }
+        });
     }
 
     /// Closes idle connections to other backend servers than `peers`.
@@ -217,7 +290,12 @@
         }
         let interim = InterimCount::default();
         let stream = InterimLimitStream::new(stream, interim.clone());
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.limits.receive_bytes {
+            builder.max_buf_size(bytes);
+        }
+        let (sender, driver) = builder
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|err| not_sent(err.to_string()))?;
         // Errors of the connection reach the request that waits on it.
