entry: bound what the system queues for a connection

With long responses passed on in pieces, most of the memory that they take is the system's: it reads ahead of the process on the connection of a backend server, and keeps up to megabytes for a caller that does not read. On a small machine that is memory of the host.

The receive buffer of connections to backend servers and the send buffer of callers' connections are set to 128 KB, which the system doubles for its own use. A round trip between regions of 24 ms then carries 5 MB/s on one connection (computed), which is the price for a caller far away. A system that refuses the bound is logged at debug level, and the connection serves without it. The own-platform path keeps the system's limits.

--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -10,6 +10,8 @@
 pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Bytes of request bodies that are held at the same time, and of response bodies; an entry host is small.
 pub const MAX_BUFFERED_BYTES: usize = 64 << 20;
+/// Bytes of a connection that an entry host lets the system keep on the way from a backend server to a caller.
+pub const SYSTEM_BUFFER_BYTES: u32 = 128 << 10;
 /// Connections of callers at the same time.
 pub const MAX_CONNECTIONS: usize = 4_096;
 /// Time in which the headers of a request must arrive.
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -35,7 +35,7 @@
         refusals::FrontRefusal,
     },
     telemetry::{self, HopSpan},
-    upstream::connections::{ConnectionPool, PoolLimits},
+    upstream::connections::{ConnectionPool, PoolLimits, ReceiveLimits},
 };
 
 /// Connections of callers at the same time; leaves descriptors for backend servers out of the 4,100 of a host.
@@ -48,6 +48,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which bytes to a backend server may stay unacknowledged before the connection counts as silent.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_200);
+/// Bytes of a connection that wait to be read. What the system receives for a caller that does not read would otherwise
+/// grow to megabytes; a round trip between regions of 24 ms still carries 5 MB/s.
+const RECEIVE_LIMITS: ReceiveLimits =
+    ReceiveLimits { process_bytes: PIECE_BYTES, system_bytes: constants::SYSTEM_BUFFER_BYTES };
 /// Time that a connection may be idle beyond the limit that callers know, so that it is they who stop using it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Time after which a host without a plan is asked again.
@@ -74,7 +78,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             unacknowledged: Some(UNACKNOWLEDGED),
-            receive_bytes: Some(PIECE_BYTES),
+            receive: Some(RECEIVE_LIMITS),
         };
         let connections = ConnectionPool::with_limits(constants::MAX_BUFFERED_BYTES, limits);
         let has_traces = state.settings.load().telemetry.otlp.is_some();
@@ -119,6 +123,7 @@
                 .map_or(constants::HEADER_TIMEOUT.0, |it| it.idle_timeout + IDLE_MARGIN),
             max_header_bytes: limits.map_or(constants::MAX_HEADER_BYTES, |it| it.max_header_bytes),
             write_timeout: constants::WRITE_TIMEOUT.0,
+            send_bytes: Some(constants::SYSTEM_BUFFER_BYTES),
         }
     }
 
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -76,6 +76,7 @@
             header_timeout: limits.header_timeout.0,
             max_header_bytes: limits.max_header_bytes,
             write_timeout: limits.write_timeout.0,
+            send_bytes: None,
         };
         let serve = |stream, peer| {
             let server = self.clone();
--- a/crates/sapphireknotd/src/front/connections.rs
+++ b/crates/sapphireknotd/src/front/connections.rs
@@ -19,6 +19,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -42,6 +43,8 @@
     pub max_header_bytes: usize,
     /// Time in which a caller must take the bytes of a response.
     pub write_timeout: Duration,
+    /// Bytes that the system keeps for a caller that does not read; `None` for its own limit.
+    pub send_bytes: Option<u32>,
 }
 
 /// Accepts at most `max_connections` at a time until the host reaches the stage `last`.
@@ -100,6 +103,12 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!(error:% = err; "set TCP_NODELAY");
     }
+    if let Some(bytes) = limits.send_bytes
+        && let Err(err) = SockRef::from(&stream).set_send_buffer_size(bytes as usize)
+    {
+        // Without the bound the connection serves all the same.
+        log::debug!(error:% = err; "set SO_SNDBUF");
+    }
     let stream = PromptStream::new(stream, limits.write_timeout);
     let has_begun = AtomicBool::new(false);
     let service = service_fn(|request| {
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -21,7 +21,10 @@
 use parking_lot::Mutex;
 use socket2::SockRef;
 use thiserror::Error;
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 use super::{
     body_pieces::{BodyPieces, ResponseBody},
@@ -47,9 +50,17 @@
     pub idle_timeout: Duration,
     /// Time for which sent bytes may stay unacknowledged; `None` for the system's own.
     pub unacknowledged: Option<Duration>,
-    /// Bytes that are read of a connection before they are asked for; bounds the head of a response too. `None` for the
-    /// limit of the library.
-    pub receive_bytes: Option<usize>,
+    /// Bytes of a connection that wait to be read, in the process and in the system; `None` for their own.
+    pub receive: Option<ReceiveLimits>,
+}
+
+/// Bytes of a connection that wait to be read.
+#[derive(Debug, Clone, Copy)]
+pub struct ReceiveLimits {
+    /// In the process; bounds the head of a response too.
+    pub process_bytes: usize,
+    /// In the system.
+    pub system_bytes: u32,
 }
 
 impl Default for PoolLimits {
@@ -60,7 +71,7 @@
             connect_timeout: Duration::from_millis(500),
             idle_timeout: Duration::from_secs(60),
             unacknowledged: None,
-            receive_bytes: None,
+            receive: None,
         }
     }
 }
@@ -278,7 +289,7 @@
             }
         }
         let not_sent = |cause: String| ExchangeError::NotSent { peer, cause };
-        let connecting = TcpStream::connect(peer);
+        let connecting = open_stream(peer, self.limits.receive);
         let connecting = tokio::time::timeout(self.limits.connect_timeout, connecting).await;
         let stream = connecting
             .map_err(|_| not_sent("no answer in time".to_owned()))?
@@ -291,8 +302,8 @@
         let interim = InterimCount::default();
         let stream = InterimLimitStream::new(stream, interim.clone());
         let mut builder = http1::Builder::new();
-        if let Some(bytes) = self.limits.receive_bytes {
-            builder.max_buf_size(bytes);
+        if let Some(limits) = self.limits.receive {
+            builder.max_buf_size(limits.process_bytes);
         }
         let (sender, driver) = builder
             .handshake(TokioIo::new(stream))
@@ -340,6 +351,20 @@
     }
 }
 
+async fn open_stream(
+    peer: SocketAddr,
+    limits: Option<ReceiveLimits>,
+) -> std::io::Result<TcpStream> {
+    let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(limits) = limits
+        && let Err(err) = socket.set_recv_buffer_size(limits.system_bytes)
+    {
+        // Without the bound the connection serves all the same.
+        log::debug!(peer:%, error:% = err; "set SO_RCVBUF");
+    }
+    socket.connect(peer).await
+}
+
 /// Whether the end of a body can be told from a broken connection.
 fn has_framing(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
