entry settings: derive the memory for bodies from the memory limit

The bodies of requests and those of responses may take 64 MB each, whatever the machine has; on one of 160 MB that leaves 32 MB for the process, its connections and the system's queues.

The settings take `memory`, the size beyond which the process is killed, and a quarter of it each is for the bodies of requests and of responses: 65 MB each of 260 MB, 40 MB each of 160 MB. Without the field the constant stays. A change of it takes effect at the next start.

--- a/crates/sapphireknot/src/units.rs
+++ b/crates/sapphireknot/src/units.rs
@@ -82,6 +82,12 @@
     ByteRate,
     u64
 );
+unit!(
+    /// Bytes; text `160MB`.
+    #[derive(SerializeDisplay, DeserializeFromStr)]
+    ByteCount,
+    u64
+);
 unit!(
     /// Requests that a backend server runs at the same time.
     #[derive(Serialize, Deserialize)]
@@ -229,6 +235,33 @@
     }
 }
 
+/// Suffixes of [`ByteCount`] with bytes of one unit, largest first.
+const BYTE_UNITS: [(&str, u64); 3] = [("GB", 1_000_000_000), ("MB", 1_000_000), ("KB", 1_000)];
+
+impl fmt::Display for ByteCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let unit =
+            BYTE_UNITS.iter().find(|(_, size)| self.0 >= *size && self.0.is_multiple_of(*size));
+        match unit {
+            Some((suffix, size)) => write!(f, "{}{suffix}", self.0 / size),
+            None => write!(f, "{}B", self.0),
+        }
+    }
+}
+
+impl FromStr for ByteCount {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let units = BYTE_UNITS.iter().copied().chain([("B", 1)]);
+        units
+            .filter_map(|(suffix, size)| Some((text.strip_suffix(suffix)?, size)))
+            .find_map(|(number, size)| number.parse::<u64>().ok()?.checked_mul(size))
+            .map(Self)
+            .ok_or_else(|| UnitError::new(text, "a size such as 160MB or 4GB"))
+    }
+}
+
 impl fmt::Display for SlotCount {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -80,15 +80,19 @@
             unacknowledged: Some(UNACKNOWLEDGED),
             receive: Some(RECEIVE_LIMITS),
         };
-        let connections = ConnectionPool::with_limits(constants::MAX_BUFFERED_BYTES, limits);
-        let has_traces = state.settings.load().telemetry.otlp.is_some();
+        let settings = state.settings.load();
+        // As much memory for requests as for responses, so that neither waits for the other.
+        let body_bytes = settings.body_bytes();
+        let connections = ConnectionPool::with_limits(body_bytes, limits);
+        let has_traces = settings.telemetry.otlp.is_some();
+        drop(settings);
         Self {
             state,
             connections: Arc::new(connections),
             fleet,
             quotas: QuotaPeers::default(),
             // A request that has not run is refused rather than kept waiting for memory.
-            buffers: BufferBudget::new(constants::MAX_BUFFERED_BYTES),
+            buffers: BufferBudget::new(body_bytes),
             busy: Arc::default(),
             has_traces,
         }
--- a/crates/sapphireknotd/src/entry/reload.rs
+++ b/crates/sapphireknotd/src/entry/reload.rs
@@ -12,8 +12,8 @@
 
 /// Applies changes of the settings file until the process ends.
 ///
-/// Bounds and the log level take effect at once. Identity and addresses are those of the start; a change of them is
-/// logged and takes effect at the next start.
+/// Bounds and the log level take effect at once. Identity, addresses and memory are those of the start; a change of them
+/// is logged and takes effect at the next start.
 pub async fn run(state: Arc<EntryState>, path: PathBuf, mut hangup: Signal) {
     let mut known = std::fs::read_to_string(&path).unwrap_or_default();
     loop {
@@ -45,8 +45,10 @@
 
 fn apply(state: &EntryState, settings: EntrySettings) {
     let before = state.settings.load_full();
-    if settings.listen != before.listen || settings.host != before.host {
-        log::warn!("identity and addresses change at the next start only");
+    let is_same = (&settings.listen, &settings.host, settings.memory)
+        == (&before.listen, &before.host, before.memory);
+    if !is_same {
+        log::warn!("identity, addresses and memory change at the next start only");
     }
     logging::set_level(&settings.log);
     state.core.lock().set_bounds(settings.shared_bounds(), state.clock.now());
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -10,6 +10,7 @@
         shares::QuotaSlack,
     },
     time::ClockSpan,
+    units::ByteCount,
 };
 use serde::{Deserialize, Serialize};
 use serde_with::{DefaultOnNull, serde_as};
@@ -19,6 +20,10 @@
     settings::{LogSettings, TelemetrySettings, decode_tree},
 };
 
+/// One of so many parts of the memory is for the bodies of requests and one for those of responses. The others are for the
+/// process itself, its connections, and what the system queues for them.
+const BODY_PARTS: usize = 4;
+
 /// Settings of an entry host.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -41,6 +46,9 @@
     #[serde_as(deserialize_as = "DefaultOnNull")]
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Memory beyond which the process is killed, if there is such a limit.
+    #[serde(default)]
+    pub memory: Option<ByteCount>,
     /// Bounds over all hosts together and of a graceful shutdown.
     #[serde_as(deserialize_as = "DefaultOnNull")]
     #[serde(default)]
@@ -122,6 +130,12 @@
         if problems.is_empty() { Ok(settings) } else { Err(problems) }
     }
 
+    /// Memory for the bodies of requests, and as much for those of responses.
+    pub fn body_bytes(&self) -> usize {
+        let Some(memory) = self.memory else { return constants::MAX_BUFFERED_BYTES };
+        usize::try_from(memory.0).unwrap_or(usize::MAX) / BODY_PARTS
+    }
+
     fn problems(&self) -> Vec<ConfigProblem> {
         let mut problems = Vec::new();
         if self.regions.get(&self.datacentre) != Some(&self.region) {
@@ -145,6 +159,9 @@
                 problems.push(ConfigProblem::new(field, span, "more than 0s"));
             }
         }
+        if self.memory == Some(ByteCount(0)) {
+            problems.push(ConfigProblem::new("memory", ByteCount(0), "more than 0B"));
+        }
         if self.log.level.parse::<log::LevelFilter>().is_err() {
             let allowed = "error, warn, info, debug or trace";
             problems.push(ConfigProblem::new("log.level", &self.log.level, allowed));
--- a/crates/sapphireknotd/tests/entry_settings.rs
+++ b/crates/sapphireknotd/tests/entry_settings.rs
@@ -58,14 +58,25 @@
     }
 }
 
+/// Guards against a host that takes more memory for bodies than its machine has.
+#[test]
+fn memory_limit() {
+    let text = sample();
+    assert_eq!(load("entry-memory.yaml", &text, &[]).unwrap().body_bytes(), 65_000_000);
+    let text: String =
+        text.lines().filter(|it| !it.starts_with("memory")).map(|it| format!("{it}\n")).collect();
+    assert_eq!(load("entry-no-memory.yaml", &text, &[]).unwrap().body_bytes(), 64 << 20);
+}
+
 /// Every problem is reported with its field.
 #[test]
 fn wrong_fields() {
     let text = sample().replace("quota_tolerance: 0.1", "quota_tolerance: 7");
     let text = text.replace("level: info", "level: loud");
     let text = text.replace("datacentre: dub-a", "datacentre: nowhere");
+    let text = text.replace("memory: 260MB", "memory: 0MB");
     let err = load("entry-wrong.yaml", &text, &[]).unwrap_err().to_string();
-    for field in ["bounds.quota_tolerance", "log.level", "regions"] {
+    for field in ["bounds.quota_tolerance", "log.level", "regions", "memory"] {
         assert!(err.contains(field), "{field} is missing in {err}");
     }
     let unknown = sample().replace("listen:", "colour: red\nlisten:");
