--- a/crates/sapphireknotd/src/front/connections.rs
+++ b/crates/sapphireknotd/src/front/connections.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    error::Error,
     net::SocketAddr,
     sync::{
         Arc,
@@ -12,9 +13,13 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -38,6 +43,8 @@
     pub max_header_bytes: usize,
     /// Time in which a caller must take the bytes of a response.
     pub write_timeout: Duration,
+    /// Bytes that the system keeps for a caller that does not read; `None` for its own limit.
+    pub send_bytes: Option<u32>,
 }
 
 /// Accepts at most `max_connections` at a time until the host reaches the stage `last`.
@@ -81,7 +88,7 @@
 /// Serves one connection until it ends, or until the host closes and its last request is answered.
 ///
 /// `busy` is held while the connection may have a request in flight.
-pub async fn serve_connection<S, F>(
+pub async fn serve_connection<S, F, B>(
     stream: TcpStream,
     limits: ConnectionLimits,
     drain: &watch::Sender<DrainStage>,
@@ -89,11 +96,19 @@
     answer: S,
 ) where
     S: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Result<Response<Full<Bytes>>, Infallible>>,
+    F: Future<Output = Result<Response<B>, Infallible>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!(error:% = err; "set TCP_NODELAY");
     }
+    if let Some(bytes) = limits.send_bytes
+        && let Err(err) = SockRef::from(&stream).set_send_buffer_size(bytes as usize)
+    {
+        // Without the bound the connection serves all the same.
+        log::debug!(error:% = err; "set SO_SNDBUF");
+    }
     let stream = PromptStream::new(stream, limits.write_timeout);
     let has_begun = AtomicBool::new(false);
     let service = service_fn(|request| {
