entry host: ask servers whether they are cold while the store is away

Hosts learn from registrations which servers are cold.

Responses to callers' requests do not say that a server is cold, and the slow ones come too late (0.4 s and more). Only servers that refuse connections can be taken for cold without a question; these stay up. A lower limit for all servers while the store is away would refuse most requests. Questions of the collector alone end with that host, and the exchange of loads every 0.4 s is too slow for a bound on one second.

While the store is away, and until servers had time to register again, two hosts of a region ask each server every 250 ms at its health path, by rendezvous hashing; at most 400 questions a second leave a host. What is new goes at once to the hosts of the region and to the collector of each other one, which passes it on. A server's word makes it cold for no longer than the longest warm-up, and a registration from before the outage does not end that.

--- a/crates/sapphireknot-platform/src/dialect.rs
+++ b/crates/sapphireknot-platform/src/dialect.rs
@@ -61,6 +61,15 @@
     pub load: Option<ServerLoad>,
 }
 
+/// What a backend server tells of itself when it is asked.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ServerHealth {
+    /// Server that has the address; `None` if it does not say.
+    pub server: Option<ServerId>,
+    /// Time for which it stays cold; `None` if it does not say.
+    pub warmup_left: Option<Duration>,
+}
+
 /// Question of a caller where to connect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NameQuery {
@@ -86,6 +95,9 @@
         headers: &HeaderMap,
     ) -> ServerAnswer;
 
+    /// Reads the response of a server that was asked for its health, whatever the status.
+    fn read_health(&self, headers: &HeaderMap) -> ServerHealth;
+
     /// The response that refuses a request; only statuses that promise so are used for one that did not run.
     fn refuse(
         &self,
--- a/crates/sapphireknot-platform/src/lib.rs
+++ b/crates/sapphireknot-platform/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod store;
 
 pub use self::{
-    dialect::{AnswerKind, CallerHead, NameQuery, RequestDialect, ServerAnswer, ServerHead},
+    dialect::{
+        AnswerKind, CallerHead, NameQuery, RequestDialect, ServerAnswer, ServerHead, ServerHealth,
+    },
     fleet::{CallCount, FeedError, FeedPage, FleetStore, ReadRecency, WriteOutcome},
     grpc::{GrpcHosts, GrpcStore},
     hosts::{HostList, ListedHost},
--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -2,13 +2,14 @@
 //!
 //! [`plan`] is the configuration that hosts install, [`fleet`] the registered backend servers and hosts. [`choice`]
 //! picks a backend server for a request ([`query`]) by what [`server_state`], the reports of other hosts ([`loads`]) and
-//! the measured [`work`] say of it, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
+//! the measured [`work`] say of it, [`cold`] tells which hosts ask servers whether they are cold while the store is away, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
 //! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
 //! quotas. [`version`] decides which version of a service takes a request while a rollout runs, by the [`evidence`] that
 //! all hosts have on it, and [`naming`] which hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what
 //! the store told for hosts that cannot read it, and [`copy_search`] picks one of several copies.
 
 pub mod choice;
+pub mod cold;
 pub mod copy_search;
 pub mod core;
 pub mod evidence;
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -3,6 +3,7 @@
 //! The core takes what the store tells as [`FleetChange`]s and answers the questions of the request path. It is the only
 //! owner of this state; the request path locks it for the time of one question.
 
+pub mod cold_exchange;
 mod evidence_exchange;
 mod load_exchange;
 mod quotas;
@@ -213,9 +214,7 @@
             FleetChange::EvacuationGone(datacentre) => {
                 self.evacuated.remove(&datacentre);
                 // Servers that got nothing for a while may be cold without having said so yet.
-                let warmups = self.plan.iter().flat_map(|it| it.services.values());
-                let warmup = warmups.map(|it| it.warmup).max().unwrap_or_default();
-                self.fleet.cool_down(&datacentre, now.after(warmup));
+                self.fleet.cool_down(&datacentre, now.after(self.longest_warmup()));
             }
             FleetChange::Host(record) => self.fleet.add_host(record, now),
             FleetChange::HostGone(id) => self.fleet.remove_host(&id, now),
--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
+use super::{cold::ColdReport, server_state::server_hash};
 use crate::{
     ids::{DatacentreId, HostId, IncarnationId, RegionId, ServerId, ServiceId, VersionId},
     time::MonoTime,
@@ -18,6 +19,9 @@
 /// Time for which a host that left the list still counts in the division of shares; it may be cut off and serve on.
 const HOST_RETENTION: Duration = Duration::from_secs(60);
 
+/// Difference between two reports of a server's cold time up to which they say the same.
+const COLD_SLACK: Duration = Duration::from_millis(300);
+
 /// Registration of a backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerRecord {
@@ -65,6 +69,8 @@
     pub record: ServerRecord,
     /// Until when it is cold.
     pub cold_until: MonoTime,
+    /// Until when it is cold as it told itself rather than the store.
+    told_until: MonoTime,
     /// When it is removed unless it registers again.
     missing_until: Option<MonoTime>,
 }
@@ -96,7 +102,10 @@
             Some(known) if !is_restart && record.warmup_left.is_zero() => known.cold_until.min(now),
             _ => cold_until,
         };
-        let server = FleetServer { cold_until, missing_until: None, record };
+        // The store may still have the registration from before the server told that it is cold.
+        let told_until = known.filter(|_| !is_restart).map(|it| it.told_until).unwrap_or_default();
+        let cold_until = cold_until.max(told_until);
+        let server = FleetServer { cold_until, told_until, missing_until: None, record };
         self.servers.insert(server.record.id.clone(), server);
     }
 
@@ -131,6 +140,29 @@
         }
     }
 
+    /// Takes what servers told of themselves; returns what was not known.
+    ///
+    /// A server's word makes it cold and never warm, as it may be older than a restart that the store told.
+    pub fn take_cold(&mut self, reports: &[ColdReport]) -> Vec<ColdReport> {
+        let until: HashMap<u64, MonoTime> =
+            reports.iter().map(|it| (it.server, it.cold_until)).collect();
+        let mut news = Vec::new();
+        for server in self.servers.values_mut() {
+            let hash = server_hash(&server.record.id);
+            let Some(&cold_until) = until.get(&hash) else { continue };
+            if cold_until > server.cold_until.after(COLD_SLACK) {
+                (server.cold_until, server.told_until) = (cold_until, cold_until);
+                news.push(ColdReport { server: hash, cold_until });
+            }
+        }
+        news
+    }
+
+    /// Whether the store could not be read until a moment ago, so that registrations may be out of date.
+    pub fn is_doubtful(&self, now: MonoTime) -> bool {
+        now < self.doubtful_until
+    }
+
     /// Removes servers that did not register again in time and hosts that no longer count.
     pub fn expire(&mut self, now: MonoTime) {
         self.servers.retain(|_, it| it.missing_until.is_none_or(|until| now < until));
@@ -168,7 +200,7 @@
     }
 
     /// Registered hosts.
-    pub fn hosts(&self) -> impl Iterator<Item = &HostRecord> {
+    pub fn hosts(&self) -> impl Iterator<Item = &HostRecord> + Clone {
         self.hosts.values()
     }
 
--- a/crates/sapphireknot/src/steering/plan.rs
+++ b/crates/sapphireknot/src/steering/plan.rs
@@ -65,6 +65,8 @@
     pub warmup: Duration,
     /// Requests per second that a cold backend server tolerates from all hosts together.
     pub warmup_rate: RequestRate,
+    /// Path at which a backend server tells of itself; `None` if there is none.
+    pub health_path: Option<String>,
 }
 
 /// Organisation of a plan.
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -2,6 +2,7 @@
 
 mod affinity_choice;
 mod choice_miss;
+mod cold_reports;
 mod core_state;
 mod failure_reports;
 mod feed_copies;
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -62,7 +62,11 @@
 }
 
 pub(crate) fn service_rule() -> ServiceRule {
-    ServiceRule { warmup: Duration::from_secs(3), warmup_rate: RequestRate::per_second(15) }
+    ServiceRule {
+        warmup: Duration::from_secs(3),
+        warmup_rate: RequestRate::per_second(15),
+        health_path: Some("/health".to_owned()),
+    }
 }
 
 pub(crate) fn route(name: &str, prefix: &str) -> RouteRule {
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -4,10 +4,13 @@
 //! [`fleet_actor`] follows the store, [`host_actor`] keeps this host registered, [`caller_server`] serves callers, and
 //! [`side_servers`] answer the directory, the readiness check and the metrics. Hosts ask each other for admissions
 //! ([`quota_peers`]), for the loads of servers ([`load_peers`]), and for what the store holds when it cannot be read
-//! ([`peer_source`]).
+//! ([`peer_source`]). While the store is away, [`cold_probes`] ask servers whether they are cold, and [`cold_peers`] tells
+//! the other hosts.
 
 mod attempt;
 pub mod caller_server;
+pub mod cold_peers;
+pub mod cold_probes;
 mod decision_line;
 pub mod decision_log;
 pub mod evidence_codec;
@@ -46,6 +49,7 @@
 
 use self::{
     caller_server::CallerServer,
+    cold_peers::ColdPeers,
     fleet_actor::{FleetActor, FleetArguments, FleetMessage},
     host_actor::{HostActor, HostArguments, HostMessage},
     settings::EntrySettings,
@@ -166,8 +170,10 @@
         let arguments = HostArguments { state: state.clone() };
         let (host, _) = HostActor::spawn(None, HostActor, arguments).await?;
         let server = Arc::new(CallerServer::new(state.clone(), fleet.clone()));
+        let cold_peers = Arc::new(ColdPeers::new(state.clone()));
+        tasks.push(tokio::spawn(cold_probes::run(state.clone(), cold_peers.clone())));
         tasks.push(tokio::spawn(server.clone().serve(callers)));
-        tasks.push(tokio::spawn(peer_server::serve(state.clone(), peers)));
+        tasks.push(tokio::spawn(peer_server::serve(state.clone(), cold_peers, peers)));
         tasks.push(tokio::spawn(load_peers::run(state.clone())));
         tasks.push(tokio::spawn(side_servers::serve_directory(state.clone(), directory)));
         tasks.push(tokio::spawn(side_servers::serve_readiness(state.clone(), readiness)));
--- a/crates/sapphireknotd/src/entry/meters.rs
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -21,6 +21,7 @@
     store_failures: Counter<u64>,
     load_reports: Counter<u64>,
     exchange_failures: Counter<u64>,
+    cold_probes: Counter<u64>,
 }
 
 impl Default for EntryMeters {
@@ -39,6 +40,7 @@
             exchange_failures: meter
                 .u64_counter("sapphireknot.entry.load_exchange_failures")
                 .build(),
+            cold_probes: meter.u64_counter("sapphireknot.entry.cold_probes").build(),
         }
     }
 }
@@ -69,6 +71,11 @@
         self.exchange_failures.add(1, &[]);
     }
 
+    /// Counts a question to a server whether it is cold.
+    pub fn count_cold_probe(&self, result: &'static str) {
+        self.cold_probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a failed call to the store.
     pub fn count_store_failure(&self, step: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("step", step)]);
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -9,7 +9,7 @@
 };
 use sapphireknot_wire::entry::{
     CopyPart, ReadCopyRequest, ShareLoadsReply, ShareLoadsRequest, TakeTokensReply,
-    TakeTokensRequest,
+    TakeTokensRequest, TellColdReply, TellColdRequest,
     entry_server::{Entry, EntryServer},
 };
 use tokio::{net::TcpListener, sync::Semaphore};
@@ -17,6 +17,7 @@
 use tonic::{Request, Response, Status, transport::Server};
 
 use super::{
+    cold_peers::{ColdPeers, decode_cold},
     evidence_codec::{decode_evidence, encode_evidence},
     load_peers::{decode_regions, decode_reports, encode_regions, encode_reports, take_evidence},
     peer_source,
@@ -29,6 +30,7 @@
 /// Server of the calls between hosts.
 struct PeerServer {
     state: Arc<EntryState>,
+    cold_peers: Arc<ColdPeers>,
     copies: Arc<Semaphore>,
 }
 
@@ -73,6 +75,24 @@
         Ok(Response::new(reply))
     }
 
+    async fn tell_cold(
+        &self,
+        request: Request<TellColdRequest>,
+    ) -> Result<Response<TellColdReply>, Status> {
+        let request = request.into_inner();
+        let now = self.state.clock.now();
+        let reports = decode_cold(&request, now);
+        let news = self.state.core.lock().take_cold(&reports, now);
+        if !news.is_empty() {
+            log::info!(servers = news.len(); "servers are cold, as another host tells");
+            if request.relay {
+                let listeners = self.state.core.lock().neighbours();
+                self.cold_peers.tell(news, listeners);
+            }
+        }
+        Ok(Response::new(TellColdReply::default()))
+    }
+
     async fn share_loads(
         &self,
         request: Request<ShareLoadsRequest>,
@@ -120,9 +140,9 @@
 }
 
 /// Serves other hosts until the process ends.
-pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
+pub async fn serve(state: Arc<EntryState>, cold_peers: Arc<ColdPeers>, listener: TcpListener) {
     let copies = Arc::new(Semaphore::new(MAX_COPIES));
-    let service = EntryServer::new(PeerServer { state, copies });
+    let service = EntryServer::new(PeerServer { state, cold_peers, copies });
     let server = Server::builder().tcp_nodelay(true).add_service(service);
     if let Err(err) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
         log::error!(error:% = err; "serve other hosts");
