--- a/crates/sapphireknotd/src/entry/meters.rs
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -22,6 +22,7 @@
     load_reports: Counter<u64>,
     exchange_failures: Counter<u64>,
     sent_copies: Counter<u64>,
+    cold_probes: Counter<u64>,
 }
 
 impl Default for EntryMeters {
@@ -41,6 +42,7 @@
                 .u64_counter("sapphireknot.entry.load_exchange_failures")
                 .build(),
             sent_copies: meter.u64_counter("sapphireknot.entry.sent_copies").build(),
+            cold_probes: meter.u64_counter("sapphireknot.entry.cold_probes").build(),
         }
     }
 }
@@ -76,6 +78,11 @@
         self.sent_copies.add(1, &[]);
     }
 
+    /// Counts a question to a server whether it is cold.
+    pub fn count_cold_probe(&self, result: &'static str) {
+        self.cold_probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a failed call to the store.
     pub fn count_store_failure(&self, step: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("step", step)]);
