context: move the borders and the published state out of the host context

context.rs held the traits between the modules together with the concrete context, so that claims, directory, quota and rollout imported the module that imports them.

The traits and their plain types are in interfaces.rs, which imports none of their implementors. RolloutTable, RequestClaims and RegionalPool take the published state and the traits that they use instead of a weak reference to the whole context, which only control, front and operator take now. HostQuotas reports shortages through a trait instead of a reference to the quota actor. The tests change in imports and constructor calls.

Ruled out: naming the field `state` at every use. The context dereferences to the published state, so that about 200 reads of it in code and tests stay as they are.

--- a/crates/sapphireknotd/src/claims.rs
+++ b/crates/sapphireknotd/src/claims.rs
@@ -27,7 +27,7 @@
     time::{sleep, timeout_at},
 };
 
-use crate::{clock::HostClock, context::HostContext};
+use crate::{clock::HostClock, published::PublishedState};
 
 /// Part of the window by which the claimant stops earlier, since the owners' clocks may be faster.
 const DRIFT_DIVISOR: u32 = 100;
@@ -115,15 +115,15 @@
     /// Claims `key` for one request, until `deadline` at most.
     pub async fn claim(
         self: &Arc<Self>,
-        context: &HostContext,
+        state: &PublishedState,
         key: ClaimKey,
         deadline: MonoTime,
     ) -> Result<RequestClaim, RequestRefusal> {
         let asked_at = self.clock.now();
         let window = self.limits.window;
         let holder = ClaimHolder {
-            host: context.identity.id.clone(),
-            incarnation: context.identity.incarnation,
+            host: state.identity.id.clone(),
+            incarnation: state.identity.incarnation,
             request: self.requests.fetch_add(1, Ordering::Relaxed),
         };
         let (end_sender, end) = watch::channel(None);
@@ -135,7 +135,7 @@
             end_sender,
         };
         let (reply_sender, replies) = mpsc::channel(OWNER_COUNT);
-        let members = context.members.load_full();
+        let members = state.members.load_full();
         for owner in claim_owners(&key, members.iter().map(|it| &it.id)) {
             let record = members.iter().find(|it| it.id == *owner);
             let address = record.filter(|it| it.id != holder.host).map(|it| it.peer_address);
--- a/crates/sapphireknotd/src/control.rs
+++ b/crates/sapphireknotd/src/control.rs
@@ -1,7 +1,7 @@
 //! Control state of the host.
 //!
 //! Actors own the session with the store, the configuration and the members. They exchange messages and publish what
-//! requests read in [`crate::context`]. The peer server and the operator interface run beside them.
+//! requests read in [`crate::published`]. The peer server and the operator interface run beside them.
 
 mod config_actor;
 mod head_reader;
@@ -17,6 +17,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ractor::{Actor, ActorRef, SpawnErr, rpc::CallResult};
+use sapphireknot::drain::DrainStage;
 use sapphireknot_platform::{GrpcHosts, GrpcStore};
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
@@ -43,7 +44,8 @@
     store::{ObservedStore, StoreObservation},
 };
 use crate::{
-    context::{DrainStage, HostContext, SharedDeadline},
+    context::HostContext,
+    interfaces::SharedDeadline,
     operator::{OperatorServer, serve_operators},
     peer::{PeerClients, PeerServer, serve_peers},
 };
--- a/crates/sapphireknotd/src/control/config_actor.rs
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -11,7 +11,7 @@
     delta::apply_notes,
     freshness::FreshnessClock,
     head::{ConfigHead, EncodedDocument},
-    ids::{ConfigGeneration, HostId},
+    ids::{ConfigGeneration, HostId, RegionId},
     installed::InstalledConfig,
     membership::MemberRecord,
     time::MonoTime,
@@ -278,7 +278,8 @@
         let shared = self.shared();
         let context = &shared.context;
         let now = context.clock.now();
-        let live = live_hosts(&context.members.load(), context);
+        let store_region = &context.settings.platform.store_region;
+        let live = live_hosts(&context.members.load(), store_region);
         context.fresh_until.set(self.freshness.fresh_until(now, &live));
         if let Some(until) = self.freshness.down_until(now, &live) {
             context.quotas.ledger().extend_surplus(now, until);
@@ -287,9 +288,8 @@
     }
 }
 
-/// Live hosts in the store's region, this one included.
-fn live_hosts(members: &[MemberRecord], context: &crate::context::HostContext) -> Vec<HostId> {
-    let region = &context.settings.platform.store_region;
+/// Live hosts in `region`, this one included.
+fn live_hosts(members: &[MemberRecord], region: &RegionId) -> Vec<HostId> {
     members
         .iter()
         .filter(|it| it.region == *region && it.state.is_live())
--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -9,6 +9,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use sapphireknot::{
+    drain::DrainStage,
     ids::{ConfigGeneration, HostId, IncarnationId},
     membership::{
         MemberAction, MemberEvent, MemberRecord, MemberSettings, MemberState, MemberTable,
@@ -22,13 +23,10 @@
     config_actor::{ConfigMessage, PeerEvidence},
     shared::{ActorResult, ControlShared, send},
 };
-use crate::{
-    context::DrainStage,
-    peer::{
-        PeerClients,
-        convert::{GossipView, gossip_from_wire, member_to_wire},
-        news_to_wire,
-    },
+use crate::peer::{
+    PeerClients,
+    convert::{GossipView, gossip_from_wire, member_to_wire},
+    news_to_wire,
 };
 
 /// Interval at which deadlines of the table are checked.
--- a/crates/sapphireknotd/src/control/quota_actor.rs
+++ b/crates/sapphireknotd/src/control/quota_actor.rs
@@ -23,8 +23,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::claims::ClaimState;
-use super::shared::{ActorResult, ControlShared};
-use crate::{peer::PeerClients, quota::HostQuotas};
+use super::shared::{ActorResult, ControlShared, send};
+use crate::{interfaces::ShortageSink, peer::PeerClients, quota::HostQuotas};
 
 /// Interval at which the actor looks after its resources.
 const TICK: Duration = Duration::from_millis(50);
@@ -52,6 +52,15 @@
     Stop(RpcReplyPort<bool>),
 }
 
+/// Shortages that go to the quota actor.
+struct ActorShortages(ActorRef<QuotaMessage>);
+
+impl ShortageSink for ActorShortages {
+    fn report_shortage(&self, resource: &ResourceId) {
+        send(&self.0, QuotaMessage::Short(resource.clone()));
+    }
+}
+
 /// Quota actor.
 pub(super) struct QuotaActor;
 
@@ -92,7 +101,7 @@
     ) -> Result<QuotaState, ActorProcessingErr> {
         let QuotaArguments { shared, peers } = arguments;
         let quotas = shared.context.quotas.clone();
-        quotas.connect(myself.clone());
+        quotas.connect(Arc::new(ActorShortages(myself.clone())));
         myself.send_interval(TICK, || QuotaMessage::Tick);
         let claims = ClaimState::new(shared.context.clock.now());
         Ok(QuotaState {
--- a/crates/sapphireknotd/src/control/shared.rs
+++ b/crates/sapphireknotd/src/control/shared.rs
@@ -15,7 +15,7 @@
 use thiserror::Error;
 
 use super::store::ObservedStore;
-use crate::context::{HostContext, SharedDeadline};
+use crate::{context::HostContext, interfaces::SharedDeadline};
 
 /// Key of the head.
 pub const HEAD_KEY: &str = "config/head";
--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -1,14 +1,9 @@
 //! Life of the daemon: listeners, the request path, signals and the graceful shutdown.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Weak},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
 use sapphireknot::{
-    drain::{DrainLimits, DrainTracker},
+    drain::{DrainLimits, DrainStage, DrainTracker},
     idempotency::ClaimLimits,
     ids::IncarnationId,
 };
@@ -17,7 +12,6 @@
 use tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
-    sync::watch,
     task::JoinHandle,
     time::{sleep, sleep_until, timeout},
 };
@@ -26,12 +20,13 @@
     claims::RequestClaims,
     clock::HostClock,
     constants,
-    context::{DrainStage, HostContext, HostIdentity, SharedDeadline},
+    context::HostContext,
     control::{self, ControlError, ControlHandle, ControlListeners},
-    directory::HostDirectory,
     entry::{self, EntryError, EntryPlatform},
     front::FrontServer,
+    interfaces::HostIdentity,
     options::{DaemonOptions, DaemonSettings},
+    published::PublishedState,
     quota::HostQuotas,
     rollout::RolloutTable,
     settings::{HostSettings, ListenSettings},
@@ -143,32 +138,22 @@
     clock: HostClock,
     identity: HostIdentity,
 ) -> (Arc<HostContext>, Arc<RegionalPool>) {
-    let mut pool = None;
-    let context = Arc::new_cyclic(|context: &Weak<HostContext>| {
-        let servers = Arc::new(RegionalPool::new(context.clone()));
-        pool = Some(servers.clone());
-        let quotas = Arc::new(HostQuotas::new(&identity, clock));
-        let rollouts = Arc::new(RolloutTable::new(context.clone()));
-        HostContext {
-            settings,
-            clock,
-            config: ArcSwapOption::empty(),
-            fresh_until: SharedDeadline::default(),
-            members: ArcSwap::default(),
-            directory: ArcSwap::from_pointee(HostDirectory::new(&identity, &[])),
-            identity,
-            drain: watch::Sender::new(DrainStage::Serving),
-            quota: quotas.clone(),
-            spill: quotas.clone(),
-            quotas,
-            versions: rollouts.clone(),
-            rollouts,
-            claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
-            servers,
-        }
-    });
-    let pool = pool.unwrap_or_else(|| Arc::new(RegionalPool::new(Arc::downgrade(&context))));
-    (context, pool)
+    let quotas = Arc::new(HostQuotas::new(&identity, clock));
+    let state = Arc::new(PublishedState::new(settings, clock, identity));
+    let rollouts = Arc::new(RolloutTable::new(state.clone()));
+    let pool = RegionalPool::new(state.clone(), rollouts.clone(), rollouts.clone(), quotas.clone());
+    let pool = Arc::new(pool);
+    let context = HostContext {
+        state,
+        quota: quotas.clone(),
+        spill: quotas.clone(),
+        quotas,
+        versions: rollouts.clone(),
+        rollouts,
+        claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
+        servers: pool.clone(),
+    };
+    (Arc::new(context), pool)
 }
 
 /// Host that runs in this process.
@@ -192,7 +177,7 @@
         let connections = Arc::new(ConnectionPool::new(max_buffered_bytes));
         let front = Arc::new(FrontServer::new(context.clone(), connections.clone()));
         let tasks = vec![
-            tokio::spawn(probes::run(context.clone(), pool, connections)),
+            tokio::spawn(probes::run(context.state.clone(), pool, connections)),
             tokio::spawn(front.clone().serve(listeners.caller)),
         ];
         let control_listeners =
--- a/crates/sapphireknotd/src/directory.rs
+++ b/crates/sapphireknotd/src/directory.rs
@@ -10,7 +10,7 @@
     membership::MemberRecord,
 };
 
-use crate::context::HostIdentity;
+use crate::interfaces::HostIdentity;
 
 /// Host of a directory.
 #[derive(Debug)]
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -31,7 +31,7 @@
 use prometheus::Registry;
 use ractor::{Actor, ActorRef, SpawnErr};
 use sapphireknot::{
-    drain::{DrainLimits, DrainTracker},
+    drain::{DrainLimits, DrainStage, DrainTracker},
     ids::IncarnationId,
     steering::fleet::HostRecord,
 };
@@ -53,7 +53,6 @@
 };
 use crate::{
     clock::HostClock,
-    context::DrainStage,
     telemetry::{self, TelemetryError, TelemetryTarget},
 };
 
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -9,6 +9,7 @@
 use opentelemetry::trace::SpanKind;
 use ractor::ActorRef;
 use sapphireknot::{
+    drain::DrainStage,
     ids::OrganisationId,
     refusal::{RefusalReason, RequestRefusal, RunState},
     steering::plan::{RouteRule, RoutingPlan},
@@ -28,7 +29,6 @@
 use crate::{
     buffers::BufferBudget,
     constants,
-    context::DrainStage,
     front::{
         bodies::read_body,
         connections::{ConnectionLimits, accept_connections, serve_connection},
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -5,6 +5,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
 use sapphireknot::{
+    drain::DrainStage,
     steering::{core::SteeringCore, feed_copy::FeedCopy, fleet::HostRecord, plan::RoutingPlan},
     time::MonoTime,
 };
@@ -14,7 +15,7 @@
 use super::{
     EntryPlatform, decision_log::DecisionLog, meters::EntryMeters, settings::EntrySettings,
 };
-use crate::{clock::HostClock, context::DrainStage};
+use crate::clock::HostClock;
 
 /// Time for which a host that starts waits for its registration before it is ready.
 const REGISTER_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -19,6 +19,7 @@
 use opentelemetry::{KeyValue, trace::SpanKind};
 use parking_lot::Mutex;
 use sapphireknot::{
+    drain::DrainStage,
     idempotency::{ClaimEnd, ClaimKey},
     refusal::{RefusalReason, RequestRefusal, RunState},
     retry::RetryBudget,
@@ -34,7 +35,8 @@
 };
 use crate::{
     buffers::BufferBudget,
-    context::{DrainStage, HostContext, QuotaVerdict},
+    context::HostContext,
+    interfaces::QuotaVerdict,
     telemetry::{self, HopSpan, PathMeters},
     upstream::connections::{ConnectionPool, REQUEST_ID},
 };
--- a/crates/sapphireknotd/src/front/connections.rs
+++ b/crates/sapphireknotd/src/front/connections.rs
@@ -15,6 +15,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sapphireknot::drain::DrainStage;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -22,7 +23,6 @@
 };
 
 use super::streams::PromptStream;
-use crate::context::DrainStage;
 
 /// Pause after a failed accept, so that a lack of file descriptors does not busy the processor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -10,6 +10,7 @@
 use sapphireknot::{
     ids::{OrganisationId, ServerId},
     keys::KeyDigest,
+    picker::ServerOutcome,
     refusal::{RefusalReason, RequestRefusal, RunState},
     retry::{AttemptEnd, RetryPolicy, RetryVerdict},
     routes::RouteMatch,
@@ -23,7 +24,7 @@
 };
 use crate::{
     claims::RequestClaim,
-    context::{PickQuery, PickRefusal, ServerOutcome, ServerTicket, VersionSample},
+    interfaces::{PickQuery, PickRefusal, ServerTicket, VersionSample},
     telemetry::{self, HopSpan},
     upstream::connections::{ExchangeError, REQUEST_ID},
 };
--- a/crates/sapphireknotd/src/front/lookups.rs
+++ b/crates/sapphireknotd/src/front/lookups.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use ipnet::IpNet;
 use sapphireknot::{
+    drain::DrainStage,
     ids::OrganisationId,
     lookup::LookupQuery,
     refusal::{RefusalReason, RequestRefusal},
@@ -13,7 +14,7 @@
 use serde_json::json;
 
 use super::refusals::FrontRefusal;
-use crate::context::{DrainStage, HostContext};
+use crate::context::HostContext;
 
 /// Path of look-ups; no service can have it, as `v1` with a route `/lookup` is found here first.
 pub const LOOKUP_PATH: &str = "/v1/lookup";
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -1,7 +1,7 @@
 //! Daemon of an entry host.
 //!
 //! The decisions are in the library `sapphireknot`; this crate drives them. Actors own the control state, and requests
-//! read the snapshots in [`context`].
+//! read the snapshots in [`published`].
 
 pub mod buffers;
 pub mod claims;
@@ -13,10 +13,12 @@
 pub mod directory;
 pub mod entry;
 pub mod front;
+pub mod interfaces;
 pub mod logging;
 pub mod operator;
 pub mod options;
 pub mod peer;
+pub mod published;
 pub mod quota;
 pub mod rollout;
 pub mod settings;
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/peer/server.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
 use ractor::{ActorRef, rpc::CallResult};
-use sapphireknot::{ids::ConfigGeneration, quota::BorrowAnswer};
+use sapphireknot::{drain::DrainStage, ids::ConfigGeneration, quota::BorrowAnswer};
 use sapphireknot_wire::peer::{
     BorrowReply, BorrowRequest, ClaimRequestReply, ClaimRequestRequest, ExchangeReply,
     ExchangeRequest, FetchConfigReply, FetchConfigRequest, FetchEvidenceReply,
@@ -21,10 +21,7 @@
     quotas::{answer_to_wire, borrow_from_wire, give_back_from_wire},
     rollouts::evidence_to_wire,
 };
-use crate::{
-    context::DrainStage,
-    control::{ControlShared, MemberMessage},
-};
+use crate::control::{ControlShared, MemberMessage};
 
 /// Server of the calls between hosts.
 pub struct PeerServer {
--- a/crates/sapphireknotd/src/quota.rs
+++ b/crates/sapphireknotd/src/quota.rs
@@ -15,7 +15,6 @@
 
 use async_trait::async_trait;
 use parking_lot::Mutex;
-use ractor::ActorRef;
 use sapphireknot::{
     ids::{OrganisationId, RegionId, ServiceId},
     quota::{AccountView, LedgerIdentity, ResourceId, SharedLedger},
@@ -28,8 +27,7 @@
 
 use crate::{
     clock::HostClock,
-    context::{HostIdentity, QuotaGate, QuotaVerdict, SpillGate},
-    control::{QuotaMessage, send},
+    interfaces::{HostIdentity, QuotaGate, QuotaVerdict, ShortageSink, SpillGate},
 };
 
 /// Longest wait of a request for a token. A transfer between regions takes about a tenth of it.
@@ -61,7 +59,7 @@
     clock: HostClock,
     ledger: SharedLedger,
     lines: Mutex<HashMap<ResourceId, Arc<WaitingLine>>>,
-    actor: OnceLock<ActorRef<QuotaMessage>>,
+    borrower: OnceLock<Arc<dyn ShortageSink>>,
 }
 
 impl HostQuotas {
@@ -72,7 +70,7 @@
             clock,
             ledger: SharedLedger::new(&ledger),
             lines: Mutex::default(),
-            actor: OnceLock::new(),
+            borrower: OnceLock::new(),
         }
     }
 
@@ -95,8 +93,8 @@
     }
 
     /// Connects the actor that borrows.
-    pub(crate) fn connect(&self, actor: ActorRef<QuotaMessage>) {
-        if self.actor.set(actor).is_err() {
+    pub(crate) fn connect(&self, borrower: Arc<dyn ShortageSink>) {
+        if self.borrower.set(borrower).is_err() {
             log::error!("connect the quota actor: one is connected");
         }
     }
@@ -109,8 +107,8 @@
     }
 
     fn report_shortage(&self, resource: &ResourceId) {
-        if let Some(actor) = self.actor.get() {
-            send(actor, QuotaMessage::Short(resource.clone()));
+        if let Some(borrower) = self.borrower.get() {
+            borrower.report_shortage(resource);
         }
     }
 
--- a/crates/sapphireknotd/src/rollout/table.rs
+++ b/crates/sapphireknotd/src/rollout/table.rs
@@ -1,11 +1,12 @@
 //! Rollouts of all services on this host.
 
-use std::{collections::BTreeMap, sync::Weak, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use parking_lot::{Mutex, MutexGuard};
 use sapphireknot::{
     ids::{ConfigGeneration, PlanId, ServerId, ServiceId, VersionId},
     operator::RolloutStatus,
+    picker::ServerOutcome,
     rollout::{DrainSchedule, ShareNotice, TripNotice},
     time::WallTime,
 };
@@ -16,7 +17,10 @@
     choice::usable_versions,
     service::{RolloutFacts, ServiceRollout},
 };
-use crate::context::{HostContext, ServerOutcome, VersionRouter, VersionSample};
+use crate::{
+    interfaces::{VersionRouter, VersionSample},
+    published::PublishedState,
+};
 
 /// Hosts over which the false-alarm rate of trips is divided at least; a host that starts does not know the others yet.
 const MIN_HOSTS: usize = 12;
@@ -41,10 +45,10 @@
 
 impl TableInner {
     /// Takes out the servers of all services whose step is due.
-    fn advance_drains(&mut self, context: &HostContext) {
-        let now = context.clock.now();
-        let settings = &context.settings;
-        let config = context.config.load();
+    fn advance_drains(&mut self, state: &PublishedState) {
+        let now = state.clock.now();
+        let settings = &state.settings;
+        let config = state.config.load();
         let Some(config) = config.as_ref().filter(|it| it.generation == self.generation) else {
             return;
         };
@@ -62,15 +66,15 @@
 /// Rollouts of all services on this host.
 #[derive(Debug)]
 pub struct RolloutTable {
-    context: Weak<HostContext>,
+    state: Arc<PublishedState>,
     inner: Mutex<TableInner>,
     tripped: Notify,
 }
 
 impl RolloutTable {
-    /// A table that reads the configuration of `context`.
-    pub fn new(context: Weak<HostContext>) -> Self {
-        Self { context, inner: Mutex::default(), tripped: Notify::new() }
+    /// A table that reads the configuration of `state`.
+    pub fn new(state: Arc<PublishedState>) -> Self {
+        Self { state, inner: Mutex::default(), tripped: Notify::new() }
     }
 
     /// Completes after a version tripped on this host.
@@ -79,25 +83,25 @@
     }
 
     /// The table after the configuration in force was taken over.
-    fn synced(&self, context: &HostContext) -> MutexGuard<'_, TableInner> {
+    fn synced(&self) -> MutexGuard<'_, TableInner> {
         let mut inner = self.inner.lock();
-        let config = context.config.load();
+        let config = self.state.config.load();
         let Some(config) = config.as_ref().filter(|it| it.generation != inner.generation) else {
             return inner;
         };
-        let live = context.members.load().iter().filter(|it| it.state.is_live()).count();
-        let timing = context.settings.timing.rollout();
+        let live = self.state.members.load().iter().filter(|it| it.state.is_live()).count();
+        let timing = self.state.settings.timing.rollout();
         let facts = RolloutFacts {
             timing,
             hosts: live.max(MIN_HOSTS),
-            now: context.clock.now(),
-            wall: context.clock.wall(),
+            now: self.state.clock.now(),
+            wall: self.state.clock.wall(),
         };
         inner.generation = config.generation;
         let services = &config.document.services;
         inner.services.retain(|id, _| services.iter().any(|it| it.id == *id));
         for entry in services {
-            let usable = usable_versions(&config.document, entry, &context.identity.region);
+            let usable = usable_versions(&config.document, entry, &self.state.identity.region);
             let service = inner
                 .services
                 .entry(entry.id.clone())
@@ -108,22 +112,21 @@
         }
         inner.drains.retain(|id, _| services.iter().any(|it| it.id == *id));
         inner.drain_revision += 1;
-        inner.advance_drains(context);
+        inner.advance_drains(&self.state);
         inner
     }
 
     /// Moves the shares in use towards the decided ones.
     pub fn advance(&self) {
-        let Some(context) = self.context.upgrade() else { return };
-        let now = context.clock.wall();
-        let mut inner = self.synced(&context);
+        let now = self.state.clock.wall();
+        let mut inner = self.synced();
         inner.services.values_mut().for_each(|it| it.advance(now));
-        inner.advance_drains(&context);
+        inner.advance_drains(&self.state);
     }
 
     /// Rises whenever [`Self::draining_servers`] may answer something new.
     pub fn drain_revision(&self) -> u64 {
-        self.context.upgrade().map_or(0, |it| self.synced(&it).drain_revision)
+        self.synced().drain_revision
     }
 
     /// Servers of `service` that leave and are not out yet.
@@ -134,17 +137,15 @@
 
     /// Generation in force here, if every server that leaves is out.
     pub fn drained_generation(&self) -> Option<ConfigGeneration> {
-        let context = self.context.upgrade()?;
-        let inner = self.synced(&context);
+        let inner = self.synced();
         let is_drained = inner.drains.values().all(|it| it.draining().next().is_none());
         is_drained.then_some(inner.generation)
     }
 
     /// What peers are to know.
     pub fn news(&self) -> RolloutNews {
-        let Some(context) = self.context.upgrade() else { return RolloutNews::default() };
         let mut news = RolloutNews::default();
-        for (id, service) in &self.synced(&context).services {
+        for (id, service) in &self.synced().services {
             news.notices.extend(service.newest().map(|it| (id.clone(), it.clone())));
             let trips = service.trips().notices().into_iter();
             news.trips.extend(trips.map(|it| (id.clone(), it)));
@@ -154,9 +155,8 @@
 
     /// Takes what a peer or the store told; the answer is whether anything is new.
     pub fn merge(&self, news: &RolloutNews) -> bool {
-        let Some(context) = self.context.upgrade() else { return false };
-        let now = context.clock.wall();
-        let mut inner = self.synced(&context);
+        let now = self.state.clock.wall();
+        let mut inner = self.synced();
         let mut is_new = false;
         // Trips first, so that a decision is not used before the trip that overrides it.
         for (id, trip) in &news.trips {
@@ -170,9 +170,8 @@
 
     /// Services of whose plan nothing was heard for `span`.
     pub fn unheard(&self, span: Duration) -> Vec<ServiceId> {
-        let Some(context) = self.context.upgrade() else { return Vec::new() };
-        let now = context.clock.now();
-        let inner = self.synced(&context);
+        let now = self.state.clock.now();
+        let inner = self.synced();
         let services = inner.services.iter();
         let is_due =
             |it: &ServiceRollout| it.unheard_since().is_some_and(|since| now.since(since) >= span);
@@ -186,8 +185,7 @@
 
     /// Outcomes that this host counted for a plan; none if the plan is not in force here.
     pub fn evidence(&self, service: &ServiceId, plan: &PlanId) -> Option<LocalEvidence> {
-        let context = self.context.upgrade()?;
-        self.synced(&context).services.get(service)?.evidence(plan)
+        self.synced().services.get(service)?.evidence(plan)
     }
 
     /// Records what the planner waits for.
@@ -199,18 +197,16 @@
 
     /// State of every plan in force.
     pub fn statuses(&self) -> Vec<RolloutStatus> {
-        let Some(context) = self.context.upgrade() else { return Vec::new() };
-        let now: WallTime = context.clock.wall();
-        let inner = self.synced(&context);
+        let now: WallTime = self.state.clock.wall();
+        let inner = self.synced();
         inner.services.iter().filter_map(|(id, it)| it.status(id, now)).collect()
     }
 }
 
 impl VersionRouter for RolloutTable {
     fn choose(&self, service: &ServiceId, draw: u32) -> Option<VersionId> {
-        let context = self.context.upgrade()?;
-        let now = context.clock.wall();
-        self.synced(&context).services.get(service)?.choose(now, draw)
+        let now = self.state.clock.wall();
+        self.synced().services.get(service)?.choose(now, draw)
     }
 
     fn record(&self, sample: VersionSample) {
@@ -220,11 +216,10 @@
             // Neither says anything about the version.
             ServerOutcome::Shed | ServerOutcome::Cancelled => return,
         };
-        let Some(context) = self.context.upgrade() else { return };
         let VersionSample { service, version, route, latency_us, .. } = &sample;
-        let mut inner = self.synced(&context);
+        let mut inner = self.synced();
         let Some(service) = inner.services.get_mut(service) else { return };
-        if service.record(version, route, succeeded, *latency_us, &context.identity.id) {
+        if service.record(version, route, succeeded, *latency_us, &self.state.identity.id) {
             self.tripped.notify_one();
         }
     }
--- a/crates/sapphireknotd/src/upstream/pool.rs
+++ b/crates/sapphireknotd/src/upstream/pool.rs
@@ -2,29 +2,30 @@
 //!
 //! Two random servers are probed for a request before the choice. The request then takes its place in the fair queue of
 //! its service and is served at once if there is room. Servers of the own region are used first, others only as far as
-//! the [`crate::context::SpillGate`] admits.
+//! the [`crate::interfaces::SpillGate`] admits.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::{Arc, Weak},
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use rand::RngExt;
 use sapphireknot::{
     ids::{ServerId, ServiceId, VersionId},
-    picker::LoadReport,
+    picker::{LoadReport, ServerOutcome},
     time::MonoTime,
     units::TrafficShare,
 };
 use tokio::time::{sleep, timeout_at};
 
-use super::{probes::LoadProber, service::ServiceState};
-use crate::context::{
-    HostContext, PickQuery, PickRefusal, ServerOutcome, ServerPool, ServerTicket,
+use super::{
+    probes::LoadProber,
+    service::{PoolSources, ServiceState},
+};
+use crate::{
+    clock::HostClock,
+    interfaces::{PickQuery, PickRefusal, ServerPool, ServerTicket, SpillGate, VersionRouter},
+    published::PublishedState,
+    rollout::RolloutTable,
 };
 
 /// Servers that are probed for each request.
@@ -36,24 +37,29 @@
 
 /// Pool that admits fairly and picks by fresh probes.
 pub struct RegionalPool {
-    context: Weak<HostContext>,
+    sources: Arc<PoolSources>,
     services: Mutex<HashMap<ServiceId, Arc<ServiceState>>>,
     prober: Arc<LoadProber>,
 }
 
 impl RegionalPool {
-    /// A pool that reads the configuration of `context`.
-    pub fn new(context: Weak<HostContext>) -> Self {
-        Self { context, services: Mutex::default(), prober: Arc::default() }
+    /// A pool that reads the configuration and the members of `state`.
+    pub fn new(
+        state: Arc<PublishedState>,
+        versions: Arc<dyn VersionRouter>,
+        rollouts: Arc<RolloutTable>,
+        spill: Arc<dyn SpillGate>,
+    ) -> Self {
+        let sources = Arc::new(PoolSources { state, versions, rollouts, spill });
+        Self { sources, services: Mutex::default(), prober: Arc::default() }
     }
 
     /// Takes a report that `server` gave to a probe.
     pub fn take_report(&self, service: &ServiceId, server: &ServerId, report: LoadReport) {
-        let Some(context) = self.context.upgrade() else { return };
         let state = self.service(service);
-        state.refresh(&context);
+        state.refresh();
         state.record_report(server, report);
-        state.dispatch(&context);
+        state.dispatch();
     }
 
     pub(super) fn prober(&self) -> &Arc<LoadProber> {
@@ -66,14 +72,14 @@
         if let Some(state) = services.get(service) {
             return state.clone();
         }
-        let state = Arc::new(ServiceState::new(service.clone()));
+        let state = Arc::new(ServiceState::new(service.clone(), self.sources.clone()));
         services.insert(service.clone(), state.clone());
         state
     }
 
     /// Forgets services that are no longer configured.
-    pub(super) fn retain(&self, context: &HostContext) {
-        let config = context.config.load();
+    pub(super) fn retain_configured(&self) {
+        let config = self.sources.state.config.load();
         let Some(config) = config.as_ref() else { return };
         self.services.lock().retain(|id, _| config.routes.service(id).is_some());
     }
@@ -81,15 +87,15 @@
     /// Probes random servers and waits briefly for the answers.
     async fn probe(
         prober: &Arc<LoadProber>,
-        context: &Arc<HostContext>,
+        clock: HostClock,
         state: &Arc<ServiceState>,
         excluded: &[ServerId],
     ) {
-        state.refresh(context);
+        state.refresh();
         let targets = state.probe_targets(FRESH_PROBES, excluded, &mut rand::rng());
         let probes: Vec<_> = targets
             .into_iter()
-            .filter_map(|(server, address)| prober.start(context, state, server, address))
+            .filter_map(|(server, address)| prober.start(clock, state, server, address))
             .collect();
         let until = tokio::time::Instant::now() + PROBE_WAIT;
         // A probe that takes longer goes on, and its answer is used later.
@@ -98,16 +104,15 @@
 
     /// Serves the queue until it is empty.
     fn start_ticks(&self, state: Arc<ServiceState>) {
-        let (weak, prober) = (self.context.clone(), self.prober.clone());
+        let (clock, prober) = (self.sources.state.clock, self.prober.clone());
         tokio::spawn(async move {
             loop {
                 sleep(QUEUE_TICK).await;
-                let Some(context) = weak.upgrade() else { return };
-                if state.end_ticks(context.clock.now()) {
+                if state.end_ticks(clock.now()) {
                     return;
                 }
-                Self::probe(&prober, &context, &state, &[]).await;
-                state.dispatch(&context);
+                Self::probe(&prober, clock, &state, &[]).await;
+                state.dispatch();
             }
         });
     }
@@ -116,21 +121,21 @@
 #[async_trait]
 impl ServerPool for RegionalPool {
     async fn pick(&self, query: PickQuery<'_>) -> Result<Box<dyn ServerTicket>, PickRefusal> {
-        let context = self.context.upgrade().ok_or(PickRefusal::NoServer)?;
-        if context.clock.now() >= query.deadline {
+        let PublishedState { clock, config, .. } = &*self.sources.state;
+        if clock.now() >= query.deadline {
             return Err(PickRefusal::Deadline);
         }
-        let config = context.config.load_full().ok_or(PickRefusal::NoServer)?;
+        let config = config.load_full().ok_or(PickRefusal::NoServer)?;
         config.routes.service(query.service).ok_or(PickRefusal::NoServer)?;
         let state = self.service(query.service);
-        Self::probe(&self.prober, &context, &state, query.excluded).await;
+        Self::probe(&self.prober, *clock, &state, query.excluded).await;
         let draw = rand::rng().random_range(0..TrafficShare::WHOLE.0);
-        let (place, starts_ticks) = state.enqueue(&context, &query, draw)?;
+        let (place, starts_ticks) = state.enqueue(&query, draw)?;
         if starts_ticks {
             self.start_ticks(state.clone());
         }
-        state.dispatch(&context);
-        match timeout_at(context.clock.instant(place.start_by), place.turn).await {
+        state.dispatch();
+        match timeout_at(clock.instant(place.start_by), place.turn).await {
             Ok(Ok(ticket)) => Ok(Box::new(ticket)),
             Ok(Err(_)) | Err(_) => Err(PickRefusal::NoRoom),
         }
@@ -140,7 +145,6 @@
 /// Slot at a server; given back when dropped.
 pub(super) struct PoolTicket {
     state: Arc<ServiceState>,
-    context: Weak<HostContext>,
     server: ServerId,
     address: SocketAddr,
     version: VersionId,
@@ -151,15 +155,13 @@
 impl PoolTicket {
     pub(super) fn new(
         state: &Arc<ServiceState>,
-        context: &Arc<HostContext>,
+        started: MonoTime,
         server: ServerId,
         address: SocketAddr,
         version: VersionId,
     ) -> Self {
-        let started = context.clock.now();
-        let (state, context) = (state.clone(), Arc::downgrade(context));
         let outcome = ServerOutcome::Cancelled;
-        Self { state, context, server, address, version, started, outcome }
+        Self { state: state.clone(), server, address, version, started, outcome }
     }
 }
 
@@ -183,10 +185,7 @@
 
 impl Drop for PoolTicket {
     fn drop(&mut self) {
-        let Some(context) = self.context.upgrade() else { return };
-        let now = context.clock.now();
-        let latency_us = u64::try_from(now.since(self.started).as_micros()).unwrap_or(u64::MAX);
-        self.state.finish(&self.server, self.outcome, latency_us, now);
-        self.state.dispatch(&context);
+        self.state.finish(&self.server, self.outcome, self.started);
+        self.state.dispatch();
     }
 }
--- a/crates/sapphireknotd/src/upstream/probes.rs
+++ b/crates/sapphireknotd/src/upstream/probes.rs
@@ -15,7 +15,7 @@
 use http::Request;
 use http_body_util::Full;
 use parking_lot::Mutex;
-use sapphireknot::{ids::ServerId, picker::LoadReport};
+use sapphireknot::{drain::DrainStage, ids::ServerId, picker::LoadReport};
 use serde::Deserialize;
 use tokio::{
     task::JoinHandle,
@@ -23,7 +23,7 @@
 };
 
 use super::{connections::ConnectionPool, pool::RegionalPool, service::ServiceState};
-use crate::context::{DrainStage, HostContext};
+use crate::{clock::HostClock, published::PublishedState};
 
 /// Interval of regular probes; below half of the time for which a report is used, so that one lost probe does not matter.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
@@ -64,7 +64,7 @@
     /// Starts a fresh probe, unless too many of this server wait for their answer.
     pub(super) fn start(
         self: &Arc<Self>,
-        context: &Arc<HostContext>,
+        clock: HostClock,
         state: &Arc<ServiceState>,
         server: ServerId,
         address: SocketAddr,
@@ -76,9 +76,9 @@
         }
         *count += 1;
         drop(pending);
-        let (prober, context, state) = (self.clone(), context.clone(), state.clone());
+        let (prober, state) = (self.clone(), state.clone());
         Some(tokio::spawn(async move {
-            prober.probe(&context, &state, &server, address).await;
+            prober.probe(clock, &state, &server, address).await;
             let mut pending = prober.pending.lock();
             if let Some(count) = pending.get_mut(&address) {
                 *count -= 1;
@@ -92,12 +92,12 @@
     /// Asks one server for its load and records the answer.
     async fn probe(
         &self,
-        context: &HostContext,
+        clock: HostClock,
         state: &ServiceState,
         server: &ServerId,
         address: SocketAddr,
     ) {
-        let asked_at = context.clock.now();
+        let asked_at = clock.now();
         let answer = timeout(PROBE_TIMEOUT, self.exchange(address)).await.ok().flatten();
         if let Some(body) = answer {
             let ReportBody { in_flight, connections, leaving: is_leaving } = body;
@@ -118,36 +118,36 @@
 
 /// Probes all backend servers of the configuration until the host ends.
 pub async fn run(
-    context: Arc<HostContext>,
+    state: Arc<PublishedState>,
     servers: Arc<RegionalPool>,
     requests: Arc<ConnectionPool>,
 ) {
     let prober = servers.prober().clone();
     let mut ticks = interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    while *context.drain.borrow() != DrainStage::Ended {
+    while *state.drain.borrow() != DrainStage::Ended {
         ticks.tick().await;
-        servers.retain(&context);
-        let states = configured_services(&context, &servers);
-        let targets: Vec<_> = states
+        servers.retain_configured();
+        let services = configured_services(&state, &servers);
+        let targets: Vec<_> = services
             .iter()
-            .flat_map(|state| state.servers().into_iter().map(|it| (state.clone(), it)))
+            .flat_map(|service| service.servers().into_iter().map(|it| (service.clone(), it)))
             .collect();
         let addresses: HashSet<_> = targets.iter().map(|(_, (_, address))| *address).collect();
         prober.connections.retain(&addresses);
         requests.retain(&addresses);
-        let probes = targets.into_iter().map(|(state, (server, address))| {
-            let (prober, context) = (prober.clone(), context.clone());
-            async move { prober.probe(&context, &state, &server, address).await }
+        let probes = targets.into_iter().map(|(service, (server, address))| {
+            let (prober, clock) = (prober.clone(), state.clock);
+            async move { prober.probe(clock, &service, &server, address).await }
         });
         stream::iter(probes).buffer_unordered(PROBES_AT_ONCE).collect::<()>().await;
-        states.iter().for_each(|it| it.dispatch(&context));
+        services.iter().for_each(|it| it.dispatch());
     }
 }
 
-fn configured_services(context: &HostContext, servers: &RegionalPool) -> Vec<Arc<ServiceState>> {
-    let config = context.config.load();
+fn configured_services(state: &PublishedState, servers: &RegionalPool) -> Vec<Arc<ServiceState>> {
+    let config = state.config.load();
     let Some(config) = config.as_ref() else { return Vec::new() };
-    let states = config.document.services.iter().map(|it| servers.service(&it.id));
-    states.inspect(|it| it.refresh(context)).collect()
+    let services = config.document.services.iter().map(|it| servers.service(&it.id));
+    services.inspect(|it| it.refresh()).collect()
 }
--- a/crates/sapphireknotd/src/upstream/service.rs
+++ b/crates/sapphireknotd/src/upstream/service.rs
@@ -22,7 +22,11 @@
 use tokio::sync::oneshot;
 
 use super::pool::PoolTicket;
-use crate::context::{HostContext, PickQuery, PickRefusal};
+use crate::{
+    interfaces::{PickQuery, PickRefusal, SpillGate, VersionRouter},
+    published::PublishedState,
+    rollout::RolloutTable,
+};
 
 /// Requests of one service that may wait on this host. Each is looked at whenever room appears, so that a longer queue
 /// would cost much processor time; 64 of one organisation leave room for others.
@@ -32,6 +36,18 @@
 /// Weight of a new sample in the usual latency, as a divisor.
 const LATENCY_WEIGHT: u64 = 8;
 
+/// What the pool reads of the host.
+pub(super) struct PoolSources {
+    /// Published state.
+    pub(super) state: Arc<PublishedState>,
+    /// Shares of versions.
+    pub(super) versions: Arc<dyn VersionRouter>,
+    /// Servers that leave step by step.
+    pub(super) rollouts: Arc<RolloutTable>,
+    /// Admission into other regions.
+    pub(super) spill: Arc<dyn SpillGate>,
+}
+
 /// Request that waits for its turn.
 struct WaitingPick {
     /// Uniform number that decides the version.
@@ -51,6 +67,7 @@
 /// State of one service.
 pub(super) struct ServiceState {
     pub(super) id: ServiceId,
+    sources: Arc<PoolSources>,
     inner: Mutex<ServiceInner>,
 }
 
@@ -71,7 +88,7 @@
 }
 
 impl ServiceState {
-    pub(super) fn new(id: ServiceId) -> Self {
+    pub(super) fn new(id: ServiceId, sources: Arc<PoolSources>) -> Self {
         let inner = ServiceInner {
             picker: ServerPicker::new(Box::new(FreshProbes::default()), OutlierLimits::default()),
             queue: FairQueue::new(QUEUE_LIMITS),
@@ -83,20 +100,19 @@
             usual_latency_us: 0,
             is_ticking: false,
         };
-        Self { id, inner: Mutex::new(inner) }
+        Self { id, sources, inner: Mutex::new(inner) }
     }
 
     /// Adds a request to the queue; the second value says that the caller has to start ticks.
     pub(super) fn enqueue(
         &self,
-        context: &HostContext,
         query: &PickQuery<'_>,
         draw: u32,
     ) -> Result<(QueuePlace, bool), PickRefusal> {
-        let now = context.clock.now();
-        let version = context.versions.choose(&self.id, draw).ok_or(PickRefusal::NoServer)?;
+        let now = self.sources.state.clock.now();
+        let version = self.sources.versions.choose(&self.id, draw).ok_or(PickRefusal::NoServer)?;
         let mut inner = self.inner.lock();
-        inner.refresh(context, &self.id, now)?;
+        inner.refresh(&self.sources, &self.id, now)?;
         if !inner.has_server(&version, query.excluded, now) {
             return Err(PickRefusal::NoServer);
         }
@@ -118,19 +134,19 @@
     }
 
     /// Gives free room to waiting requests.
-    pub(super) fn dispatch(self: &Arc<Self>, context: &Arc<HostContext>) {
+    pub(super) fn dispatch(self: &Arc<Self>) {
         // A ticket that nobody takes any more gives its room back when it is dropped, which needs the lock.
         let mut untaken = Vec::new();
         let mut inner = self.inner.lock();
-        let now = context.clock.now();
-        if inner.refresh(context, &self.id, now).is_err() {
+        let now = self.sources.state.clock.now();
+        if inner.refresh(&self.sources, &self.id, now).is_err() {
             return;
         }
         let mut full = Vec::new();
         while !inner.queue.is_empty() {
             let ServiceInner { picker, queue, regions, addresses, .. } = &mut *inner;
             let mut chosen = None;
-            let round = PickRound { context, service: &self.id, regions, now };
+            let round = PickRound { sources: &self.sources, service: &self.id, regions, now };
             let item =
                 queue.pop_where(now, |it| match round.pick(picker, it, &mut full, addresses) {
                     Some(server) => {
@@ -144,7 +160,7 @@
                 continue;
             };
             picker.start(&server, now);
-            let ticket = PoolTicket::new(self, context, server, address, waiting.version);
+            let ticket = PoolTicket::new(self, now, server, address, waiting.version);
             untaken.extend(waiting.sender.send(ticket).err());
         }
         drop(inner);
@@ -158,14 +174,10 @@
         !inner.is_ticking
     }
 
-    /// Ends a request at `server`.
-    pub(super) fn finish(
-        &self,
-        server: &ServerId,
-        outcome: ServerOutcome,
-        latency_us: u64,
-        now: MonoTime,
-    ) {
+    /// Ends a request at `server` that started at `started`.
+    pub(super) fn finish(&self, server: &ServerId, outcome: ServerOutcome, started: MonoTime) {
+        let now = self.sources.state.clock.now();
+        let latency_us = u64::try_from(now.since(started).as_micros()).unwrap_or(u64::MAX);
         let mut inner = self.inner.lock();
         inner.picker.finish(server, outcome, latency_us, now);
         if outcome == ServerOutcome::Succeeded {
@@ -181,8 +193,9 @@
     }
 
     /// Takes over changes of the configuration and the members.
-    pub(super) fn refresh(&self, context: &HostContext) {
-        let refreshed = self.inner.lock().refresh(context, &self.id, context.clock.now());
+    pub(super) fn refresh(&self) {
+        let now = self.sources.state.clock.now();
+        let refreshed = self.inner.lock().refresh(&self.sources, &self.id, now);
         if let Err(err) = refreshed {
             log::debug!(service:% = self.id, error:? = err; "service is not configured");
         }
@@ -222,7 +235,7 @@
 
 /// Facts of one pass over the queue.
 struct PickRound<'a> {
-    context: &'a HostContext,
+    sources: &'a PoolSources,
     service: &'a ServiceId,
     regions: &'a [RegionId],
     now: MonoTime,
@@ -240,7 +253,7 @@
         if waiting.sender.is_closed() || full.contains(&waiting.version) {
             return None;
         }
-        waiting.version = self.context.versions.choose(self.service, waiting.draw)?;
+        waiting.version = self.sources.versions.choose(self.service, waiting.draw)?;
         if full.contains(&waiting.version) {
             return None;
         }
@@ -248,7 +261,7 @@
             let criteria =
                 PickCriteria { version: &waiting.version, region, excluded: &waiting.excluded };
             let Ok(server) = picker.pick(&criteria, self.now, &mut rand::rng()) else { continue };
-            let is_allowed = index == 0 || self.context.spill.try_spill(self.service, region);
+            let is_allowed = index == 0 || self.sources.spill.try_spill(self.service, region);
             if let Some(address) = addresses.get(&server).filter(|_| is_allowed) {
                 return Some((server, *address));
             }
@@ -263,27 +276,28 @@
 impl ServiceInner {
     fn refresh(
         &mut self,
-        context: &HostContext,
+        sources: &PoolSources,
         id: &ServiceId,
         now: MonoTime,
     ) -> Result<(), PickRefusal> {
-        let config = context.config.load_full().ok_or(PickRefusal::NoServer)?;
+        let PoolSources { state, rollouts, .. } = sources;
+        let config = state.config.load_full().ok_or(PickRefusal::NoServer)?;
         let service = config.routes.service(id).ok_or(PickRefusal::NoServer)?.clone();
-        let members = context.members.load_full();
+        let members = state.members.load_full();
         let is_known = self.config.as_ref().is_some_and(|it| Arc::ptr_eq(it, &config));
-        let drain_revision = context.rollouts.drain_revision();
+        let drain_revision = rollouts.drain_revision();
         let is_known = is_known && self.drain_revision == drain_revision;
         if is_known && Arc::ptr_eq(&self.members, &members) {
             return Ok(());
         }
-        let draining = context.rollouts.draining_servers(id);
-        let own = &context.identity.region;
+        let draining = rollouts.draining_servers(id);
+        let own = &state.identity.region;
         let mut regions: Vec<_> = service.spill.iter().map(|it| it.into.clone()).collect();
         regions.retain(|it| it != own);
         regions.sort_by_key(|it| config.distances.between(own, it));
         regions.insert(0, own.clone());
         self.addresses = service.servers.iter().map(|it| (it.id.clone(), it.address)).collect();
-        let specs = server_specs(context, &config, &service, &members, &draining);
+        let specs = server_specs(&state.identity.id, &config, &service, &members, &draining);
         self.picker.replace_servers(specs, now);
         self.regions = regions;
         self.members = members;
@@ -317,19 +331,18 @@
 
 /// The servers of `service`; one whose subset leaves this host out counts as leaving.
 fn server_specs(
-    context: &HostContext,
+    own: &HostId,
     config: &InstalledConfig,
     service: &ServiceEntry,
     members: &[MemberRecord],
     draining: &[ServerId],
 ) -> Vec<ServerSpec> {
-    let own = &context.identity;
     let specs = service.servers.iter().filter_map(|it| {
         let region = config.document.region_of(&it.datacentre)?;
         let takes_spill = service.spill.iter().any(|it| it.into == *region);
-        let users = members.iter().filter(|it| it.state.is_live() && it.id != own.id);
+        let users = members.iter().filter(|it| it.state.is_live() && it.id != *own);
         let users = users.filter(|it| takes_spill || it.region == *region).map(|it| &it.id);
-        let users: Vec<&HostId> = users.chain([&own.id]).collect();
+        let users: Vec<&HostId> = users.chain([own]).collect();
         let limits =
             SubsetLimits { server_connections: it.connections, host_connections: HOST_CONNECTIONS };
         Some(ServerSpec {
@@ -338,7 +351,7 @@
             version: it.version.clone(),
             slots: it.slots,
             is_leaving: it.leaving && !draining.contains(&it.id)
-                || !is_in_subset(&own.id, &it.id, users, limits),
+                || !is_in_subset(own, &it.id, users, limits),
         })
     });
     specs.collect()
--- a/crates/sapphireknotd/tests/control/support/hosts.rs
+++ b/crates/sapphireknotd/tests/control/support/hosts.rs
@@ -6,7 +6,6 @@
     time::{Duration, Instant},
 };
 
-use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
@@ -21,12 +20,13 @@
 use sapphireknotd::{
     claims::RequestClaims,
     clock::HostClock,
-    context::{
-        DrainStage, HostContext, HostIdentity, PickQuery, PickRefusal, QuotaGate, QuotaVerdict,
-        ServerPool, ServerTicket, SpillGate, VersionRouter, VersionSample,
-    },
+    context::HostContext,
     control::{self, ControlHandle, ControlListeners, PlatformClients},
-    directory::HostDirectory,
+    interfaces::{
+        HostIdentity, PickQuery, PickRefusal, QuotaGate, QuotaVerdict, ServerPool, ServerTicket,
+        SpillGate, VersionRouter, VersionSample,
+    },
+    published::PublishedState,
     quota::HostQuotas,
     rollout::RolloutTable,
     settings::HostSettings,
@@ -157,18 +157,12 @@
     };
     let quotas = Arc::new(HostQuotas::new(&identity, clock));
     let nothing = Arc::new(Nothing);
-    let context = Arc::new_cyclic(|context| HostContext {
-        settings,
-        clock,
-        config: Default::default(),
-        fresh_until: Default::default(),
-        members: Default::default(),
-        directory: ArcSwap::from_pointee(HostDirectory::new(&identity, &[])),
-        identity,
-        drain: tokio::sync::watch::Sender::new(DrainStage::Serving),
+    let state = Arc::new(PublishedState::new(settings, clock, identity));
+    let context = Arc::new(HostContext {
+        state: state.clone(),
         quota: nothing.clone(),
         versions: nothing.clone(),
-        rollouts: Arc::new(RolloutTable::new(context.clone())),
+        rollouts: Arc::new(RolloutTable::new(state)),
         claims: Arc::new(RequestClaims::new(ClaimLimits::default(), clock)),
         spill: nothing.clone(),
         quotas,
--- a/crates/sapphireknotd/tests/request_path/graceful_shutdown.rs
+++ b/crates/sapphireknotd/tests/request_path/graceful_shutdown.rs
@@ -3,7 +3,8 @@
 use crate::support::{BackendMode, KEY, TestBackend, TestHost};
 use std::time::Duration;
 
-use sapphireknotd::{context::DrainStage, daemon};
+use sapphireknot::drain::DrainStage;
+use sapphireknotd::daemon;
 
 /// Guards against a shutdown that interrupts a request, and against new requests that run while closing.
 #[tokio::test]
--- a/crates/sapphireknotd/tests/request_path/request_refusals.rs
+++ b/crates/sapphireknotd/tests/request_path/request_refusals.rs
@@ -1,8 +1,8 @@
 //! Refusals of the gate.
 
 use crate::support::{BackendMode, KEY, SMALL_KEY, TestBackend, TestHost, document_text};
+use sapphireknot::drain::DrainStage;
 use sapphireknot::time::MonoTime;
-use sapphireknotd::context::DrainStage;
 
 /// Guards against requests that run without a valid key.
 #[tokio::test]
--- a/crates/sapphireknotd/tests/request_path/server_choice.rs
+++ b/crates/sapphireknotd/tests/request_path/server_choice.rs
@@ -2,12 +2,15 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use sapphireknot::{ids::ServerId, picker::LoadReport};
+use sapphireknot::{
+    ids::ServerId,
+    picker::{LoadReport, ServerOutcome},
+};
 use sapphireknot_standin::backend::{
     BackendFaults, BackendPlan, BackendServer, LoadFault, LoadReport as ToldReport,
 };
 use sapphireknotd::{
-    context::{PickQuery, PickRefusal, ServerOutcome, ServerTicket},
+    interfaces::{PickQuery, PickRefusal, ServerTicket},
     upstream::{connections::ConnectionPool, probes},
 };
 
@@ -116,7 +119,7 @@
         let backends = [start_backend(4, 300_000), start_backend(4, 1_000)];
         let host = start_host(&[&backends[0]], 4).await;
         let requests = Arc::new(ConnectionPool::new(1 << 20));
-        tokio::spawn(probes::run(host.context.clone(), host.pool.clone(), requests));
+        tokio::spawn(probes::run(host.context.state.clone(), host.pool.clone(), requests));
         let calling = {
             let host = host.clone();
             tokio::spawn(async move { host.call("POST", "/desk/pay", "x").await.status })
@@ -151,7 +154,7 @@
     assert!(pick(&host).await.is_ok());
     backend.state().set_leaving(true);
     let requests = Arc::new(ConnectionPool::new(1 << 20));
-    let probing = probes::run(host.context.clone(), host.pool.clone(), requests);
+    let probing = probes::run(host.context.state.clone(), host.pool.clone(), requests);
     // A few rounds of probes.
     tokio::time::timeout(Duration::from_millis(600), probing).await.unwrap_err();
     // From here on the probes of single requests learn nothing.
