upstream: take pool, probes and service out of their circle

pool.rs, probes.rs and service.rs imported one another: the pool held the prober, the prober wrote to the service, and the service made the pool's tickets, which end requests at the service.

The ticket is in ticket.rs and gives its slot back through the trait SlotOwner. The sender of probes is in prober.rs, below the pool; the regular probes stay in probes.rs, above it.

--- a/crates/sapphireknotd/src/upstream.rs
+++ b/crates/sapphireknotd/src/upstream.rs
@@ -5,4 +5,7 @@
 pub mod probes;
 
 mod interim_limit;
+mod prober;
 mod service;
+mod specs;
+mod ticket;
--- a/crates/sapphireknotd/src/upstream/pool.rs
+++ b/crates/sapphireknotd/src/upstream/pool.rs
@@ -4,21 +4,20 @@
 //! its service and is served at once if there is room. Servers of the own region are used first, others only as far as
 //! the [`crate::interfaces::SpillGate`] admits.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use rand::RngExt;
 use sapphireknot::{
-    ids::{ServerId, ServiceId, VersionId},
-    picker::{LoadReport, ServerOutcome},
-    time::MonoTime,
+    ids::{ServerId, ServiceId},
+    picker::LoadReport,
     units::TrafficShare,
 };
 use tokio::time::{sleep, timeout_at};
 
 use super::{
-    probes::LoadProber,
+    prober::LoadProber,
     service::{PoolSources, ServiceState},
 };
 use crate::{
@@ -141,51 +140,3 @@
         }
     }
 }
-
-/// Slot at a server; given back when dropped.
-pub(super) struct PoolTicket {
-    state: Arc<ServiceState>,
-    server: ServerId,
-    address: SocketAddr,
-    version: VersionId,
-    started: MonoTime,
-    outcome: ServerOutcome,
-}
-
-impl PoolTicket {
-    pub(super) fn new(
-        state: &Arc<ServiceState>,
-        started: MonoTime,
-        server: ServerId,
-        address: SocketAddr,
-        version: VersionId,
-    ) -> Self {
-        let outcome = ServerOutcome::Cancelled;
-        Self { state: state.clone(), server, address, version, started, outcome }
-    }
-}
-
-impl ServerTicket for PoolTicket {
-    fn server(&self) -> &ServerId {
-        &self.server
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    fn version(&self) -> &VersionId {
-        &self.version
-    }
-
-    fn finish(mut self: Box<Self>, outcome: ServerOutcome) {
-        self.outcome = outcome;
-    }
-}
-
-impl Drop for PoolTicket {
-    fn drop(&mut self) {
-        self.state.finish(&self.server, self.outcome, self.started);
-        self.state.dispatch();
-    }
-}
--- a/crates/sapphireknotd/src/upstream/service.rs
+++ b/crates/sapphireknotd/src/upstream/service.rs
@@ -9,19 +9,20 @@
 use rand::{Rng, seq::IteratorRandom};
 use sapphireknot::{
     admission::{FairQueue, QueueItem, QueueLimits, QueueRefusal},
-    config::ServiceEntry,
-    ids::{HostId, OrganisationId, RegionId, ServerId, ServiceId, VersionId},
+    ids::{OrganisationId, RegionId, ServerId, ServiceId, VersionId},
     installed::InstalledConfig,
     membership::MemberRecord,
     picker::{
-        FreshProbes, LoadReport, OutlierLimits, PickCriteria, PickMiss, ServerOutcome,
-        ServerPicker, ServerSpec, SubsetLimits, is_in_subset,
+        FreshProbes, LoadReport, OutlierLimits, PickCriteria, PickMiss, ServerOutcome, ServerPicker,
     },
     time::MonoTime,
 };
 use tokio::sync::oneshot;
 
-use super::pool::PoolTicket;
+use super::{
+    specs::server_specs,
+    ticket::{PoolTicket, SlotOwner},
+};
 use crate::{
     interfaces::{PickQuery, PickRefusal, SpillGate, VersionRouter},
     published::PublishedState,
@@ -31,8 +32,6 @@
 /// Requests of one service that may wait on this host. Each is looked at whenever room appears, so that a longer queue
 /// would cost much processor time; 64 of one organisation leave room for others.
 const QUEUE_LIMITS: QueueLimits = QueueLimits { per_organisation: 64, total: 256 };
-/// Connections that a host keeps to a backend server: its slots, of which a server has 3 to 5, and probes.
-const HOST_CONNECTIONS: u32 = 8;
 /// Weight of a new sample in the usual latency, as a divisor.
 const LATENCY_WEIGHT: u64 = 8;
 
@@ -160,7 +159,14 @@
                 continue;
             };
             picker.start(&server, now);
-            let ticket = PoolTicket::new(self, now, server, address, waiting.version);
+            let ticket = PoolTicket {
+                owner: self.clone(),
+                server,
+                address,
+                version: waiting.version,
+                started: now,
+                outcome: ServerOutcome::Cancelled,
+            };
             untaken.extend(waiting.sender.send(ticket).err());
         }
         drop(inner);
@@ -175,7 +181,7 @@
     }
 
     /// Ends a request at `server` that started at `started`.
-    pub(super) fn finish(&self, server: &ServerId, outcome: ServerOutcome, started: MonoTime) {
+    fn finish(&self, server: &ServerId, outcome: ServerOutcome, started: MonoTime) {
         let now = self.sources.state.clock.now();
         let latency_us = u64::try_from(now.since(started).as_micros()).unwrap_or(u64::MAX);
         let mut inner = self.inner.lock();
@@ -233,6 +239,13 @@
     }
 }
 
+impl SlotOwner for ServiceState {
+    fn release(self: Arc<Self>, server: &ServerId, outcome: ServerOutcome, started: MonoTime) {
+        self.finish(server, outcome, started);
+        self.dispatch();
+    }
+}
+
 /// Facts of one pass over the queue.
 struct PickRound<'a> {
     sources: &'a PoolSources,
@@ -328,31 +341,3 @@
         deadline.before(usual.min(now.until(deadline) / 2))
     }
 }
-
-/// The servers of `service`; one whose subset leaves this host out counts as leaving.
-fn server_specs(
-    own: &HostId,
-    config: &InstalledConfig,
-    service: &ServiceEntry,
-    members: &[MemberRecord],
-    draining: &[ServerId],
-) -> Vec<ServerSpec> {
-    let specs = service.servers.iter().filter_map(|it| {
-        let region = config.document.region_of(&it.datacentre)?;
-        let takes_spill = service.spill.iter().any(|it| it.into == *region);
-        let users = members.iter().filter(|it| it.state.is_live() && it.id != *own);
-        let users = users.filter(|it| takes_spill || it.region == *region).map(|it| &it.id);
-        let users: Vec<&HostId> = users.chain([own]).collect();
-        let limits =
-            SubsetLimits { server_connections: it.connections, host_connections: HOST_CONNECTIONS };
-        Some(ServerSpec {
-            id: it.id.clone(),
-            region: region.clone(),
-            version: it.version.clone(),
-            slots: it.slots,
-            is_leaving: it.leaving && !draining.contains(&it.id)
-                || !is_in_subset(own, &it.id, users, limits),
-        })
-    });
-    specs.collect()
-}
