control, peer: take the actors, the operator interface and the peer server out of their circles

The actors' messages lived beside the actors that address one another, the peer clients took LoadedConfig from control, and control started servers that import it.

Messages of actors that address one another are in control/messages.rs, LoadedConfig in loaded_config.rs, HolderRecord in control/shared.rs, and the reading of single fields in peer/fields.rs. The peer server and the operator interface are modules of control, which starts them; peer holds the messages and the clients and is below control. Operators' calls work on OperatorState instead of the server that dispatches to them. The functions are unchanged; the target of log lines of the operator interface is the new module path.

Ruled out: a file for the messages of the quota, session and rollout actors. Those messages hold results that only their actor makes.

--- a/crates/sapphireknotd/src/control.rs
+++ b/crates/sapphireknotd/src/control.rs
@@ -6,7 +6,10 @@
 mod config_actor;
 mod head_reader;
 mod member_actor;
+mod messages;
 mod notes;
+mod operator;
+mod peer_server;
 mod planned_service;
 mod quota_actor;
 mod rollout_actor;
@@ -22,33 +25,29 @@
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
-pub(crate) use self::shared::send;
 use self::{
     config_actor::{ConfigActor, ConfigArguments},
     member_actor::{MemberActor, MemberArguments},
+    operator::{OperatorServer, serve_operators},
+    peer_server::{PeerServer, serve_peers},
     quota_actor::{QuotaActor, QuotaArguments},
     rollout_actor::{RolloutActor, RolloutArguments},
     session_actor::{SessionActor, SessionArguments},
+    shared::send,
 };
 pub use self::{
-    config_actor::{ConfigMessage, LoadedConfig, PeerEvidence},
-    member_actor::MemberMessage,
+    messages::{ConfigMessage, MemberMessage, PeerEvidence},
     notes::{NoteRecord, NoteWriter, SubmitOutcome},
     quota_actor::QuotaMessage,
     rollout_actor::{GatheredRound, RolloutMessage},
-    session_actor::{HolderRecord, SessionMessage},
+    session_actor::SessionMessage,
     shared::{
-        ControlShared, EncodedConfig, HEAD_KEY, PlannerRoles, PlatformClients, ReadError,
-        read_record,
+        ControlShared, EncodedConfig, HEAD_KEY, HolderRecord, PlannerRoles, PlatformClients,
+        ReadError, read_record,
     },
     store::{ObservedStore, StoreObservation},
 };
-use crate::{
-    context::HostContext,
-    interfaces::SharedDeadline,
-    operator::{OperatorServer, serve_operators},
-    peer::{PeerClients, PeerServer, serve_peers},
-};
+use crate::{context::HostContext, interfaces::SharedDeadline, peer::PeerClients};
 
 /// Time in which the last gossip of a host that leaves is sent.
 const FAREWELL: Duration = Duration::from_millis(200);
--- a/crates/sapphireknotd/src/control/config_actor.rs
+++ b/crates/sapphireknotd/src/control/config_actor.rs
@@ -5,9 +5,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use sapphireknot::{
-    config::{ConfigDocument, ReleaseNote},
     delta::apply_notes,
     freshness::FreshnessClock,
     head::{ConfigHead, EncodedDocument},
@@ -19,14 +18,14 @@
 use sapphireknot_platform::{KeyValueStore, StoredEntry};
 
 use super::{
-    member_actor::MemberMessage,
+    messages::{ConfigMessage, MemberMessage, PeerEvidence},
     notes::{NoteRecord, note_key},
     shared::{
         ActorResult, ControlShared, EncodedConfig, HEAD_KEY, ReadError, read_head, read_record,
         send,
     },
 };
-use crate::peer::{PeerClients, PeerError};
+use crate::{loaded_config::LoadedConfig, peer::PeerClients};
 
 /// Interval at which the freshness deadline is recomputed from reports that end.
 const TICK: Duration = Duration::from_millis(200);
@@ -36,58 +35,6 @@
 /// Time until a host that starts knows the others, and with them the owners of idempotency keys; five exchanges of gossip.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 
-/// What a peer's reply told.
-#[derive(Debug)]
-pub struct PeerEvidence {
-    /// Peer.
-    pub peer: MemberRecord,
-    /// From before the request was sent; none if the peer sent a request, of which no age counts.
-    pub sent: Option<MonoTime>,
-    /// Generation in force there.
-    pub generation: ConfigGeneration,
-    /// Age of its latest proof.
-    pub proof_age: Option<Duration>,
-    /// Whether the store is down, with the age of the observation.
-    pub report: Option<(bool, Duration)>,
-}
-
-/// Generation that was loaded.
-#[derive(Debug)]
-pub struct LoadedConfig {
-    /// Generation.
-    pub generation: ConfigGeneration,
-    /// Document.
-    pub document: ConfigDocument,
-    /// The same in encoded form, if it is known.
-    pub encoded: Option<EncodedDocument>,
-    /// Notes that led to it from the generation that was in force; none if it was loaded whole.
-    pub notes: Vec<ReleaseNote>,
-    /// Beginning of the read of the head that named it, if it came from the store.
-    pub began: Option<MonoTime>,
-}
-
-/// Message to the configuration actor.
-#[derive(Debug)]
-pub enum ConfigMessage {
-    /// The head was read.
-    HeadRead {
-        /// When the read began.
-        began: MonoTime,
-        /// Entry of the head.
-        entry: Option<StoredEntry>,
-    },
-    /// A document was loaded from the store.
-    StoreLoaded(Result<LoadedConfig, ReadError>),
-    /// A document was fetched from a peer.
-    PeerLoaded(Result<Option<LoadedConfig>, PeerError>),
-    /// A change was accepted by this host; the reply follows its installation.
-    Written(LoadedConfig, RpcReplyPort<()>),
-    /// A peer was heard.
-    PeerHeard(Box<PeerEvidence>),
-    /// Time has passed.
-    Tick,
-}
-
 /// Configuration actor.
 pub(super) struct ConfigActor;
 
--- a/crates/sapphireknotd/src/control/head_reader.rs
+++ b/crates/sapphireknotd/src/control/head_reader.rs
@@ -10,7 +10,7 @@
 use sapphireknot_platform::{KeyValueStore, StoreRevision};
 
 use super::{
-    config_actor::ConfigMessage,
+    messages::ConfigMessage,
     shared::{ControlShared, HEAD_KEY, send},
 };
 
--- a/crates/sapphireknotd/src/control/member_actor.rs
+++ b/crates/sapphireknotd/src/control/member_actor.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use sapphireknot::{
     drain::DrainStage,
@@ -20,7 +20,7 @@
 use sapphireknot_wire::peer::{Gossip, StoreReport};
 
 use super::{
-    config_actor::{ConfigMessage, PeerEvidence},
+    messages::{ConfigMessage, MemberMessage, PeerEvidence},
     shared::{ActorResult, ControlShared, send},
 };
 use crate::peer::{
@@ -42,44 +42,6 @@
 /// Hosts of the store's region that are asked at each interval while proofs are overdue.
 const MAX_REPORTERS: usize = 16;
 
-/// Message to the member actor.
-#[derive(Debug)]
-pub enum MemberMessage {
-    /// A peer's gossip arrived; the reply carries ours.
-    Exchange(Box<GossipView>, RpcReplyPort<Gossip>),
-    /// Gossip for a message to some host is needed.
-    MakeGossip(RpcReplyPort<Gossip>),
-    /// A peer replied.
-    Replied(Box<GossipView>),
-    /// A host answered neither directly nor indirectly, or not directly.
-    Missed {
-        /// The host.
-        target: HostId,
-        /// Run that was probed.
-        incarnation: IncarnationId,
-        /// Whether delegates were asked.
-        is_indirect: bool,
-    },
-    /// The platform listed hosts.
-    Listed(Vec<ListedHost>),
-    /// News of rollouts are to be told at once.
-    Announce,
-    /// A generation is in force on this host.
-    Installed(ConfigGeneration),
-    /// Every backend server that leaves by a generation is out on this host.
-    Drained(ConfigGeneration),
-    /// The configuration actor runs.
-    Connected(ActorRef<ConfigMessage>),
-    /// The next probe is due.
-    ProbeDue,
-    /// Proofs may be overdue.
-    ReportsDue,
-    /// Time has passed.
-    Tick,
-    /// The graceful shutdown reached a stage.
-    Drain(DrainStage),
-}
-
 /// Member actor.
 pub(super) struct MemberActor;
 
--- a/crates/sapphireknotd/src/operator.rs
+++ b/crates/sapphireknotd/src/control/operator.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod server;
+mod state;
 mod status;
 
-pub use self::server::{OperatorServer, serve_operators};
+pub(super) use self::server::{OperatorServer, serve_operators};
--- a/crates/sapphireknotd/src/operator/calls.rs
+++ b/crates/sapphireknotd/src/control/operator/calls.rs
@@ -10,8 +10,11 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::{server::OperatorServer, status};
-use crate::control::{ConfigMessage, LoadedConfig, SubmitOutcome};
+use super::{state::OperatorState, status};
+use crate::{
+    control::{messages::ConfigMessage, notes::SubmitOutcome},
+    loaded_config::LoadedConfig,
+};
 
 /// Longest wait for the installation of an accepted change; it takes milliseconds.
 const INSTALL_LIMIT: Duration = Duration::from_secs(1);
@@ -72,7 +75,7 @@
 ///
 /// The answer waits for the installation: the base of the operator's next note is the generation in force here, and one
 /// before the accepted change would make the next note conflict with it.
-async fn finish(server: &OperatorServer, outcome: SubmitOutcome) -> CallReply {
+async fn finish(state: &OperatorState, outcome: SubmitOutcome) -> CallReply {
     if let Some(change) = outcome.change
         && let Some(document) = change.document
     {
@@ -86,7 +89,7 @@
             began: Some(change.began),
         };
         let installed =
-            server.config.call(|port| ConfigMessage::Written(loaded, port), Some(INSTALL_LIMIT));
+            state.config.call(|port| ConfigMessage::Written(loaded, port), Some(INSTALL_LIMIT));
         if let Err(err) = installed.await {
             log::warn!("install generation {generation}: {err}");
         }
@@ -94,15 +97,15 @@
     receipt(&outcome.receipt)
 }
 
-pub(super) async fn put_config(server: &OperatorServer, body: &[u8]) -> CallReply {
+pub(super) async fn put_config(state: &OperatorState, body: &[u8]) -> CallReply {
     match read::<DocumentSubmission>(body) {
-        Ok(submission) => finish(server, server.writer.submit_document(submission).await).await,
+        Ok(submission) => finish(state, state.writer.submit_document(submission).await).await,
         Err(reply) => reply,
     }
 }
 
-pub(super) fn get_config(server: &OperatorServer) -> CallReply {
-    match &*server.shared.context.config.load() {
+pub(super) fn get_config(state: &OperatorState) -> CallReply {
+    match &*state.shared.context.config.load() {
         Some(config) => {
             let document = (*config.document).clone();
             reply(StatusCode::OK, &DocumentReply { generation: config.generation, document })
@@ -111,32 +114,32 @@
     }
 }
 
-pub(super) async fn check_note(server: &OperatorServer, body: &[u8]) -> CallReply {
+pub(super) async fn check_note(state: &OperatorState, body: &[u8]) -> CallReply {
     match read::<ReleaseNote>(body) {
-        Ok(note) => receipt(&server.writer.check_note(note).await),
+        Ok(note) => receipt(&state.writer.check_note(note).await),
         Err(reply) => reply,
     }
 }
 
-pub(super) async fn post_note(server: &OperatorServer, body: &[u8]) -> CallReply {
+pub(super) async fn post_note(state: &OperatorState, body: &[u8]) -> CallReply {
     match read::<NoteSubmission>(body) {
-        Ok(submission) => finish(server, server.writer.submit_note(submission).await).await,
+        Ok(submission) => finish(state, state.writer.submit_note(submission).await).await,
         Err(reply) => reply,
     }
 }
 
-pub(super) async fn get_note(server: &OperatorServer, id: &str) -> CallReply {
+pub(super) async fn get_note(state: &OperatorState, id: &str) -> CallReply {
     let id = match id.parse::<NoteId>() {
         Ok(id) => id,
         Err(err) => return failure(StatusCode::BAD_REQUEST, &err.to_string()),
     };
-    match status::note_status(server, &id).await {
+    match status::note_status(state, &id).await {
         Ok(Some(status)) => reply(StatusCode::OK, &status),
         Ok(None) => failure(StatusCode::NOT_FOUND, "no such note was accepted"),
         Err(err) => failure(StatusCode::SERVICE_UNAVAILABLE, &err.to_string()),
     }
 }
 
-pub(super) fn get_status(server: &OperatorServer) -> CallReply {
-    reply(StatusCode::OK, &status::host_status(server))
+pub(super) fn get_status(state: &OperatorState) -> CallReply {
+    reply(StatusCode::OK, &status::host_status(state))
 }
--- a/crates/sapphireknotd/src/operator/server.rs
+++ b/crates/sapphireknotd/src/control/operator/server.rs
@@ -12,8 +12,11 @@
 use subtle::ConstantTimeEq;
 use tokio::{net::TcpListener, sync::Semaphore};
 
-use super::calls::{self, CallReply};
-use crate::control::{ConfigMessage, ControlShared, NoteWriter};
+use super::{
+    calls::{self, CallReply},
+    state::OperatorState,
+};
+use crate::control::{messages::ConfigMessage, notes::NoteWriter, shared::ControlShared};
 
 /// Bytes of a body; the largest document, of several chunks of the store.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -25,25 +28,21 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Server of operators' calls.
-pub struct OperatorServer {
-    pub(super) shared: Arc<ControlShared>,
-    pub(super) writer: NoteWriter,
-    pub(super) config: ActorRef<ConfigMessage>,
-}
+pub(crate) struct OperatorServer(OperatorState);
 
 impl OperatorServer {
     /// A server that writes changes with `writer`.
-    pub fn new(
+    pub(crate) fn new(
         shared: Arc<ControlShared>,
         writer: NoteWriter,
         config: ActorRef<ConfigMessage>,
     ) -> Self {
-        Self { shared, writer, config }
+        Self(OperatorState { shared, writer, config })
     }
 
     /// Whether the request carries the operators' token; digests are compared in constant time.
     fn is_authorized<B>(&self, request: &Request<B>) -> bool {
-        let expected = KeyDigest::from_hex(&self.shared.context.settings.operator_token_sha256);
+        let expected = KeyDigest::from_hex(&self.0.shared.context.settings.operator_token_sha256);
         let token = request
             .headers()
             .get(header::AUTHORIZATION)
@@ -66,12 +65,12 @@
         };
         let segments: Vec<_> = path.split('/').collect();
         match (&parts.method, segments.as_slice()) {
-            (&Method::PUT, ["v1", "config"]) => calls::put_config(self, &body).await,
-            (&Method::GET, ["v1", "config"]) => calls::get_config(self),
-            (&Method::POST, ["v1", "check"]) => calls::check_note(self, &body).await,
-            (&Method::POST, ["v1", "notes"]) => calls::post_note(self, &body).await,
-            (&Method::GET, ["v1", "notes", id]) => calls::get_note(self, id).await,
-            (&Method::GET, ["v1", "status"]) => calls::get_status(self),
+            (&Method::PUT, ["v1", "config"]) => calls::put_config(&self.0, &body).await,
+            (&Method::GET, ["v1", "config"]) => calls::get_config(&self.0),
+            (&Method::POST, ["v1", "check"]) => calls::check_note(&self.0, &body).await,
+            (&Method::POST, ["v1", "notes"]) => calls::post_note(&self.0, &body).await,
+            (&Method::GET, ["v1", "notes", id]) => calls::get_note(&self.0, id).await,
+            (&Method::GET, ["v1", "status"]) => calls::get_status(&self.0),
             (_, ["v1", "config" | "check" | "notes" | "status"] | ["v1", "notes", _]) => {
                 calls::failure(StatusCode::METHOD_NOT_ALLOWED, "another method is needed")
             }
@@ -96,8 +95,11 @@
 }
 
 /// Serves operators until `stopped` completes; calls that have begun are finished.
-pub async fn serve_operators<F>(server: Arc<OperatorServer>, listener: TcpListener, stopped: F)
-where
+pub(crate) async fn serve_operators<F>(
+    server: Arc<OperatorServer>,
+    listener: TcpListener,
+    stopped: F,
+) where
     F: Future<Output = ()>,
 {
     let mut stopped = pin!(stopped);
--- a/crates/sapphireknotd/src/operator/status.rs
+++ b/crates/sapphireknotd/src/control/operator/status.rs
@@ -11,10 +11,10 @@
 use sapphireknot_platform::KeyValueStore;
 use serde::Deserialize;
 
-use super::server::OperatorServer;
+use super::state::OperatorState;
 use crate::{
     context::HostContext,
-    control::{ReadError, read_record},
+    control::shared::{ReadError, read_record},
 };
 
 /// What a note needs of the record `rollout/<service>`.
@@ -36,23 +36,23 @@
 
 /// The state of a note; none if no such note was accepted.
 pub(super) async fn note_status(
-    server: &OperatorServer,
+    state: &OperatorState,
     id: &NoteId,
 ) -> Result<Option<NoteStatus>, ReadError> {
-    let Some((record, generation)) = server.writer.find_note(id).await? else { return Ok(None) };
-    let waiting_for = hosts_behind(server, generation);
+    let Some((record, generation)) = state.writer.find_note(id).await? else { return Ok(None) };
+    let waiting_for = hosts_behind(state, generation);
     let mut rollouts = BTreeMap::new();
     for item in &record.note.items {
         if let EntityPath::Traffic(service) = item.path()
             && !rollouts.contains_key(&service)
         {
-            let rollout = read_rollout(server, &service).await?;
+            let rollout = read_rollout(state, &service).await?;
             rollouts.insert(service, rollout);
         }
     }
     let items = record.note.items.iter().map(|item| {
         let status = item_status(item, &waiting_for, &rollouts);
-        let ended = replaced_reason(server, item, generation);
+        let ended = replaced_reason(state, item, generation);
         match ended.filter(|_| matches!(status.state, ItemState::Pending | ItemState::InForce)) {
             Some(reason) => {
                 ItemStatus { state: ItemState::Reverted, reason: Some(reason), ..status }
@@ -64,7 +64,7 @@
         if !is_drain(item) || status.state != ItemState::InForce {
             return status;
         }
-        match hosts_draining(server, generation) {
+        match hosts_draining(state, generation) {
             0 => ItemStatus { state: ItemState::Done, ..status },
             count => {
                 let reason = format!("{count} live hosts still use servers that leave");
@@ -77,18 +77,18 @@
 }
 
 async fn read_rollout(
-    server: &OperatorServer,
+    state: &OperatorState,
     service: &ServiceId,
 ) -> Result<Option<RolloutRecord>, ReadError> {
-    match server.shared.store.get(&format!("rollout/{service}")).await? {
+    match state.shared.store.get(&format!("rollout/{service}")).await? {
         Some(entry) => Ok(Some(read_record(&entry)?)),
         None => Ok(None),
     }
 }
 
 /// Live hosts that have not reported `generation`.
-fn hosts_behind(server: &OperatorServer, generation: ConfigGeneration) -> Vec<HostId> {
-    let members = server.shared.context.members.load();
+fn hosts_behind(state: &OperatorState, generation: ConfigGeneration) -> Vec<HostId> {
+    let members = state.shared.context.members.load();
     let is_behind = |generation_there| generation_there < generation;
     members
         .iter()
@@ -135,20 +135,20 @@
 }
 
 /// Live hosts that have not reported that the servers which leave by `generation` are out.
-fn hosts_draining(server: &OperatorServer, generation: ConfigGeneration) -> usize {
-    let members = server.shared.context.members.load();
+fn hosts_draining(state: &OperatorState, generation: ConfigGeneration) -> usize {
+    let members = state.shared.context.members.load();
     members.iter().filter(|it| it.state.is_live() && it.drained < generation).count()
 }
 
 /// Why the plan of an item is no longer in force on this host, whose generation is at least `generation`.
 fn replaced_reason(
-    server: &OperatorServer,
+    state: &OperatorState,
     item: &NoteItem,
     generation: ConfigGeneration,
 ) -> Option<String> {
     let (NoteItem::Add(value) | NoteItem::Change(value)) = item else { return None };
     let EntityValue::Traffic { service, plan } = value else { return None };
-    let config = server.shared.context.config.load();
+    let config = state.shared.context.config.load();
     let config = config.as_ref().filter(|it| it.generation >= generation)?;
     match config.routes.service(service).and_then(|it| it.traffic.as_ref()) {
         Some(current) if current.id == plan.id => None,
@@ -177,8 +177,8 @@
 }
 
 /// The state of this host.
-pub(super) fn host_status(server: &OperatorServer) -> HostStatus {
-    let shared = &server.shared;
+pub(super) fn host_status(state: &OperatorState) -> HostStatus {
+    let shared = &state.shared;
     let context = &shared.context;
     let members = context.members.load();
     let members = members
--- a/crates/sapphireknotd/src/peer/server.rs
+++ b/crates/sapphireknotd/src/control/peer_server.rs
@@ -14,17 +14,18 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status};
 
-use super::{
-    claims::{claim_from_wire, claim_reply_to_wire},
-    client::{MAX_MESSAGE_BYTES, PeerClients},
-    convert::{ConvertError, gossip_from_wire, parse},
-    quotas::{answer_to_wire, borrow_from_wire, give_back_from_wire},
-    rollouts::evidence_to_wire,
+use super::{messages::MemberMessage, shared::ControlShared};
+use crate::peer::{
+    MAX_MESSAGE_BYTES, PeerClients, answer_to_wire, borrow_from_wire, claim_from_wire,
+    claim_reply_to_wire,
+    convert::gossip_from_wire,
+    evidence_to_wire,
+    fields::{ConvertError, parse},
+    give_back_from_wire,
 };
-use crate::control::{ControlShared, MemberMessage};
 
 /// Server of the calls between hosts.
-pub struct PeerServer {
+pub(super) struct PeerServer {
     shared: Arc<ControlShared>,
     peers: Arc<PeerClients>,
     members: ActorRef<MemberMessage>,
@@ -32,7 +33,7 @@
 
 impl PeerServer {
     /// A server that hands gossip to the member actor.
-    pub fn new(
+    pub(super) fn new(
         shared: Arc<ControlShared>,
         peers: Arc<PeerClients>,
         members: ActorRef<MemberMessage>,
@@ -165,7 +166,7 @@
 }
 
 /// Serves peers until `stopped` completes.
-pub async fn serve_peers<F>(
+pub(super) async fn serve_peers<F>(
     server: PeerServer,
     listener: TcpListener,
     stopped: F,
--- a/crates/sapphireknotd/src/control/quota_actor/claims.rs
+++ b/crates/sapphireknotd/src/control/quota_actor/claims.rs
@@ -15,7 +15,7 @@
 use sapphireknot_platform::{KeyValueStore, StoreRevision, SwapOutcome, SwapWrite};
 
 use super::{QuotaMessage, QuotaState};
-use crate::control::{ControlShared, HolderRecord, ReadError, read_record, send};
+use crate::control::shared::{ControlShared, HolderRecord, ReadError, read_record, send};
 
 /// Records among which resources are spread. All hosts must use the same number.
 const SHARDS: u32 = 8;
--- a/crates/sapphireknotd/src/control/quota_actor/transfers.rs
+++ b/crates/sapphireknotd/src/control/quota_actor/transfers.rs
@@ -10,7 +10,7 @@
 
 use super::{QuotaMessage, QuotaState, RETURN_LEAD};
 use crate::{
-    control::{ControlShared, send},
+    control::shared::{ControlShared, send},
     peer::PeerClients,
 };
 
--- a/crates/sapphireknotd/src/control/rollout_actor.rs
+++ b/crates/sapphireknotd/src/control/rollout_actor.rs
@@ -22,7 +22,7 @@
 use sapphireknot_platform::{KeyValueStore, StoreRevision, StoredEntry, SwapOutcome, SwapWrite};
 
 use super::{
-    member_actor::MemberMessage,
+    messages::MemberMessage,
     planned_service::{EvidenceRound, PlannedService},
     shared::{ActorResult, ControlShared, ReadError, read_record, send},
 };
--- a/crates/sapphireknotd/src/control/session_actor.rs
+++ b/crates/sapphireknotd/src/control/session_actor.rs
@@ -10,7 +10,7 @@
 
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use sapphireknot::{
-    ids::{FencingToken, HostId, IncarnationId, ServiceId},
+    ids::{FencingToken, ServiceId},
     quota::LeaseKind,
     roles::{DRIFT_DIVISOR, HeldLease, HeldRoles},
     time::MonoTime,
@@ -18,11 +18,12 @@
 use sapphireknot_platform::{
     KeyValueStore, LeaseId, StoreError, StoreRevision, SwapOutcome, SwapWrite,
 };
-use serde::{Deserialize, Serialize};
 
 use super::{
     quota_actor::QuotaMessage,
-    shared::{ActorResult, ControlShared, PlannerRoles, ReadError, read_record, send},
+    shared::{
+        ActorResult, ControlShared, HolderRecord, PlannerRoles, ReadError, read_record, send,
+    },
 };
 
 /// Start of the names of planner roles; the service follows.
@@ -38,15 +39,6 @@
 /// A short lease covers this many intervals, so that four renewals may be lost.
 const LEASE_INTERVALS: u32 = 5;
 
-/// Holder of a role or owner of a host record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HolderRecord {
-    /// Host.
-    pub host: HostId,
-    /// Run of its process.
-    pub incarnation: IncarnationId,
-}
-
 /// Message to the session actor.
 #[derive(Debug)]
 pub enum SessionMessage {
--- a/crates/sapphireknotd/src/control/shared.rs
+++ b/crates/sapphireknotd/src/control/shared.rs
@@ -8,10 +8,11 @@
     config::ConfigDocument,
     delta::NoteLog,
     head::{ConfigHead, DocumentError, EncodedDocument},
-    ids::{ConfigGeneration, FencingToken, ServiceId},
+    ids::{ConfigGeneration, FencingToken, HostId, IncarnationId, ServiceId},
     time::MonoTime,
 };
 use sapphireknot_platform::{HostList, KeyValueStore, StoreError, StoredEntry};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::store::ObservedStore;
@@ -79,6 +80,15 @@
     }
 }
 
+/// Holder of a role or owner of a host record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderRecord {
+    /// Host.
+    pub host: HostId,
+    /// Run of its process.
+    pub incarnation: IncarnationId,
+}
+
 /// Failed reading of the configuration from the store.
 #[derive(Debug, Error)]
 pub enum ReadError {
--- a/crates/sapphireknotd/src/peer.rs
+++ b/crates/sapphireknotd/src/peer.rs
@@ -1,15 +1,19 @@
-//! Calls between hosts.
+//! Calls between hosts: messages and their types, and the clients. The server is a part of the control modules.
 
 mod claims;
 mod client;
 pub mod convert;
+pub mod fields;
 mod quotas;
 mod rollouts;
-mod server;
 
-pub(crate) use self::rollouts::news_to_wire;
+pub(crate) use self::{
+    claims::{claim_from_wire, claim_reply_to_wire},
+    client::MAX_MESSAGE_BYTES,
+    quotas::{answer_to_wire, borrow_from_wire, give_back_from_wire},
+    rollouts::{evidence_to_wire, news_to_wire},
+};
 pub use self::{
     client::{PeerClients, PeerError},
     rollouts::PeerCounts,
-    server::{PeerServer, serve_peers},
 };
--- a/crates/sapphireknotd/src/peer/claims.rs
+++ b/crates/sapphireknotd/src/peer/claims.rs
@@ -13,7 +13,7 @@
 
 use super::{
     client::PeerClients,
-    convert::{ConvertError, parse},
+    fields::{ConvertError, parse},
 };
 use crate::claims::{ClaimCalls, ClaimMessage, ClaimStep};
 
@@ -34,7 +34,7 @@
     }
 }
 
-pub(super) fn claim_from_wire(request: &ClaimRequestRequest) -> Result<ClaimMessage, ConvertError> {
+pub(crate) fn claim_from_wire(request: &ClaimRequestRequest) -> Result<ClaimMessage, ConvertError> {
     let digest = KeyDigest::from_bytes(&request.digest)
         .ok_or_else(|| ConvertError { field: "digest", reason: "not 32 bytes".to_owned() })?;
     let step = match WireStep::try_from(request.step) {
@@ -55,7 +55,7 @@
     })
 }
 
-pub(super) fn claim_reply_to_wire(reply: ClaimReply) -> ClaimRequestReply {
+pub(crate) fn claim_reply_to_wire(reply: ClaimReply) -> ClaimRequestReply {
     let state = match reply {
         ClaimReply::Granted { .. } => ClaimState::Granted,
         ClaimReply::InProgress => ClaimState::InProgress,
--- a/crates/sapphireknotd/src/peer/client.rs
+++ b/crates/sapphireknotd/src/peer/client.rs
@@ -32,12 +32,12 @@
 };
 
 use super::rollouts::{PeerCounts, evidence_from_wire};
-use crate::{control::LoadedConfig, spans::start_span};
+use crate::{loaded_config::LoadedConfig, spans::start_span};
 
 /// Connections that are kept; a host talks to a few random peers a second, so that the rest would only be idle.
 const MAX_CONNECTIONS: usize = 64;
 /// Largest message; a document of several chunks.
-pub(super) const MAX_MESSAGE_BYTES: usize = 64 << 20;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
 /// A document may take this many times as long as another call.
 const FETCH_FACTOR: u32 = 10;
 
--- a/crates/sapphireknotd/src/peer/convert.rs
+++ b/crates/sapphireknotd/src/peer/convert.rs
@@ -1,35 +1,19 @@
 //! Messages of peers and the types of the decisions.
 
-use std::{net::SocketAddr, str::FromStr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use sapphireknot::{
     ids::{ConfigGeneration, IncarnationId},
     membership::{MemberRecord, MemberState},
 };
 use sapphireknot_wire::peer::{Gossip, Member, MemberState as WireState};
-use thiserror::Error;
 
-use super::rollouts::news_from_wire;
+use super::{
+    fields::{ConvertError, parse},
+    rollouts::news_from_wire,
+};
 use crate::rollout::RolloutNews;
 
-/// Message of a peer that cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("field {field} of a peer's message: {reason}")]
-pub struct ConvertError {
-    /// Field.
-    pub field: &'static str,
-    /// What is wrong with it.
-    pub reason: String,
-}
-
-pub(super) fn parse<T>(field: &'static str, text: &str) -> Result<T, ConvertError>
-where
-    T: FromStr,
-    T::Err: ToString,
-{
-    text.parse().map_err(|err: T::Err| ConvertError { field, reason: err.to_string() })
-}
-
 /// The message for a record.
 pub fn member_to_wire(record: &MemberRecord) -> Member {
     let state = match record.state {
--- a/crates/sapphireknotd/src/peer/quotas.rs
+++ b/crates/sapphireknotd/src/peer/quotas.rs
@@ -11,7 +11,7 @@
 
 use super::{
     client::{PeerClients, PeerError},
-    convert::{ConvertError, parse},
+    fields::{ConvertError, parse},
 };
 
 fn transfer_from_wire(bytes: &[u8]) -> Result<TransferId, ConvertError> {
@@ -32,7 +32,7 @@
     }
 }
 
-pub(super) fn borrow_from_wire(request: &BorrowRequest) -> Result<BorrowCall, ConvertError> {
+pub(crate) fn borrow_from_wire(request: &BorrowRequest) -> Result<BorrowCall, ConvertError> {
     Ok(BorrowCall {
         borrower: parse("borrower", &request.borrower)?,
         incarnation: IncarnationId(request.incarnation),
@@ -43,7 +43,7 @@
     })
 }
 
-pub(super) fn answer_to_wire(answer: BorrowAnswer) -> BorrowReply {
+pub(crate) fn answer_to_wire(answer: BorrowAnswer) -> BorrowReply {
     BorrowReply {
         granted: answer != BorrowAnswer::REFUSED,
         share_ppm: answer.share.0,
@@ -65,7 +65,7 @@
 }
 
 /// Reads a call that returns share to this host, `lender`.
-pub(super) fn give_back_from_wire(
+pub(crate) fn give_back_from_wire(
     request: &GiveBackRequest,
     lender: &HostId,
 ) -> Result<GiveBackCall, ConvertError> {
--- a/crates/sapphireknotd/src/peer/rollouts.rs
+++ b/crates/sapphireknotd/src/peer/rollouts.rs
@@ -12,7 +12,7 @@
     VersionShare,
 };
 
-use super::convert::{ConvertError, parse};
+use super::fields::{ConvertError, parse};
 use crate::rollout::{LocalEvidence, RolloutNews};
 
 /// Evidence of a peer.
@@ -116,7 +116,7 @@
 }
 
 /// The reply with the evidence of this host.
-pub(super) fn evidence_to_wire(
+pub(crate) fn evidence_to_wire(
     incarnation: IncarnationId,
     evidence: &LocalEvidence,
 ) -> FetchEvidenceReply {
--- a/crates/sapphireknotd/src/rollout/service.rs
+++ b/crates/sapphireknotd/src/rollout/service.rs
@@ -13,7 +13,7 @@
     time::{MonoTime, WallTime},
 };
 
-use super::choose_usable;
+use super::choice::choose_usable;
 
 /// Outcomes that this host counted for a plan.
 #[derive(Debug, Clone)]
--- a/crates/sapphireknotd/src/rollout/table.rs
+++ b/crates/sapphireknotd/src/rollout/table.rs
@@ -13,9 +13,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    LocalEvidence,
     choice::usable_versions,
-    service::{RolloutFacts, ServiceRollout},
+    service::{LocalEvidence, RolloutFacts, ServiceRollout},
 };
 use crate::{
     interfaces::{VersionRouter, VersionSample},
