serving: accept, serve and end HTTP/1 connections in one module for all listeners

The accept loop stood three times (callers of both kinds of host, the operator interface, the side listeners of a managed host), and the graceful end of a connection twice.

serving.rs holds the accept loop with its bound, the protocol settings and the graceful end. front/connections.rs keeps what only callers need: the write timeout and the count of busy connections; its two functions keep their signatures, so that both caller servers stay as they are.

Differences that remain are arguments: callers beyond the bound wait in the backlog, operators are closed, side listeners have no bound. Changed on the path of a failed accept only: the operator interface pauses 50 ms instead of 100 ms, and logs the error as a field instead of within the message.

--- a/crates/sapphireknotd/src/control/operator/server.rs
+++ b/crates/sapphireknotd/src/control/operator/server.rs
@@ -1,22 +1,24 @@
 //! Connections of operators.
 
-use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{body::Incoming, service::service_fn};
 use ractor::ActorRef;
 use sapphireknot::keys::KeyDigest;
 use subtle::ConstantTimeEq;
-use tokio::{net::TcpListener, sync::Semaphore};
+use tokio::{net::TcpListener, sync::watch};
 
 use super::{
     calls::{self, CallReply},
     state::OperatorState,
 };
-use crate::control::{messages::ConfigMessage, notes::NoteWriter, shared::ControlShared};
+use crate::{
+    control::{messages::ConfigMessage, notes::NoteWriter, shared::ControlShared},
+    serving::{AcceptRules, FullRule, accept_connections, http1_builder, serve_http1},
+};
 
 /// Bytes of a body; the largest document, of several chunks of the store.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -24,8 +26,6 @@
 const MAX_CONNECTIONS: usize = 64;
 /// Time in which a call with its body must arrive.
 const READ_LIMIT: Duration = Duration::from_secs(30);
-/// Pause after a failed accept, for example when no file descriptor is left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Server of operators' calls.
 pub(crate) struct OperatorServer(OperatorState);
@@ -102,39 +102,29 @@
 ) where
     F: Future<Output = ()>,
 {
-    let mut stopped = pin!(stopped);
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    let graceful = hyper_util::server::graceful::GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            () = &mut stopped => break,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!("accept a connection of an operator: {err}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
-        let server = server.clone();
-        let service = service_fn(move |request| {
-            let server = server.clone();
-            async move { Ok::<_, Infallible>(to_response(server.answer(request).await)) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(READ_LIMIT)
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            if let Err(err) = connection.await {
+    let (closing, _) = watch::channel(false);
+    let serve = |stream, _peer| {
+        let (server, mut closing) = (server.clone(), closing.subscribe());
+        async move {
+            let service = service_fn(|request| {
+                let server = server.clone();
+                async move { Ok(to_response(server.answer(request).await)) }
+            });
+            // A dropped sender stops the connection too.
+            let closed = async { drop(closing.wait_for(|it| *it).await) };
+            let builder = http1_builder(READ_LIMIT);
+            if let Err(err) = serve_http1(stream, &builder, service, closed, || true).await {
                 log::debug!("connection of an operator: {err}");
             }
-            drop(permit);
-        });
-    }
-    graceful.shutdown().await;
+        }
+    };
+    let rules = AcceptRules {
+        max_connections: MAX_CONNECTIONS,
+        when_full: FullRule::Close,
+        failure: "accept a connection of an operator",
+    };
+    accept_connections(listener, rules, stopped, serve).await;
+    closing.send_replace(true);
+    // Every connection holds a receiver until it has ended.
+    closing.closed().await;
 }
--- a/crates/sapphireknotd/src/entry/side_servers.rs
+++ b/crates/sapphireknotd/src/entry/side_servers.rs
@@ -1,20 +1,18 @@
 //! Listeners beside the one for callers: directory, readiness check and metrics.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{future::pending, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{body::Incoming, service::service_fn};
 use prometheus::{Registry, TextEncoder};
 use sapphireknot::steering::{feed_copy::CopySource, naming::name_hosts};
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{net::TcpListener, sync::Semaphore};
 
 use super::state::EntryState;
+use crate::serving::{AcceptRules, FullRule, accept_connections, http1_builder, serve_http1};
 
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time in which a question must arrive; also the time for which a connection may be idle.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -143,29 +141,23 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Bytes>> + Send,
 {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!(error:% = err; "accept connection");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let serve = |stream, _peer| {
         let answer = answer.clone();
-        tokio::spawn(async move {
+        async move {
             let service = service_fn(|request| {
                 let answer = answer.clone();
-                async move { Ok::<_, Infallible>(answer(request).await.map(Full::new)) }
+                async move { Ok(answer(request).await.map(Full::new)) }
             });
-            let result = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(READ_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(err) = result {
+            let builder = http1_builder(READ_TIMEOUT);
+            if let Err(err) = serve_http1(stream, &builder, service, pending(), || true).await {
                 log::debug!(error:% = err; "connection ended");
             }
-        });
-    }
+        }
+    };
+    let rules = AcceptRules {
+        max_connections: Semaphore::MAX_PERMITS,
+        when_full: FullRule::Wait,
+        failure: "accept connection",
+    };
+    accept_connections(listener, rules, pending(), serve).await;
 }
--- a/crates/sapphireknotd/src/front/connections.rs
+++ b/crates/sapphireknotd/src/front/connections.rs
@@ -1,4 +1,4 @@
-//! Connections of callers: accepting them, serving them, and their graceful end.
+//! Connections of callers.
 
 use std::{
     convert::Infallible,
@@ -13,19 +13,16 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{body::Incoming, service::service_fn};
 use sapphireknot::drain::DrainStage;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
-    time::sleep,
+    sync::watch,
 };
 
 use super::streams::PromptStream;
+use crate::serving::{self, AcceptRules, FullRule, http1_builder, serve_http1};
 
-/// Pause after a failed accept, so that a lack of file descriptors does not busy the processor.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Least size of a buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -51,31 +48,21 @@
     S: Fn(TcpStream, SocketAddr) -> F,
     F: Future<Output = ()> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(max_connections));
+    let rules = AcceptRules {
+        max_connections,
+        when_full: FullRule::Wait,
+        failure: "accept connection of a caller",
+    };
+    serving::accept_connections(listener, rules, wait_stage(drain, last), serve).await;
+}
+
+/// Completes once the host has reached the stage `stage`.
+fn wait_stage(
+    drain: &watch::Sender<DrainStage>,
+    stage: DrainStage,
+) -> impl Future<Output = ()> + use<> {
     let mut drain = drain.subscribe();
-    let ended = async move { drop(drain.wait_for(|it| *it >= last).await) };
-    tokio::pin!(ended);
-    loop {
-        // Further connections wait in the backlog of the listener.
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut ended => return,
-        };
-        match accepted {
-            Ok((stream, peer)) => {
-                let serving = serve(stream, peer);
-                tokio::spawn(async move {
-                    serving.await;
-                    drop(permit);
-                });
-            }
-            Err(err) => {
-                log::warn!(error:% = err; "accept connection of a caller");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    async move { drop(drain.wait_for(|it| *it >= stage).await) }
 }
 
 /// Serves one connection until it ends, or until the host closes and its last request is answered.
@@ -100,33 +87,22 @@
         has_begun.store(true, Ordering::Relaxed);
         answer(request)
     });
-    let mut builder = http1::Builder::new();
+    let mut builder = http1_builder(limits.header_timeout);
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
         .max_header_size(limits.max_header_bytes)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let mut drain = drain.subscribe();
+    let closing = wait_stage(drain, DrainStage::Closing);
     // Counts before it looks at the stage, so that the end of closing cannot miss it.
-    let busy = busy.clone();
-    let closing = async move { drop(drain.wait_for(|it| *it >= DrainStage::Closing).await) };
-    tokio::select! {
-        result = connection.as_mut() => return log_end(result),
-        () = closing => {}
-    }
-    if has_begun.load(Ordering::Relaxed) {
-        connection.as_mut().graceful_shutdown();
-    } else {
-        // A first request is still answered, but the end of the host does not wait for it.
-        drop(busy);
-    }
-    log_end(connection.await);
-}
-
-fn log_end(result: hyper::Result<()>) {
-    if let Err(err) = result {
+    let mut busy = Some(busy.clone());
+    let ends_early = || {
+        let has_begun = has_begun.load(Ordering::Relaxed);
+        if !has_begun {
+            // A first request is still answered, but the end of the host does not wait for it.
+            busy = None;
+        }
+        has_begun
+    };
+    if let Err(err) = serve_http1(stream, &builder, service, closing, ends_early).await {
         log::debug!(error:% = err; "connection of a caller ended");
     }
 }
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod published;
 pub mod quota;
 pub mod rollout;
+pub mod serving;
 pub mod settings;
 mod spans;
 pub mod telemetry;
--- /dev/null
+++ b/crates/sapphireknotd/src/serving.rs
@@ -0,0 +1,116 @@
+//! Connections of all HTTP/1 listeners: accepting them, serving them, and their graceful end.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::Service};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::sleep,
+};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not busy the processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What becomes of connections beyond the bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FullRule {
+    /// They wait in the backlog of the listener.
+    Wait,
+    /// They are closed at once.
+    Close,
+}
+
+/// How a listener accepts.
+#[derive(Debug, Clone, Copy)]
+pub struct AcceptRules {
+    /// Connections at the same time.
+    pub max_connections: usize,
+    /// What becomes of others.
+    pub when_full: FullRule,
+    /// What is logged when an accept fails.
+    pub failure: &'static str,
+}
+
+/// Accepts connections until `ended` completes; each is served by a task of its own.
+pub async fn accept_connections<E, S, F>(
+    listener: TcpListener,
+    rules: AcceptRules,
+    ended: E,
+    serve: S,
+) where
+    E: Future<Output = ()>,
+    S: Fn(TcpStream, SocketAddr) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(rules.max_connections));
+    tokio::pin!(ended);
+    loop {
+        let reserved = match rules.when_full {
+            FullRule::Wait => {
+                let Ok(permit) = permits.clone().acquire_owned().await else { return };
+                Some(permit)
+            }
+            FullRule::Close => None,
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut ended => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let permit = reserved.or_else(|| permits.clone().try_acquire_owned().ok());
+                let Some(permit) = permit else { continue };
+                let serving = serve(stream, peer);
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(permit);
+                });
+            }
+            Err(err) => {
+                log::warn!(error:% = err; "{}", rules.failure);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Protocol settings of connections on which the head of a request must arrive within `header_timeout`.
+pub fn http1_builder(header_timeout: Duration) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(header_timeout);
+    builder
+}
+
+/// Serves one connection until it ends.
+///
+/// When `closing` completes and `ends_early` agrees, the connection ends after the request that it is serving.
+pub async fn serve_http1<I, S, C, G>(
+    stream: I,
+    builder: &http1::Builder,
+    service: S,
+    closing: C,
+    ends_early: G,
+) -> hyper::Result<()>
+where
+    I: AsyncRead + AsyncWrite + Unpin,
+    S: Service<Request<Incoming>, Response = Response<Full<Bytes>>, Error = Infallible>,
+    C: Future<Output = ()>,
+    G: FnOnce() -> bool,
+{
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        result = connection.as_mut() => return result,
+        () = closing => {}
+    }
+    if ends_early() {
+        connection.as_mut().graceful_shutdown();
+    }
+    connection.await
+}
