entry::reload: compare the settings file with the text that was checked

The watch of the settings file began with a reading of its own, so that a change after the check at the start counted as known and never took effect. The options now carry the file with the text that was checked, and the watch compares with that.

Ruled out: applying the settings once when the watch begins, which would log a reload at every start.

--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -223,7 +223,7 @@
                 )),
                 dialect: Arc::new(HttpDialect),
             };
-            Ok(runtime.block_on(entry::run(*settings, options.path, platform))?)
+            Ok(runtime.block_on(entry::run(*settings, options.file, platform))?)
         }
     }
 }
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -26,7 +26,7 @@
 
 mod forward;
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use prometheus::Registry;
 use ractor::{Actor, ActorRef, SpawnErr};
@@ -53,6 +53,7 @@
 };
 use crate::{
     clock::HostClock,
+    settings_file::SettingsFile,
     telemetry::{self, TelemetryError, TelemetryTarget},
 };
 
@@ -222,7 +223,7 @@
 /// Runs an entry host until a signal ends it.
 pub async fn run(
     settings: EntrySettings,
-    path: PathBuf,
+    file: SettingsFile,
     platform: EntryPlatform,
 ) -> Result<(), EntryError> {
     let mut terminate = listen_for(SignalKind::terminate())?;
@@ -238,7 +239,7 @@
     let guard = telemetry::install(&target)?;
     let host = settings.host.clone();
     let entry = RunningEntry::start(settings, platform, registry).await?;
-    let reloading = tokio::spawn(reload::run(entry.state.clone(), path, hangup));
+    let reloading = tokio::spawn(reload::run(entry.state.clone(), file, hangup));
     let seeds = entry.state.settings.load().seeds.clone();
     log::info!(
         host:%, seeds:?, peers:% = entry.state.record.peer_address, callers:% = entry.caller_address, directory:% = entry.directory_address,
--- a/crates/sapphireknotd/src/entry/reload.rs
+++ b/crates/sapphireknotd/src/entry/reload.rs
@@ -1,41 +1,40 @@
 //! Reload of the settings on SIGHUP, and of a file that changed without it.
 
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use tokio::{signal::unix::Signal, time::sleep};
 
 use super::{settings::EntrySettings, state::EntryState};
-use crate::{logging, settings::HostSettings};
+use crate::{logging, settings::HostSettings, settings_file::SettingsFile};
 
 /// Interval at which the file is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Applies changes of the settings file until the process ends.
+/// Applies changes of the settings `file` since it was read last, until the process ends.
 ///
 /// Bounds and the log level take effect at once. Identity and addresses are those of the start; a change of them is
 /// logged and takes effect at the next start.
-pub async fn run(state: Arc<EntryState>, path: PathBuf, mut hangup: Signal) {
-    let mut known = std::fs::read_to_string(&path).unwrap_or_default();
+pub async fn run(state: Arc<EntryState>, mut file: SettingsFile, mut hangup: Signal) {
     loop {
         let is_asked = tokio::select! {
             _ = hangup.recv() => true,
             () = sleep(LOOK_INTERVAL) => false,
         };
-        let text = match std::fs::read_to_string(&path) {
+        let text = match file.read_text() {
             Ok(text) => text,
             Err(err) => {
-                log::warn!(path:? = path, error:% = err; "read settings again");
+                log::warn!(path:? = file.path(), error:% = err; "read settings again");
                 continue;
             }
         };
         if is_asked {
-            log::info!(changed = text != known; "reload asked for");
+            log::info!(changed = text != file.text(); "reload asked for");
         }
-        if text == known {
+        if text == file.text() {
             continue;
         }
-        known = text;
-        let parsed = HostSettings::parse_tree(&known).and_then(EntrySettings::from_tree);
+        file.set_text(text);
+        let parsed = HostSettings::parse_tree(file.text()).and_then(EntrySettings::from_tree);
         match parsed {
             Ok(settings) => apply(&state, settings),
             Err(problems) => log::warn!(problems:? = problems; "settings not reloaded"),
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rollout;
 pub mod serving;
 pub mod settings;
+pub mod settings_file;
 mod spans;
 pub mod telemetry;
 pub mod upstream;
--- a/crates/sapphireknotd/src/options.rs
+++ b/crates/sapphireknotd/src/options.rs
@@ -3,7 +3,7 @@
 //! Arguments are written into the tree of the settings file before it is checked, so that the command line goes before
 //! the file, the file before the defaults, and all are checked alike.
 
-use std::{ffi::OsString, fs, path::PathBuf};
+use std::{ffi::OsString, path::PathBuf};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use sapphireknot::config::ConfigProblem;
@@ -13,6 +13,7 @@
 use crate::{
     entry::settings::EntrySettings,
     settings::{HostSettings, LogSettings},
+    settings_file::SettingsFile,
 };
 
 /// Arguments that override one field: name, path in the tree, help.
@@ -64,8 +65,8 @@
 pub struct DaemonOptions {
     /// Settings from the command line, the file and the defaults.
     pub settings: DaemonSettings,
-    /// Settings file.
-    pub path: PathBuf,
+    /// Settings file as it was checked.
+    pub file: SettingsFile,
     /// Whether to check the settings only.
     pub check: bool,
 }
@@ -124,12 +125,12 @@
 {
     let matches = command().try_get_matches_from(arguments)?;
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    let text = fs::read_to_string(&path);
-    let text = text.map_err(|source| OptionError::File { path: path.clone(), source })?;
-    let mut tree = HostSettings::parse_tree(&text).map_err(OptionError::Settings)?;
+    let file = SettingsFile::open(path.clone());
+    let file = file.map_err(|source| OptionError::File { path, source })?;
+    let mut tree = HostSettings::parse_tree(file.text()).map_err(OptionError::Settings)?;
     override_fields(&matches, &mut tree);
     let settings = DaemonSettings::from_tree(tree).map_err(OptionError::Settings)?;
-    Ok(DaemonOptions { settings, path, check: matches.get_flag("check") })
+    Ok(DaemonOptions { settings, file, check: matches.get_flag("check") })
 }
 
 fn override_fields(matches: &ArgMatches, tree: &mut Value) {
