entry::reload: keep the fields of the command line at a reload

A reload read the settings file without the arguments that went before it at the start, so that `--log-level` was lost with the first change of the file. The fields that the command line sets are now a part of the settings file, which applies them at each reading.

Ruled out: keeping the overridden fields of the settings in force, which a reload cannot tell from those of the file.

--- a/crates/sapphireknotd/src/entry/reload.rs
+++ b/crates/sapphireknotd/src/entry/reload.rs
@@ -5,7 +5,7 @@
 use tokio::{signal::unix::Signal, time::sleep};
 
 use super::{settings::EntrySettings, state::EntryState};
-use crate::{logging, settings::HostSettings, settings_file::SettingsFile};
+use crate::{logging, settings_file::SettingsFile};
 
 /// Interval at which the file is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
@@ -34,8 +34,7 @@
             continue;
         }
         file.set_text(text);
-        let parsed = HostSettings::parse_tree(file.text()).and_then(EntrySettings::from_tree);
-        match parsed {
+        match file.tree().and_then(EntrySettings::from_tree) {
             Ok(settings) => apply(&state, settings),
             Err(problems) => log::warn!(problems:? = problems; "settings not reloaded"),
         }
--- a/crates/sapphireknotd/src/options.rs
+++ b/crates/sapphireknotd/src/options.rs
@@ -1,19 +1,19 @@
 //! Command line of the daemon.
 //!
-//! Arguments are written into the tree of the settings file before it is checked, so that the command line goes before
-//! the file, the file before the defaults, and all are checked alike.
+//! Arguments replace fields of the settings file before it is checked, so that the command line goes before the file, the
+//! file before the defaults, and all are checked alike.
 
 use std::{ffi::OsString, path::PathBuf};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use sapphireknot::config::ConfigProblem;
-use serde_json::{Map, Value};
+use serde_json::Value;
 use thiserror::Error;
 
 use crate::{
     entry::settings::EntrySettings,
     settings::{HostSettings, LogSettings},
-    settings_file::SettingsFile,
+    settings_file::{FieldOverride, SettingsFile},
 };
 
 /// Arguments that override one field: name, path in the tree, help.
@@ -125,30 +125,18 @@
 {
     let matches = command().try_get_matches_from(arguments)?;
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    let file = SettingsFile::open(path.clone());
+    let file = SettingsFile::open(path.clone(), read_overrides(&matches));
     let file = file.map_err(|source| OptionError::File { path, source })?;
-    let mut tree = HostSettings::parse_tree(file.text()).map_err(OptionError::Settings)?;
-    override_fields(&matches, &mut tree);
-    let settings = DaemonSettings::from_tree(tree).map_err(OptionError::Settings)?;
+    let settings = file.tree().and_then(DaemonSettings::from_tree);
+    let settings = settings.map_err(OptionError::Settings)?;
     Ok(DaemonOptions { settings, file, check: matches.get_flag("check") })
 }
 
-fn override_fields(matches: &ArgMatches, tree: &mut Value) {
-    for (name, path, _) in OVERRIDES {
-        if let Some(value) = matches.get_one::<String>(name) {
-            set_field(tree, path, Value::String(value.clone()));
-        }
-    }
-}
-
-fn set_field(tree: &mut Value, path: &str, value: Value) {
-    if tree.is_null() {
-        *tree = Value::Object(Map::new());
-    }
-    // A tree of another kind stays as it is and is reported by the check.
-    let Value::Object(fields) = tree else { return };
-    match path.split_once('.') {
-        Some((first, rest)) => set_field(fields.entry(first).or_insert(Value::Null), rest, value),
-        None => drop(fields.insert(path.to_owned(), value)),
-    }
+/// Fields that the command line sets, with their values.
+fn read_overrides(matches: &ArgMatches) -> Vec<FieldOverride> {
+    let overrides = OVERRIDES.iter().filter_map(|(name, field, _)| {
+        let value = matches.get_one::<String>(name)?.clone();
+        Some(FieldOverride { field, value })
+    });
+    overrides.collect()
 }
--- a/crates/sapphireknotd/src/settings_file.rs
+++ b/crates/sapphireknotd/src/settings_file.rs
@@ -1,19 +1,36 @@
 //! Settings file of this process, which may be read again while it runs.
+//!
+//! What the command line says goes before the file at each reading.
 
 use std::{fs, io, path::PathBuf};
 
+use sapphireknot::config::ConfigProblem;
+use serde_json::{Map, Value};
+
+use crate::settings::HostSettings;
+
+/// Field that the command line sets.
+#[derive(Debug, Clone)]
+pub struct FieldOverride {
+    /// Path in the tree of the settings.
+    pub field: &'static str,
+    /// Value.
+    pub value: String,
+}
+
 /// Settings file with the text that was read last.
 #[derive(Debug, Clone)]
 pub struct SettingsFile {
     path: PathBuf,
+    overrides: Vec<FieldOverride>,
     text: String,
 }
 
 impl SettingsFile {
-    /// Reads the file at `path`.
-    pub fn open(path: PathBuf) -> io::Result<Self> {
+    /// Reads the file at `path`, in which `overrides` replace fields.
+    pub fn open(path: PathBuf, overrides: Vec<FieldOverride>) -> io::Result<Self> {
         let text = fs::read_to_string(&path)?;
-        Ok(Self { path, text })
+        Ok(Self { path, overrides, text })
     }
 
     /// Path.
@@ -35,4 +52,25 @@
     pub fn set_text(&mut self, text: String) {
         self.text = text;
     }
+
+    /// Tree of the text that was read last, with the overrides and not checked.
+    pub fn tree(&self) -> Result<Value, Vec<ConfigProblem>> {
+        let mut tree = HostSettings::parse_tree(&self.text)?;
+        for FieldOverride { field, value } in &self.overrides {
+            set_field(&mut tree, field, Value::String(value.clone()));
+        }
+        Ok(tree)
+    }
+}
+
+fn set_field(tree: &mut Value, path: &str, value: Value) {
+    if tree.is_null() {
+        *tree = Value::Object(Map::new());
+    }
+    // A tree of another kind stays as it is and is reported by the check.
+    let Value::Object(fields) = tree else { return };
+    match path.split_once('.') {
+        Some((first, rest)) => set_field(fields.entry(first).or_insert(Value::Null), rest, value),
+        None => drop(fields.insert(path.to_owned(), value)),
+    }
 }
