settings: read and check the settings of both kinds of host in one module

HostSettings and EntrySettings each decoded a tree and gathered its problems, with the check of the log level written twice.

settings_tree.rs reads the text and checks a tree for any settings that list their problems; the level is checked by LogSettings. The problem of a wrong level on a managed host now reads "one of error, warn, info, debug, trace", as on the other kind of host.

--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -16,7 +16,8 @@
 
 use crate::{
     constants,
-    settings::{LogSettings, TelemetrySettings, decode_tree},
+    settings::{LogSettings, TelemetrySettings},
+    settings_tree::{CheckedSettings, check_tree},
 };
 
 /// Settings of an entry host.
@@ -115,13 +116,34 @@
 }
 
 impl EntrySettings {
-    /// Reads the settings from a tree.
+    /// Checks a tree and fills it up with defaults.
     pub fn from_tree(tree: serde_json::Value) -> Result<Self, Vec<ConfigProblem>> {
-        let settings: Self = decode_tree(tree)?;
-        let problems = settings.problems();
-        if problems.is_empty() { Ok(settings) } else { Err(problems) }
+        check_tree(tree)
     }
 
+    /// Place of this host.
+    pub fn place(&self) -> HostPlace {
+        HostPlace {
+            host: self.host.clone(),
+            region: self.region.clone(),
+            regions: self.regions.clone(),
+        }
+    }
+
+    /// Bounds over all hosts together.
+    pub fn shared_bounds(&self) -> SharedBounds {
+        SharedBounds {
+            quota: QuotaSlack {
+                tolerance: self.bounds.quota_tolerance,
+                requests: self.bounds.quota_slack,
+            },
+            retry_ratio: self.bounds.retry_ratio,
+            retry_slack: self.bounds.retry_slack,
+        }
+    }
+}
+
+impl CheckedSettings for EntrySettings {
     fn problems(&self) -> Vec<ConfigProblem> {
         let mut problems = Vec::new();
         if self.regions.get(&self.datacentre) != Some(&self.region) {
@@ -145,31 +167,7 @@
                 problems.push(ConfigProblem::new(field, span, "more than 0s"));
             }
         }
-        if self.log.level.parse::<log::LevelFilter>().is_err() {
-            let allowed = "error, warn, info, debug or trace";
-            problems.push(ConfigProblem::new("log.level", &self.log.level, allowed));
-        }
+        problems.extend(self.log.problem());
         problems
     }
-
-    /// Place of this host.
-    pub fn place(&self) -> HostPlace {
-        HostPlace {
-            host: self.host.clone(),
-            region: self.region.clone(),
-            regions: self.regions.clone(),
-        }
-    }
-
-    /// Bounds over all hosts together.
-    pub fn shared_bounds(&self) -> SharedBounds {
-        SharedBounds {
-            quota: QuotaSlack {
-                tolerance: self.bounds.quota_tolerance,
-                requests: self.bounds.quota_slack,
-            },
-            retry_ratio: self.bounds.retry_ratio,
-            retry_slack: self.bounds.retry_slack,
-        }
-    }
 }
--- a/crates/sapphireknotd/src/lib.rs
+++ b/crates/sapphireknotd/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod serving;
 pub mod settings;
 pub mod settings_file;
+pub mod settings_tree;
 mod spans;
 pub mod telemetry;
 pub mod upstream;
--- a/crates/sapphireknotd/src/settings.rs
+++ b/crates/sapphireknotd/src/settings.rs
@@ -12,9 +12,12 @@
     time::ClockSpan,
     units::TrafficShare,
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 
-use crate::constants;
+use crate::{
+    constants,
+    settings_tree::{CheckedSettings, check_tree, parse_tree},
+};
 
 /// Settings of a host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -100,6 +103,15 @@
     }
 }
 
+impl LogSettings {
+    /// What is wrong with the level, if anything is.
+    pub(crate) fn problem(&self) -> Option<ConfigProblem> {
+        let is_known = self.level.parse::<log::LevelFilter>().is_ok();
+        let allowed = "one of error, warn, info, debug, trace";
+        (!is_known).then(|| ConfigProblem::new("log.level", &self.level, allowed))
+    }
+}
+
 /// Metrics and traces.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -217,70 +229,15 @@
     }
 }
 
-/// Reads a value from a tree; the problem names the field.
-pub(crate) fn decode_tree<T>(tree: serde_json::Value) -> Result<T, Vec<ConfigProblem>>
-where
-    T: DeserializeOwned,
-{
-    serde_path_to_error::deserialize(tree).map_err(|err| {
-        let field = err.path().to_string();
-        vec![ConfigProblem::new(field, "", err.into_inner().to_string())]
-    })
-}
-
 impl HostSettings {
     /// Reads and checks settings.
     pub fn load(text: &str) -> Result<Self, Vec<ConfigProblem>> {
-        Self::from_tree(Self::parse_tree(text)?)
-    }
-
-    /// Reads the tree of a settings file without checking it.
-    pub fn parse_tree(text: &str) -> Result<serde_json::Value, Vec<ConfigProblem>> {
-        serde_yaml_ng::from_str(text)
-            .map_err(|err| vec![ConfigProblem::new("", err, "a YAML document")])
+        Self::from_tree(parse_tree(text)?)
     }
 
     /// Checks a tree and fills it up with defaults.
     pub fn from_tree(tree: serde_json::Value) -> Result<Self, Vec<ConfigProblem>> {
-        let settings: Self = decode_tree(tree)?;
-        let problems = settings.problems();
-        if problems.is_empty() { Ok(settings) } else { Err(problems) }
-    }
-
-    fn problems(&self) -> Vec<ConfigProblem> {
-        let mut problems = Vec::new();
-        let token = &self.operator_token_sha256;
-        if token.len() != 64 || !token.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            let found = format!("{} characters", token.len());
-            let allowed = "64 hexadecimal digits";
-            problems.push(ConfigProblem::new("operator_token_sha256", found, allowed));
-        }
-        if self.log.level.parse::<log::LevelFilter>().is_err() {
-            let allowed = "one of error, warn, info, debug, trace";
-            problems.push(ConfigProblem::new("log.level", &self.log.level, allowed));
-        }
-        self.check_timing(&mut problems);
-        let sizes = [
-            ("limits.max_header_bytes", self.limits.max_header_bytes),
-            ("limits.max_response_bytes", self.limits.max_response_bytes),
-            ("limits.max_connections", self.limits.max_connections),
-        ];
-        for (field, size) in sizes {
-            if size == 0 {
-                problems.push(ConfigProblem::new(field, size, "at least 1"));
-            }
-        }
-        let limits = &self.limits;
-        if limits.drain_cap == TrafficShare::NONE {
-            problems.push(ConfigProblem::new("limits.drain_cap", limits.drain_cap, "more than 0%"));
-        }
-        let largest = limits.max_body_bytes.max(limits.max_response_bytes);
-        if limits.max_buffered_bytes < largest {
-            let allowed = "at least limits.max_body_bytes and limits.max_response_bytes";
-            let field = "limits.max_buffered_bytes";
-            problems.push(ConfigProblem::new(field, limits.max_buffered_bytes, allowed));
-        }
-        problems
+        check_tree(tree)
     }
 
     fn check_timing(&self, problems: &mut Vec<ConfigProblem>) {
@@ -329,3 +286,38 @@
         }
     }
 }
+
+impl CheckedSettings for HostSettings {
+    fn problems(&self) -> Vec<ConfigProblem> {
+        let mut problems = Vec::new();
+        let token = &self.operator_token_sha256;
+        if token.len() != 64 || !token.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            let found = format!("{} characters", token.len());
+            let allowed = "64 hexadecimal digits";
+            problems.push(ConfigProblem::new("operator_token_sha256", found, allowed));
+        }
+        problems.extend(self.log.problem());
+        self.check_timing(&mut problems);
+        let sizes = [
+            ("limits.max_header_bytes", self.limits.max_header_bytes),
+            ("limits.max_response_bytes", self.limits.max_response_bytes),
+            ("limits.max_connections", self.limits.max_connections),
+        ];
+        for (field, size) in sizes {
+            if size == 0 {
+                problems.push(ConfigProblem::new(field, size, "at least 1"));
+            }
+        }
+        let limits = &self.limits;
+        if limits.drain_cap == TrafficShare::NONE {
+            problems.push(ConfigProblem::new("limits.drain_cap", limits.drain_cap, "more than 0%"));
+        }
+        let largest = limits.max_body_bytes.max(limits.max_response_bytes);
+        if limits.max_buffered_bytes < largest {
+            let allowed = "at least limits.max_body_bytes and limits.max_response_bytes";
+            let field = "limits.max_buffered_bytes";
+            problems.push(ConfigProblem::new(field, limits.max_buffered_bytes, allowed));
+        }
+        problems
+    }
+}
--- a/crates/sapphireknotd/src/settings_file.rs
+++ b/crates/sapphireknotd/src/settings_file.rs
@@ -7,7 +7,7 @@
 use sapphireknot::config::ConfigProblem;
 use serde_json::{Map, Value};
 
-use crate::settings::HostSettings;
+use crate::settings_tree::parse_tree;
 
 /// Field that the command line sets.
 #[derive(Debug, Clone)]
@@ -55,7 +55,7 @@
 
     /// Tree of the text that was read last, with the overrides and not checked.
     pub fn tree(&self) -> Result<Value, Vec<ConfigProblem>> {
-        let mut tree = HostSettings::parse_tree(&self.text)?;
+        let mut tree = parse_tree(&self.text)?;
         for FieldOverride { field, value } in &self.overrides {
             set_field(&mut tree, field, Value::String(value.clone()));
         }
