--- a/crates/sapphireknotd/tests/settings_reload.rs
+++ b/crates/sapphireknotd/tests/settings_reload.rs
@@ -30,11 +30,12 @@
     std::fs::write(&path, sample()).expect("the directory of tests is writable");
     let text = path.to_str().expect("the path is text");
     let arguments = ["sapphireknotd", "--settings", text].into_iter().chain(rest.iter().copied());
-    let DaemonOptions { settings, file, .. } = options::load(arguments).unwrap();
+    let DaemonOptions { settings, file, .. } =
+        options::load(arguments).expect("the sample is valid");
     let DaemonSettings::Managed(settings) = settings else { panic!("settings of another kind") };
     std::fs::write(&path, later).expect("the directory of tests is writable");
     let state = Arc::new(state(*settings));
-    let hangup = signal(SignalKind::hangup()).unwrap();
+    let hangup = signal(SignalKind::hangup()).expect("signals can be received");
     tokio::spawn(reload::run(state.clone(), file, hangup));
     state
 }
