daemon, entry: bind, take signals and follow the drain in modules with two callers

Both kinds of host bound their listeners, received the signals that end them and followed the drain with code of their own.

listening.rs binds and names the address in its error, ending.rs has the signals and the loop over the stages of a graceful shutdown. The limits, the ticks and what a host gives back at its end differ by kind and stay with the callers. HostListeners, which only the daemon used, is gone. A stage is published once instead of at every tick.

--- a/crates/sapphireknotd/src/daemon.rs
+++ b/crates/sapphireknotd/src/daemon.rs
@@ -10,10 +10,8 @@
 use sapphireknot_adapter::{HttpDialect, HttpFleetStore};
 use thiserror::Error;
 use tokio::{
-    net::TcpListener,
-    signal::unix::{Signal, SignalKind, signal},
     task::JoinHandle,
-    time::{sleep, sleep_until, timeout},
+    time::{sleep_until, timeout},
 };
 
 use crate::{
@@ -22,14 +20,16 @@
     constants,
     context::HostContext,
     control::{self, ControlError, ControlHandle, ControlListeners},
+    ending::{EndSignals, follow_drain},
     entry::{self, EntryError, EntryPlatform},
     front::FrontServer,
     interfaces::HostIdentity,
+    listening::{BoundListener, ListenError},
     options::{DaemonOptions, DaemonSettings},
     published::PublishedState,
     quota::HostQuotas,
     rollout::RolloutTable,
-    settings::{HostSettings, ListenSettings},
+    settings::HostSettings,
     telemetry::{self, TelemetryError, TelemetryTarget},
     upstream::{connections::ConnectionPool, pool::RegionalPool, probes},
 };
@@ -43,15 +43,8 @@
 #[derive(Debug, Error)]
 pub enum DaemonError {
     /// An address cannot be listened at.
-    #[error("listen for {role} at {address}: {source}")]
-    Listen {
-        /// Who connects there.
-        role: &'static str,
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// The runtime cannot be started.
     #[error("start runtime: {0}")]
     Runtime(#[source] std::io::Error),
@@ -72,47 +65,6 @@
     SecondSignal,
 }
 
-/// Bound listeners.
-#[derive(Debug)]
-pub struct HostListeners {
-    /// For callers.
-    pub caller: TcpListener,
-    /// For other hosts.
-    pub peer: TcpListener,
-    /// For operators.
-    pub operator: TcpListener,
-}
-
-impl HostListeners {
-    /// Binds the addresses of `settings`.
-    pub async fn bind(settings: &ListenSettings) -> Result<Self, DaemonError> {
-        Ok(Self {
-            caller: bind("callers", settings.caller).await?,
-            peer: bind("peers", settings.peer).await?,
-            operator: bind("operators", settings.operator).await?,
-        })
-    }
-}
-
-impl HostListeners {
-    /// The bound addresses for callers, peers and operators.
-    fn addresses(&self, wanted: &ListenSettings) -> Result<[SocketAddr; 3], DaemonError> {
-        let bound = |role, listener: &TcpListener, address| {
-            listener.local_addr().map_err(|source| DaemonError::Listen { role, address, source })
-        };
-        Ok([
-            bound("callers", &self.caller, wanted.caller)?,
-            bound("peers", &self.peer, wanted.peer)?,
-            bound("operators", &self.operator, wanted.operator)?,
-        ])
-    }
-}
-
-async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let describe = |source| DaemonError::Listen { role, address, source };
-    TcpListener::bind(address).await.map_err(describe)
-}
-
 /// The identity of a host whose listeners have the given bound addresses.
 pub fn identity(
     settings: &HostSettings,
@@ -168,9 +120,11 @@
 impl RunningHost {
     /// Binds the listeners of `settings` and starts to serve.
     pub async fn start(settings: HostSettings) -> Result<Self, DaemonError> {
-        let listeners = HostListeners::bind(&settings.listen).await?;
+        let callers = BoundListener::bind("callers", settings.listen.caller).await?;
+        let peers = BoundListener::bind("peers", settings.listen.peer).await?;
+        let operators = BoundListener::bind("operators", settings.listen.operator).await?;
         let clock = HostClock::start();
-        let bound = listeners.addresses(&settings.listen)?;
+        let bound = [callers.address, peers.address, operators.address];
         let identity = identity(&settings, &clock, bound);
         let max_buffered_bytes = settings.limits.max_buffered_bytes;
         let (context, pool) = build_context(settings, clock, identity);
@@ -178,10 +132,10 @@
         let front = Arc::new(FrontServer::new(context.clone(), connections.clone()));
         let tasks = vec![
             tokio::spawn(probes::run(context.state.clone(), pool, connections)),
-            tokio::spawn(front.clone().serve(listeners.caller)),
+            tokio::spawn(front.clone().serve(callers.listener)),
         ];
         let control_listeners =
-            ControlListeners { peer: listeners.peer, operator: listeners.operator };
+            ControlListeners { peer: peers.listener, operator: operators.listener };
         let control = control::start(context.clone(), control_listeners).await?;
         Ok(Self { context, front, control, tasks, bound })
     }
@@ -230,7 +184,7 @@
 
 /// Runs a host until a signal ends it.
 pub async fn run(settings: HostSettings) -> Result<(), DaemonError> {
-    let mut signals = HostSignals::new().map_err(DaemonError::Signals)?;
+    let mut signals = EndSignals::new().map_err(DaemonError::Signals)?;
     let target = TelemetryTarget {
         host: &settings.host,
         region: &settings.region,
@@ -273,44 +227,12 @@
         drain_limit: timing.drain_limit.0,
         longest_request: routes.map(|it| it.timeout.0).max().unwrap_or_default(),
     };
-    let mut tracker = DrainTracker::begin(context.clock.now(), limits);
+    let tracker = DrainTracker::begin(context.clock.now(), limits);
     context.drain.send_replace(tracker.stage());
     log::info!("leaving");
     sleep_until(context.clock.instant(tracker.deadline())).await;
-    loop {
-        let before = tracker.stage();
-        tracker.advance(context.clock.now(), front.in_flight());
-        if tracker.stage() != before {
-            log::info!(stage:? = tracker.stage(), in_flight = front.in_flight(); "drain stage");
-        }
-        if tracker.stage() == DrainStage::Ended {
-            break;
-        }
-        context.drain.send_replace(tracker.stage());
-        sleep(CLOSING_TICK).await;
-    }
+    let in_flight = || front.in_flight();
+    follow_drain(tracker, context.clock, &context.drain, in_flight, CLOSING_TICK).await;
     give_back.await;
     context.drain.send_replace(DrainStage::Ended);
 }
-
-/// Signals that end a host.
-struct HostSignals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl HostSignals {
-    fn new() -> std::io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -38,10 +38,8 @@
 use sapphireknot_platform::{FleetStore, RequestDialect};
 use thiserror::Error;
 use tokio::{
-    net::TcpListener,
-    signal::unix::{Signal, SignalKind, signal},
+    signal::unix::{SignalKind, signal},
     task::JoinHandle,
-    time::sleep,
 };
 
 use self::{
@@ -53,6 +51,8 @@
 };
 use crate::{
     clock::HostClock,
+    ending::{EndSignals, follow_drain},
+    listening::{BoundListener, ListenError},
     settings_file::SettingsFile,
     telemetry::{self, TelemetryError, TelemetryTarget},
 };
@@ -70,15 +70,8 @@
 #[derive(Debug, Error)]
 pub enum EntryError {
     /// An address cannot be listened at.
-    #[error("listen for {role} at {address}: {source}")]
-    Listen {
-        /// Who connects there.
-        role: &'static str,
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// Signals cannot be received.
     #[error("receive signals: {0}")]
     Signals(#[source] std::io::Error),
@@ -112,16 +105,6 @@
     metrics_address: Option<SocketAddr>,
 }
 
-async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
-    let describe = |source| EntryError::Listen { role, address, source };
-    TcpListener::bind(address).await.map_err(describe)
-}
-
-fn bound(role: &'static str, listener: &TcpListener) -> Result<SocketAddr, EntryError> {
-    let address = SocketAddr::from(([0, 0, 0, 0], 0));
-    listener.local_addr().map_err(|source| EntryError::Listen { role, address, source })
-}
-
 impl RunningEntry {
     /// Binds the listeners of `settings` and starts to serve.
     pub async fn start(
@@ -129,13 +112,13 @@
         platform: EntryPlatform,
         registry: Registry,
     ) -> Result<Self, EntryError> {
-        let callers = bind("callers", settings.listen.caller).await?;
-        let readiness = bind("readiness", settings.listen.readiness).await?;
-        let directory = bind("directory", settings.listen.directory).await?;
-        let peers = bind("peers", settings.listen.peer).await?;
-        let caller_address = bound("callers", &callers)?;
-        let directory_address = bound("directory", &directory)?;
-        let readiness_address = bound("readiness", &readiness)?;
+        let callers = BoundListener::bind("callers", settings.listen.caller).await?;
+        let readiness = BoundListener::bind("readiness", settings.listen.readiness).await?;
+        let directory = BoundListener::bind("directory", settings.listen.directory).await?;
+        let peers = BoundListener::bind("peers", settings.listen.peer).await?;
+        let caller_address = callers.address;
+        let directory_address = directory.address;
+        let readiness_address = readiness.address;
         let clock = HostClock::start();
         let record = HostRecord {
             id: settings.host.clone(),
@@ -143,7 +126,7 @@
             region: settings.region.clone(),
             datacentre: settings.datacentre.clone(),
             address: caller_address,
-            peer_address: bound("peers", &peers)?,
+            peer_address: peers.address,
         };
         let mut metrics_address = None;
         let metrics = settings.listen.metrics;
@@ -151,9 +134,9 @@
         let mut tasks = Vec::new();
         if let Some(address) = metrics {
             // Requests are served without metrics rather than not at all.
-            match bind("metrics", address).await {
-                Ok(listener) => {
-                    metrics_address = Some(bound("metrics", &listener)?);
+            match BoundListener::bind("metrics", address).await {
+                Ok(BoundListener { listener, address }) => {
+                    metrics_address = Some(address);
                     let task = side_servers::serve_metrics(state.clone(), registry, listener);
                     tasks.push(tokio::spawn(task));
                 }
@@ -166,11 +149,11 @@
         let arguments = HostArguments { state: state.clone() };
         let (host, _) = HostActor::spawn(None, HostActor, arguments).await?;
         let server = Arc::new(CallerServer::new(state.clone(), fleet.clone()));
-        tasks.push(tokio::spawn(server.clone().serve(callers)));
-        tasks.push(tokio::spawn(peer_server::serve(state.clone(), peers)));
+        tasks.push(tokio::spawn(server.clone().serve(callers.listener)));
+        tasks.push(tokio::spawn(peer_server::serve(state.clone(), peers.listener)));
         tasks.push(tokio::spawn(load_peers::run(state.clone())));
-        tasks.push(tokio::spawn(side_servers::serve_directory(state.clone(), directory)));
-        tasks.push(tokio::spawn(side_servers::serve_readiness(state.clone(), readiness)));
+        tasks.push(tokio::spawn(side_servers::serve_directory(state.clone(), directory.listener)));
+        tasks.push(tokio::spawn(side_servers::serve_readiness(state.clone(), readiness.listener)));
         Ok(Self {
             state,
             server,
@@ -193,25 +176,16 @@
             drain_limit: grace.mul_f64(STOP_PART),
             longest_request: Duration::ZERO,
         };
-        let mut tracker = DrainTracker::begin(state.clock.now(), limits);
+        let tracker = DrainTracker::begin(state.clock.now(), limits);
         state.drain.send_replace(tracker.stage());
         log::info!(in_flight = self.server.in_flight(); "leaving");
         let farewell = self.host.call(HostMessage::Leave, Some(FAREWELL_TIMEOUT));
         if let Err(err) = farewell.await {
             log::warn!(error:% = err; "tell the store that this host leaves");
         }
-        loop {
-            let before = tracker.stage();
-            tracker.advance(state.clock.now(), self.server.in_flight());
-            if tracker.stage() != before {
-                state.drain.send_replace(tracker.stage());
-                log::info!(stage:? = tracker.stage(), in_flight = self.server.in_flight(); "drain stage");
-            }
-            if tracker.stage() == DrainStage::Ended {
-                break;
-            }
-            sleep(STOP_TICK).await;
-        }
+        let in_flight = || self.server.in_flight();
+        follow_drain(tracker, state.clock, &state.drain, in_flight, STOP_TICK).await;
+        state.drain.send_replace(DrainStage::Ended);
         self.fleet.stop(None);
         self.host.stop(None);
         for task in self.tasks {
@@ -226,9 +200,8 @@
     file: SettingsFile,
     platform: EntryPlatform,
 ) -> Result<(), EntryError> {
-    let mut terminate = listen_for(SignalKind::terminate())?;
-    let mut interrupt = listen_for(SignalKind::interrupt())?;
-    let hangup = listen_for(SignalKind::hangup())?;
+    let mut signals = EndSignals::new().map_err(EntryError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).map_err(EntryError::Signals)?;
     let registry = Registry::new();
     let target = TelemetryTarget {
         host: &settings.host,
@@ -246,24 +219,16 @@
         readiness:% = entry.readiness_address, metrics:? = entry.metrics_address;
         "started"
     );
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    signals.next().await;
     let ending = async {
         entry.stop().await;
         reloading.abort();
     };
     tokio::select! {
         () = ending => {}
-        _ = terminate.recv() => log::warn!("ended by a second signal"),
-        _ = interrupt.recv() => log::warn!("ended by a second signal"),
+        () = signals.next() => log::warn!("ended by a second signal"),
     }
     drop(guard);
     log::info!("ended");
     Ok(())
 }
-
-fn listen_for(kind: SignalKind) -> Result<Signal, EntryError> {
-    signal(kind).map_err(EntryError::Signals)
-}
