entry: move the platform's border out of the module that starts the host

entry/state.rs imported EntryPlatform from entry.rs, which imports the state and everything that uses it. The border is in entry/platform.rs and re-exported.

Files of entry in circles of imports: 8 before, 3 after (attempt, caller_server and forward).

cargo clippy -p sapphireknotd: no warning.

--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -25,6 +25,7 @@
 pub mod state;
 
 mod forward;
+mod platform;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -35,13 +36,13 @@
     ids::IncarnationId,
     steering::fleet::HostRecord,
 };
-use sapphireknot_platform::{FleetStore, RequestDialect};
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
     task::JoinHandle,
 };
 
+pub use self::platform::EntryPlatform;
 use self::{
     caller_server::CallerServer,
     fleet_actor::{FleetActor, FleetArguments, FleetMessage},
@@ -83,15 +84,6 @@
     Telemetry(#[from] TelemetryError),
 }
 
-/// Platform of an entry host, through an adapter.
-#[derive(Clone)]
-pub struct EntryPlatform {
-    /// Store.
-    pub store: Arc<dyn FleetStore>,
-    /// Headers and statuses.
-    pub dialect: Arc<dyn RequestDialect>,
-}
-
 /// Entry host that runs in this process.
 pub struct RunningEntry {
     state: Arc<EntryState>,
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -13,7 +13,8 @@
 use tokio::sync::watch;
 
 use super::{
-    EntryPlatform, decision_log::DecisionLog, meters::EntryMeters, settings::EntrySettings,
+    decision_log::DecisionLog, meters::EntryMeters, platform::EntryPlatform,
+    settings::EntrySettings,
 };
 use crate::clock::HostClock;
 
