steering: count requests without a response by server, and hold a version that cannot be reached

A good version was reverted while servers of a data centre were down: each host counted every attempt at them as an outcome of the version. Such failures are one fault and not independent outcomes, which is what the likelihood ratio takes them for.

An attempt at a server that cannot be reached is now no outcome. One that got no response is one outcome for each host, server and second until the server responds, and none if another host told that the server is silent. So that a version whose servers refuse connections does not take over, a rollout is not settled or completed by a host that reaches less than half of them, and requests that find none of them go to the old version.

Ruled out: rates by data centre (few outcomes in each, and a single server that fails is no data centre); counts of each server over all hosts (an entry for each server in each message); a bound for each server on failures with a response (a bad version on few servers would be found late).

--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -5,8 +5,9 @@
 //! the measured [`work`] say of it, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
 //! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
 //! quotas. [`version`] decides which version of a service takes a request while a rollout runs, by the [`evidence`] that
-//! all hosts have on it, and [`naming`] which hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what
-//! the store told for hosts that cannot read it, and [`copy_search`] picks one of several copies.
+//! all hosts have on it; `server_losses` says what requests without a response tell of a version. [`naming`] decides which
+//! hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what the store told for hosts that cannot read
+//! it, and [`copy_search`] picks one of several copies.
 
 pub mod choice;
 pub mod copy_search;
@@ -21,6 +22,7 @@
 pub mod place;
 pub mod plan;
 pub mod query;
+mod server_losses;
 pub mod server_state;
 pub mod shares;
 pub mod tokens;
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -6,6 +6,7 @@
 mod evidence_exchange;
 mod load_exchange;
 mod quotas;
+mod rollouts;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -26,10 +27,10 @@
     query::{ChoiceQuery, ChosenServer},
     server_state::{ServerLoad, server_hash},
     shares::{ColdHosts, HostShare, QuotaSlack},
-    version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
+    version::{RolloutOrder, RolloutRecord, VersionTable},
 };
 use crate::{
-    ids::{DatacentreId, HostId, RegionId, RouteId, ServerId, ServiceId, VersionId},
+    ids::{DatacentreId, HostId, RegionId, RouteId, ServerId, ServiceId},
     picker::ServerOutcome,
     retry::{RetryBudget, RetryLimits},
     time::MonoTime,
@@ -308,9 +309,15 @@
         let version = self.versions.choose(service, draw, now);
         let mut chosen =
             picker.choose(&ChoiceQuery { version: version.as_ref(), ..query }, now, rng);
-        if chosen.is_err() && self.versions.is_in_rollout(service) {
+        if chosen.is_err()
+            && let Some(new) = self.versions.new_version(service)
+        {
             // The new version may have too few warm servers yet, and the old one may have gone already.
-            let other = self.versions.choose(service, 1.0 - draw, now);
+            let other = if picker.reaches(new, now) {
+                self.versions.choose(service, 1.0 - draw, now)
+            } else {
+                self.versions.stable(service).cloned()
+            };
             if other != version {
                 let query = ChoiceQuery { version: other.as_ref(), ..query };
                 chosen = picker.choose(&query, now, rng);
@@ -326,8 +333,9 @@
     pub fn record_attempt(&mut self, report: AttemptReport<'_>, now: MonoTime) -> bool {
         let AttemptReport { chosen, outcome, load, target_ms, elapsed } = report;
         let record = &chosen.record;
-        let mut is_reported = false;
+        let (mut is_reported, mut lost) = (false, Some(OutcomeQuality::Failed));
         if let Some(picker) = self.pickers.get_mut(&record.service) {
+            lost = picker.loss_quality(&record.id, now);
             let is_unreached =
                 outcome == ServerOutcome::Broken && picker.is_silent(&record.id, now);
             if load.is_some() || is_unreached {
@@ -348,7 +356,11 @@
         let quality = match outcome {
             ServerOutcome::Succeeded if is_slow => OutcomeQuality::Slow,
             ServerOutcome::Succeeded => OutcomeQuality::Good,
-            ServerOutcome::Failed | ServerOutcome::Broken => OutcomeQuality::Failed,
+            ServerOutcome::Failed => OutcomeQuality::Failed,
+            ServerOutcome::Broken => match lost {
+                Some(quality) => quality,
+                None => return false,
+            },
             ServerOutcome::Shed | ServerOutcome::Cancelled => return false,
         };
         self.versions.record_outcome(&record.service, &record.version, quality)
@@ -411,20 +423,10 @@
         self.fleet.hosts()
     }
 
-    /// Changes of rollout records that are due.
-    pub fn due_rollouts(&self, now: MonoTime) -> Vec<RecordChange> {
-        self.versions.due_changes(self.bounds.apply_time, now)
-    }
-
     /// Pickers by service.
     pub fn pickers(&self) -> &ServicePickers {
         &self.pickers
     }
-
-    /// Version that takes a request without a rollout, for reports.
-    pub fn usual_version(&self, service: &ServiceId, now: MonoTime) -> Option<VersionId> {
-        self.versions.choose(service, 1.0, now)
-    }
 }
 
 /// Rank of the least urgent requests by service.
--- /dev/null
+++ b/crates/sapphireknot/src/steering/core/rollouts.rs
@@ -0,0 +1,28 @@
+//! Rollouts as far as the state of the backend servers matters to them.
+
+use super::SteeringCore;
+use crate::{
+    ids::{ServiceId, VersionId},
+    steering::version::{RecordChange, RolloutPhase},
+    time::MonoTime,
+};
+
+impl SteeringCore {
+    /// Changes of rollout records that are due. A version whose servers this host cannot reach does not take over.
+    pub fn due_rollouts(&self, now: MonoTime) -> Vec<RecordChange> {
+        let mut due = self.versions.due_changes(self.bounds.apply_time, now);
+        due.retain(|RecordChange { record, .. }| match record.phase {
+            RolloutPhase::Running | RolloutPhase::Reverted => true,
+            RolloutPhase::Settled | RolloutPhase::Completed => {
+                let picker = self.pickers.get(&record.service);
+                picker.is_some_and(|it| it.reaches(&record.target, now))
+            }
+        });
+        due
+    }
+
+    /// Version that takes a request without a rollout, for reports.
+    pub fn usual_version(&self, service: &ServiceId, now: MonoTime) -> Option<VersionId> {
+        self.versions.choose(service, 1.0, now)
+    }
+}
--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -52,6 +52,8 @@
     Slow,
     /// Without a usable response.
     Failed,
+    /// Without a response, as another one at the same server a moment ago.
+    LostAgain,
 }
 
 /// Outcomes of a version.
@@ -69,7 +71,8 @@
     /// Counts an outcome.
     pub fn record(&mut self, quality: OutcomeQuality) {
         self.requests += 1;
-        self.failures += u32::from(quality == OutcomeQuality::Failed);
+        let is_failure = matches!(quality, OutcomeQuality::Failed | OutcomeQuality::LostAgain);
+        self.failures += u32::from(is_failure);
         self.slow += u32::from(quality == OutcomeQuality::Slow);
     }
 
@@ -172,6 +175,10 @@
 impl OwnEvidence {
     /// Counts an outcome of the new or the old version.
     pub fn record(&mut self, is_new: bool, quality: OutcomeQuality) {
+        // The old version gets more requests a server: left out there, they would lower the rate that explains.
+        if is_new && quality == OutcomeQuality::LostAgain {
+            return;
+        }
         let block = &mut self.block;
         let tally = if is_new { &mut block.new } else { &mut block.old };
         tally.record(quality);
--- a/crates/sapphireknot/src/steering/server_state.rs
+++ b/crates/sapphireknot/src/steering/server_state.rs
@@ -10,7 +10,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    evidence::OutcomeQuality,
     fleet::{FleetServer, ServerRecord},
+    server_losses::LOSS_INTERVAL,
     shares::PacedGate,
 };
 use crate::{
@@ -93,7 +95,10 @@
     shared: FailureTrace,
     slowness: f64,
     paused_until: MonoTime,
+    /// Failures to connect since the last response.
     pauses: u32,
+    /// From when an attempt without a response is an outcome of its own.
+    next_loss_at: MonoTime,
     /// When another host could not reach it.
     unreached_at: Option<MonoTime>,
     /// When the server was last heard of, or when the oldest request was sent after that.
@@ -120,6 +125,7 @@
             slowness: 1.0,
             paused_until: MonoTime::default(),
             pauses: 0,
+            next_loss_at: MonoTime::default(),
             unreached_at: None,
             silent_since: MonoTime::default(),
         }
@@ -191,6 +197,9 @@
         if outcome != ServerOutcome::Broken {
             self.silent_since = now;
             self.pauses = 0;
+            self.next_loss_at = MonoTime::default();
+        } else if self.loss_quality(now) == Some(OutcomeQuality::Failed) {
+            self.next_loss_at = now.after(LOSS_INTERVAL);
         }
     }
 
@@ -211,6 +220,20 @@
         !self.record.is_draining && now >= self.paused_until
     }
 
+    /// Outcome that an attempt without a response is which ends now; `None` if the server cannot be reached.
+    pub fn loss_quality(&self, now: MonoTime) -> Option<OutcomeQuality> {
+        if now < self.paused_until {
+            return None;
+        }
+        let is_again = now < self.next_loss_at || self.is_told_silent(now);
+        Some(if is_again { OutcomeQuality::LostAgain } else { OutcomeQuality::Failed })
+    }
+
+    /// Whether the last attempt to connect failed, or another host could not reach it a moment ago.
+    pub fn is_lost(&self, now: MonoTime) -> bool {
+        self.pauses > 0 || self.is_told_silent(now)
+    }
+
     /// Whether it is cold.
     pub fn is_cold(&self, now: MonoTime) -> bool {
         now < self.cold_until
--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -242,9 +242,15 @@
         if draw < share { Some(order.target.clone()) } else { versions.stable().cloned() }
     }
 
-    /// Whether a version may get requests while a rollout runs.
-    pub fn is_in_rollout(&self, service: &ServiceId) -> bool {
-        self.services.get(service).is_some_and(|it| it.running().is_some())
+    /// New version of a service while a rollout runs.
+    pub fn new_version(&self, service: &ServiceId) -> Option<&VersionId> {
+        let (order, _) = self.services.get(service)?.running()?;
+        Some(&order.target)
+    }
+
+    /// Version that takes the requests of a service but for a rollout.
+    pub fn stable(&self, service: &ServiceId) -> Option<&VersionId> {
+        self.services.get(service)?.stable()
     }
 
     /// Counts the outcome of a request, and says whether the rollout looks bad since this one.
