--- /dev/null
+++ b/crates/sapphireknot/src/steering/evidence/board.rs
@@ -0,0 +1,108 @@
+//! Latest evidence of each host and region, as a host holds it to tell others.
+//!
+//! Each entry has the position at which it arrived, so that a host that asks again is told what came after its last
+//! position only.
+
+use std::collections::BTreeMap;
+
+use super::{HostEvidence, RegionEvidence, VersionCounts, standing_out};
+use crate::ids::{HostId, RegionId, ServiceId};
+
+/// Position in what a host knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EvidencePosition(pub u64);
+
+/// Latest counts of each host and region, in the order of arrival. Holds one entry for each service and host at most.
+#[derive(Debug, Default)]
+pub struct EvidenceBoard {
+    hosts: BTreeMap<(ServiceId, HostId), (HostEvidence, EvidencePosition)>,
+    regions: BTreeMap<(ServiceId, RegionId), (RegionEvidence, EvidencePosition)>,
+    position: EvidencePosition,
+}
+
+impl EvidenceBoard {
+    /// Takes the counts of a host unless later ones are known.
+    pub fn add_host(&mut self, evidence: HostEvidence) {
+        let recency = |it: &HostEvidence| (it.order, it.incarnation, it.counts.requests());
+        let key = (evidence.service.clone(), evidence.host.clone());
+        if self.hosts.get(&key).is_some_and(|(it, _)| recency(it) >= recency(&evidence)) {
+            return;
+        }
+        self.position.0 += 1;
+        self.hosts.insert(key, (evidence, self.position));
+    }
+
+    /// Replaces the counts of another region.
+    pub fn add_region(&mut self, evidence: RegionEvidence) {
+        let key = (evidence.service.clone(), evidence.region.clone());
+        let is_known = |it: &RegionEvidence| {
+            let is_same = it.sum == evidence.sum && it.most == evidence.most;
+            it.order > evidence.order || (it.order == evidence.order && is_same)
+        };
+        if self.regions.get(&key).is_some_and(|(it, _)| is_known(it)) {
+            return;
+        }
+        self.position.0 += 1;
+        self.regions.insert(key, (evidence, self.position));
+    }
+
+    /// Counts of `host` that are later than `position`.
+    pub fn host_since(&self, host: &HostId, position: EvidencePosition) -> Vec<HostEvidence> {
+        let entries = self.hosts.values().filter(|(it, at)| it.host == *host && *at > position);
+        entries.map(|(it, _)| it.clone()).collect()
+    }
+
+    /// Sums of the own region by service, without `except`, that changed after `position`.
+    pub fn own_region(
+        &self,
+        region: &RegionId,
+        except: Option<&HostId>,
+        position: EvidencePosition,
+    ) -> Vec<RegionEvidence> {
+        let mut sums: BTreeMap<&ServiceId, (RegionEvidence, EvidencePosition)> = BTreeMap::new();
+        for ((service, host), (evidence, at)) in &self.hosts {
+            if except == Some(host) {
+                continue;
+            }
+            let first = || {
+                let (service, region) = (service.clone(), region.clone());
+                let (sum, most) = (VersionCounts::default(), VersionCounts::default());
+                let (order, seen) = (evidence.order, evidence.seen);
+                let first = RegionEvidence { service, order, region, seen, sum, most };
+                (first, EvidencePosition::default())
+            };
+            let (sum, changed) = sums.entry(service).or_insert_with(first);
+            if evidence.order < sum.order {
+                continue;
+            }
+            if evidence.order > sum.order {
+                (*sum, *changed) = first();
+            }
+            let has_none = sum.sum.requests() == 0;
+            sum.most =
+                if has_none { evidence.counts } else { standing_out(sum.most, evidence.counts) };
+            sum.sum = sum.sum + evidence.counts;
+            sum.seen = sum.seen.min(evidence.seen);
+            *changed = (*changed).max(*at);
+        }
+        let after = self.known(position);
+        sums.into_values().filter(|(_, at)| *at > after).map(|(it, _)| it).collect()
+    }
+
+    /// Counts of other regions that changed after `position`.
+    pub fn other_regions(&self, position: EvidencePosition) -> Vec<RegionEvidence> {
+        let after = self.known(position);
+        let entries = self.regions.values().filter(|(_, at)| *at > after);
+        entries.map(|(it, _)| it.clone()).collect()
+    }
+
+    /// Position after the last entry.
+    pub fn position(&self) -> EvidencePosition {
+        self.position
+    }
+
+    /// `position`, or the start if it is one of an earlier incarnation.
+    fn known(&self, position: EvidencePosition) -> EvidencePosition {
+        if position > self.position { EvidencePosition::default() } else { position }
+    }
+}
