steering: count requests sent before a server was known to be cold

The pace of a host towards a cold server began with the first request after the host knew.

Fewer hosts per cold server: new servers would get their requests from hosts that may have none for them. A shorter time until a server is suspected: the servers of an overloaded region would be suspected most of the time.

Each request to a server moves its pace on, whether the server is known to be cold or not; the pace holds only while it is cold.

sent_before fails before and passes.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -313,9 +313,8 @@
         let Ok(idx) = self.servers.binary_search_by(|it| it.record.id.cmp(id)) else { return };
         let server = &mut self.servers[idx];
         server.record_sent(now);
-        if server.is_cold(now) {
-            server.gate.pass(self.rule.warmup_rate, &self.hosts, now);
-        }
+        // A server may turn cold later within the second for which its rate holds.
+        server.gate.pass(self.rule.warmup_rate, &self.hosts, now);
     }
 
     /// Takes back a request that was counted and not sent.
--- a/crates/sapphireknot/tests/steering/cold_reports.rs
+++ b/crates/sapphireknot/tests/steering/cold_reports.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::{SeedableRng, rngs::StdRng};
 use sapphireknot::{
     steering::{
         cold::ColdReport,
@@ -12,7 +13,7 @@
     time::MonoTime,
 };
 
-use crate::support::{at, bounds, host, id, place, plan, server};
+use crate::support::{at, bounds, host, id, place, plan, query, server};
 
 /// A host in `region` that knows `hosts` and 20 servers in the region east, and whose store is away from second 1 on.
 fn core_of(name: &str, region: &str, hosts: &[(&str, &str)]) -> SteeringCore {
@@ -82,6 +83,28 @@
     assert_eq!(core.take_cold(&[report("s1", 4_900)], at(2_500)).len(), 1, "cold anew");
 }
 
+/// Guards against a request to a cold server right after another one that was sent while it was not known to be cold: all
+/// hosts may send one at once then.
+#[test]
+fn sent_before() {
+    let mut core = SteeringCore::new(place("east"), bounds());
+    let changes = [
+        FleetChange::Plan(plan(1).into()),
+        FleetChange::Host(host("h1", "east")),
+        FleetChange::Server(server("s1", "east")),
+    ];
+    core.take(changes.to_vec(), at(0));
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut choose = |core: &mut SteeringCore, now| {
+        core.choose(&id("reports"), query(None, now), now, &mut rng).is_ok()
+    };
+    assert!(choose(&mut core, at(1_500)));
+    core.take_cold(&[report("s1", 4_000)], at(1_510));
+    // A single host sends at most 13.5 requests a second.
+    assert!(!choose(&mut core, at(1_520)));
+    assert!(choose(&mut core, at(1_575)));
+}
+
 /// Guards against a server that is left out for hours because of a wrong number; servers warm up in 3 s.
 #[test]
 fn longest_time() {
