--- a/crates/sapphireknotd/src/entry/cold_probes.rs
+++ b/crates/sapphireknotd/src/entry/cold_probes.rs
@@ -34,7 +34,7 @@
 /// Interval at which this host asks each of its servers. Two hosts ask a server, and a cold one gets 45 requests a second
 /// for up to 0.4 s before it has more than 1.5 times 15 and five in a second.
 const INTERVAL: Duration = Duration::from_millis(250);
-/// Shortest pause between two questions: 400 a second cost about a twentieth of a core.
+/// Shortest pause between two questions, which bounds what hundreds of servers cost a host.
 const MIN_PAUSE: Duration = Duration::from_micros(2_500);
 /// Time in which a server answers; a cold one may first work off three queued requests a slot.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
