upstream: tell lack of memory from a broken server

A long response waits for a place in the memory for responses. Where callers who do not read hold all places until its deadline, the attempt counted as broken, and hosts tell each other of servers that break. A few slow callers could so turn others away from a sound server.

The wait ends with an error of its own, and the attempt counts as cancelled.

--- a/crates/sapphireknotd/src/entry/attempt.rs
+++ b/crates/sapphireknotd/src/entry/attempt.rs
@@ -71,14 +71,16 @@
             AnswerKind::Foreign => Err("response to another request".to_owned()),
             AnswerKind::Ran | AnswerKind::NotRun | AnswerKind::OtherServer => Ok(()),
         };
+        let deadline = self.state.clock.instant(request.deadline);
         let outgoing = self.outgoing(request, &record.id, started);
         let exchange = self.connections.exchange_pieces(
             record.address,
             outgoing,
             constants::MAX_RESPONSE_BYTES,
+            deadline,
             check,
         );
-        let result = timeout_at(self.state.clock.instant(request.deadline), exchange).await;
+        let result = timeout_at(deadline, exchange).await;
         let (outcome, load, mut result) = match result {
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
@@ -95,13 +97,22 @@
                 let now = self.state.clock.now();
                 let end = match &err {
                     ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
-                    ExchangeError::Broken { .. } => AttemptEnd::MaybeRan,
+                    ExchangeError::NoMemory { .. } | ExchangeError::Broken { .. } => {
+                        AttemptEnd::MaybeRan
+                    }
                 };
                 if end == AttemptEnd::NotSent {
                     self.state.core.lock().pause_server(&record, now);
                 }
                 self.log_failure(request, &record.id, &err.to_string(), now);
-                (ServerOutcome::Broken, None, Err(failed(end, RefusalReason::UpstreamFailed)))
+                // The callers who hold the memory of the host say nothing of the server.
+                let outcome = match &err {
+                    ExchangeError::NoMemory { .. } => ServerOutcome::Cancelled,
+                    ExchangeError::NotSent { .. } | ExchangeError::Broken { .. } => {
+                        ServerOutcome::Broken
+                    }
+                };
+                (outcome, None, Err(failed(end, RefusalReason::UpstreamFailed)))
             }
             Err(_) => {
                 let now = self.state.clock.now();
--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -180,7 +180,9 @@
                 log::warn!(request = request.request_id, server:% = ticket.server(), error:% = err; "attempt failed");
                 let end = match err {
                     ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
-                    ExchangeError::Broken { .. } => AttemptEnd::MaybeRan,
+                    ExchangeError::NoMemory { .. } | ExchangeError::Broken { .. } => {
+                        AttemptEnd::MaybeRan
+                    }
                 };
                 (ServerOutcome::Broken, ended(end, RefusalReason::UpstreamFailed))
             }
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -24,6 +24,7 @@
 use tokio::{
     net::{TcpSocket, TcpStream},
     task::AbortHandle,
+    time::timeout_at,
 };
 
 use super::{
@@ -90,6 +91,12 @@
         /// Cause.
         cause: String,
     },
+    /// The request ran, and the host had no memory for its response in time.
+    #[error("response of backend server {peer}: no memory in time")]
+    NoMemory {
+        /// Backend server.
+        peer: SocketAddr,
+    },
     /// The request may have been read.
     #[error("exchange with backend server {peer}: {cause}")]
     Broken {
@@ -185,12 +192,14 @@
     }
 
     /// Like [`Self::exchange_checked`], except that a long body whose length is told is not read to its end. A body
-    /// without a length may have no end, so that it is complete before any of it is passed on.
+    /// without a length may have no end, so that it is complete before any of it is passed on. A long one waits for memory
+    /// until `deadline`.
     pub async fn exchange_pieces<C>(
         self: &Arc<Self>,
         peer: SocketAddr,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
+        deadline: tokio::time::Instant,
         check: C,
     ) -> Result<Response<ResponseBody>, ExchangeError>
     where
@@ -202,8 +211,8 @@
             let body = self.collect(peer, connection, &head, body, max_bytes).await?;
             return Ok(Response::from_parts(head, ResponseBody::Whole(body)));
         };
-        let place = self.buffers.window().await;
-        let place = place.map_err(|err| ExchangeError::Broken { peer, cause: err.to_string() })?;
+        let place = timeout_at(deadline, self.buffers.window()).await;
+        let Ok(Ok(place)) = place else { return Err(ExchangeError::NoMemory { peer }) };
         connection.usable_until = Instant::now() + self.idle_time(&head.headers);
         let pieces = BodyPieces::begin(self.clone(), peer, connection, body, length, place).await?;
         Ok(Response::from_parts(head, ResponseBody::Pieces(pieces)))
