upstream: move the limits of connections to a module of their own

No change of behaviour. Also names no private item in the head of buffers.rs, which the documentation build refuses.

--- a/crates/sapphireknotd/src/buffers.rs
+++ b/crates/sapphireknotd/src/buffers.rs
@@ -8,8 +8,8 @@
 //! memory of tiers below, and whoever has a place in the last tier waits for nothing. Bodies whose length is told have half
 //! of the budget for themselves, as the others may have no end and then keep their places until their deadlines.
 //!
-//! A long body whose length is told may also be passed on while it arrives. It then holds a [`WindowPlace`] of the tiers
-//! for such bodies, whatever its length.
+//! A long body whose length is told may also be passed on while it arrives. It then holds a place of the same size in the
+//! tiers for such bodies, whatever its length.
 
 use std::{fmt, sync::Arc};
 
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -35,7 +35,10 @@
         refusals::FrontRefusal,
     },
     telemetry::{self, HopSpan},
-    upstream::connections::{ConnectionPool, PoolLimits, ReceiveLimits},
+    upstream::{
+        connections::ConnectionPool,
+        pool_limits::{PoolLimits, ReceiveLimits},
+    },
 };
 
 /// Connections of callers at the same time; leaves descriptors for backend servers out of the 4,100 of a host.
--- a/crates/sapphireknotd/src/upstream.rs
+++ b/crates/sapphireknotd/src/upstream.rs
@@ -3,6 +3,7 @@
 pub mod body_pieces;
 pub mod connections;
 pub mod pool;
+pub mod pool_limits;
 pub mod probes;
 
 mod interim_limit;
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -19,17 +19,13 @@
 };
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::SockRef;
 use thiserror::Error;
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    task::AbortHandle,
-    time::timeout_at,
-};
+use tokio::{task::AbortHandle, time::timeout_at};
 
 use super::{
     body_pieces::{BodyPieces, ResponseBody},
     interim_limit::{InterimCount, InterimLimitStream},
+    pool_limits::PoolLimits,
 };
 use crate::buffers::{SMALL_BODY, TieredBudget};
 
@@ -40,43 +36,6 @@
 /// Header with the time after which an idle connection is closed.
 const KEEP_ALIVE: &str = "keep-alive";
 
-/// Limits of the connections to backend servers.
-#[derive(Debug, Clone, Copy)]
-pub struct PoolLimits {
-    /// Idle connections that are kept per backend server.
-    pub max_idle: usize,
-    /// Time to open a connection.
-    pub connect_timeout: Duration,
-    /// Time for which an idle connection is used again unless its server tells a shorter one.
-    pub idle_timeout: Duration,
-    /// Time for which sent bytes may stay unacknowledged; `None` for the system's own.
-    pub unacknowledged: Option<Duration>,
-    /// Bytes of a connection that wait to be read, in the process and in the system; `None` for their own.
-    pub receive: Option<ReceiveLimits>,
-}
-
-/// Bytes of a connection that wait to be read.
-#[derive(Debug, Clone, Copy)]
-pub struct ReceiveLimits {
-    /// In the process; bounds the head of a response too.
-    pub process_bytes: usize,
-    /// In the system.
-    pub system_bytes: u32,
-}
-
-impl Default for PoolLimits {
-    fn default() -> Self {
-        Self {
-            max_idle: 16,
-            // Far above a round trip between regions of 24 ms.
-            connect_timeout: Duration::from_millis(500),
-            idle_timeout: Duration::from_secs(60),
-            unacknowledged: None,
-            receive: None,
-        }
-    }
-}
-
 /// Header of the correlation with a response.
 pub const REQUEST_ID: &str = "x-request-id";
 
@@ -298,16 +257,8 @@
             }
         }
         let not_sent = |cause: String| ExchangeError::NotSent { peer, cause };
-        let connecting = open_stream(peer, self.limits.receive);
-        let connecting = tokio::time::timeout(self.limits.connect_timeout, connecting).await;
-        let stream = connecting
-            .map_err(|_| not_sent("no answer in time".to_owned()))?
-            .map_err(|err| not_sent(err.to_string()))?;
-        stream.set_nodelay(true).map_err(|err| not_sent(err.to_string()))?;
-        if let Some(limit) = self.limits.unacknowledged {
-            let result = SockRef::from(&stream).set_tcp_user_timeout(Some(limit));
-            result.map_err(|err| not_sent(err.to_string()))?;
-        }
+        let stream = self.limits.open_stream(peer).await;
+        let stream = stream.map_err(|err| not_sent(err.to_string()))?;
         let interim = InterimCount::default();
         let stream = InterimLimitStream::new(stream, interim.clone());
         let mut builder = http1::Builder::new();
@@ -360,20 +311,6 @@
     }
 }
 
-async fn open_stream(
-    peer: SocketAddr,
-    limits: Option<ReceiveLimits>,
-) -> std::io::Result<TcpStream> {
-    let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    if let Some(limits) = limits
-        && let Err(err) = socket.set_recv_buffer_size(limits.system_bytes)
-    {
-        // Without the bound the connection serves all the same.
-        log::debug!(peer:%, error:% = err; "set SO_RCVBUF");
-    }
-    socket.connect(peer).await
-}
-
 /// Whether the end of a body can be told from a broken connection.
 fn has_framing(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
--- a/crates/sapphireknotd/tests/idle_connections.rs
+++ b/crates/sapphireknotd/tests/idle_connections.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use sapphireknotd::upstream::connections::{ConnectionPool, PoolLimits};
+use sapphireknotd::upstream::{connections::ConnectionPool, pool_limits::PoolLimits};
 use tokio::net::TcpListener;
 
 /// A server, and the number of connections that are open at it.
