--- a/crates/sapphireknotd/src/entry/cold_probes.rs
+++ b/crates/sapphireknotd/src/entry/cold_probes.rs
@@ -29,7 +29,7 @@
 };
 
 use super::{cold_peers::ColdPeers, state::EntryState};
-use crate::upstream::connections::{ConnectionPool, PoolLimits};
+use crate::upstream::{connections::ConnectionPool, pool_limits::PoolLimits};
 
 /// Interval at which this host asks each of its servers. Two hosts ask a server, and a cold one gets 45 requests a second
 /// for up to 0.4 s before it has more than 1.5 times 15 and five in a second.
