--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -3,9 +3,11 @@
 //! The core takes what the store tells as [`FleetChange`]s and answers the questions of the request path. It is the only
 //! owner of this state; the request path locks it for the time of one question.
 
+pub mod cold_exchange;
 mod evidence_exchange;
 mod load_exchange;
 mod quotas;
+mod rollouts;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -26,10 +28,10 @@
     query::{ChoiceQuery, ChosenServer},
     server_state::{ServerLoad, server_hash},
     shares::{ColdHosts, HostShare, QuotaSlack},
-    version::{RecordChange, RolloutOrder, RolloutRecord, VersionTable},
+    version::{RolloutOrder, RolloutRecord, VersionTable},
 };
 use crate::{
-    ids::{DatacentreId, HostId, RegionId, RouteId, ServerId, ServiceId, VersionId},
+    ids::{DatacentreId, HostId, RegionId, RouteId, ServerId, ServiceId},
     picker::ServerOutcome,
     retry::{RetryBudget, RetryLimits},
     time::MonoTime,
@@ -51,6 +53,8 @@
     pub retry_ratio: f64,
     /// Retries beyond that part in one window.
     pub retry_slack: u32,
+    /// Time in which a change in the store takes effect on every host.
+    pub apply_time: Duration,
 }
 
 /// Place of this host.
@@ -213,13 +217,13 @@
             FleetChange::EvacuationGone(datacentre) => {
                 self.evacuated.remove(&datacentre);
                 // Servers that got nothing for a while may be cold without having said so yet.
-                let warmups = self.plan.iter().flat_map(|it| it.services.values());
-                let warmup = warmups.map(|it| it.warmup).max().unwrap_or_default();
-                self.fleet.cool_down(&datacentre, now.after(warmup));
+                self.fleet.cool_down(&datacentre, now.after(self.longest_warmup()));
             }
             FleetChange::Host(record) => self.fleet.add_host(record, now),
             FleetChange::HostGone(id) => self.fleet.remove_host(&id, now),
-            FleetChange::Rollout(record, revision) => self.versions.add_record(record, revision),
+            FleetChange::Rollout(record, revision) => {
+                self.versions.add_record(record, revision, now)
+            }
         }
     }
 
@@ -304,9 +308,15 @@
         let version = self.versions.choose(service, draw, now);
         let mut chosen =
             picker.choose(&ChoiceQuery { version: version.as_ref(), ..query }, now, rng);
-        if chosen.is_err() && self.versions.is_in_rollout(service) {
+        if chosen.is_err()
+            && let Some(new) = self.versions.new_version(service)
+        {
             // The new version may have too few warm servers yet, and the old one may have gone already.
-            let other = self.versions.choose(service, 1.0 - draw, now);
+            let other = if picker.reaches(new, now) {
+                self.versions.choose(service, 1.0 - draw, now)
+            } else {
+                self.versions.stable(service).cloned()
+            };
             if other != version {
                 let query = ChoiceQuery { version: other.as_ref(), ..query };
                 chosen = picker.choose(&query, now, rng);
@@ -322,8 +332,9 @@
     pub fn record_attempt(&mut self, report: AttemptReport<'_>, now: MonoTime) -> bool {
         let AttemptReport { chosen, outcome, load, target_ms, elapsed } = report;
         let record = &chosen.record;
-        let mut is_reported = false;
+        let (mut is_reported, mut lost) = (false, Some(OutcomeQuality::Failed));
         if let Some(picker) = self.pickers.get_mut(&record.service) {
+            lost = picker.loss_quality(&record.id, now);
             let is_unreached =
                 outcome == ServerOutcome::Broken && picker.is_silent(&record.id, now);
             if load.is_some() || is_unreached {
@@ -344,12 +355,25 @@
         let quality = match outcome {
             ServerOutcome::Succeeded if is_slow => OutcomeQuality::Slow,
             ServerOutcome::Succeeded => OutcomeQuality::Good,
-            ServerOutcome::Failed | ServerOutcome::Broken => OutcomeQuality::Failed,
+            ServerOutcome::Failed => OutcomeQuality::Failed,
+            ServerOutcome::Broken => match lost {
+                Some(quality) => quality,
+                None => return false,
+            },
             ServerOutcome::Shed | ServerOutcome::Cancelled => return false,
         };
         self.versions.record_outcome(&record.service, &record.version, quality)
     }
 
+    /// Takes the load that a server reported of itself with a response that still comes.
+    pub fn record_load(&mut self, record: &ServerRecord, load: ServerLoad, now: MonoTime) {
+        let Some(picker) = self.pickers.get_mut(&record.service) else { return };
+        picker.record_load(&record.id, load, now);
+        let failing = picker.shared_failures(&record.id, now);
+        let load = Some(load);
+        self.loads.add(LoadReport { server: server_hash(&record.id), load, failing, at: now });
+    }
+
     /// Takes back a choice to which nothing was sent.
     pub fn withdraw_choice(&mut self, chosen: &ChosenServer) {
         if let Some(picker) = self.pickers.get_mut(&chosen.record.service) {
@@ -407,20 +431,10 @@
         self.fleet.hosts()
     }
 
-    /// Changes of rollout records that are due.
-    pub fn due_rollouts(&self, now: MonoTime) -> Vec<RecordChange> {
-        self.versions.due_changes(now)
-    }
-
     /// Pickers by service.
     pub fn pickers(&self) -> &ServicePickers {
         &self.pickers
     }
-
-    /// Version that takes a request without a rollout, for reports.
-    pub fn usual_version(&self, service: &ServiceId, now: MonoTime) -> Option<VersionId> {
-        self.versions.choose(service, 1.0, now)
-    }
 }
 
 /// Rank of the least urgent requests by service.
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -62,7 +62,11 @@
 }
 
 pub(crate) fn service_rule() -> ServiceRule {
-    ServiceRule { warmup: Duration::from_secs(3), warmup_rate: RequestRate::per_second(15) }
+    ServiceRule {
+        warmup: Duration::from_secs(3),
+        warmup_rate: RequestRate::per_second(15),
+        health_path: Some("/health".to_owned()),
+    }
 }
 
 pub(crate) fn route(name: &str, prefix: &str) -> RouteRule {
@@ -106,11 +110,15 @@
     HostPlace { host: id("h1"), region: id(region), regions }
 }
 
+/// Time in which a record of the store reaches all hosts.
+pub(crate) const APPLY_TIME: Duration = Duration::from_secs(2);
+
 pub(crate) fn bounds() -> SharedBounds {
     SharedBounds {
         quota: QuotaSlack { tolerance: 0.1, requests: 20 },
         retry_ratio: 0.2,
         retry_slack: 64,
+        apply_time: APPLY_TIME,
     }
 }
 
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -4,10 +4,15 @@
 //! [`fleet_actor`] follows the store, [`host_actor`] keeps this host registered, [`caller_server`] serves callers, and
 //! [`side_servers`] answer the directory, the readiness check and the metrics. Hosts ask each other for admissions
 //! ([`quota_peers`]), for the loads of servers ([`load_peers`]), and for what the store holds when it cannot be read
-//! ([`peer_source`]).
+//! ([`peer_source`]). While the store is away, [`cold_probes`] ask servers whether they are cold, and [`cold_peers`] tells
+//! the other hosts.
 
 mod attempt;
+mod attempt_ticket;
+mod caller_body;
 pub mod caller_server;
+pub mod cold_peers;
+pub mod cold_probes;
 pub mod copy_calls;
 mod decision_line;
 pub mod decision_log;
@@ -21,32 +26,33 @@
 pub mod peer_source;
 pub mod quota_peers;
 pub mod reload;
+mod request_report;
 pub mod settings;
 pub mod side_servers;
 pub mod state;
 
 mod forward;
+mod platform;
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use prometheus::Registry;
 use ractor::{Actor, ActorRef, SpawnErr};
 use sapphireknot::{
-    drain::{DrainLimits, DrainTracker},
+    drain::{DrainLimits, DrainStage, DrainTracker},
     ids::IncarnationId,
     steering::fleet::HostRecord,
 };
-use sapphireknot_platform::{FleetStore, RequestDialect};
 use thiserror::Error;
 use tokio::{
-    net::TcpListener,
-    signal::unix::{Signal, SignalKind, signal},
+    signal::unix::{SignalKind, signal},
     task::JoinHandle,
-    time::sleep,
 };
 
+pub use self::platform::EntryPlatform;
 use self::{
     caller_server::CallerServer,
+    cold_peers::ColdPeers,
     fleet_actor::{FleetActor, FleetArguments, FleetMessage},
     host_actor::{HostActor, HostArguments, HostMessage},
     settings::EntrySettings,
@@ -54,7 +60,9 @@
 };
 use crate::{
     clock::HostClock,
-    context::DrainStage,
+    ending::{EndSignals, follow_drain},
+    listening::{BoundListener, ListenError},
+    settings_file::SettingsFile,
     telemetry::{self, TelemetryError, TelemetryTarget},
 };
 
@@ -71,15 +79,8 @@
 #[derive(Debug, Error)]
 pub enum EntryError {
     /// An address cannot be listened at.
-    #[error("listen for {role} at {address}: {source}")]
-    Listen {
-        /// Who connects there.
-        role: &'static str,
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: std::io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// Signals cannot be received.
     #[error("receive signals: {0}")]
     Signals(#[source] std::io::Error),
@@ -91,15 +92,6 @@
     Telemetry(#[from] TelemetryError),
 }
 
-/// Platform of an entry host, through an adapter.
-#[derive(Clone)]
-pub struct EntryPlatform {
-    /// Store.
-    pub store: Arc<dyn FleetStore>,
-    /// Headers and statuses.
-    pub dialect: Arc<dyn RequestDialect>,
-}
-
 /// Entry host that runs in this process.
 pub struct RunningEntry {
     state: Arc<EntryState>,
@@ -113,16 +105,6 @@
     metrics_address: Option<SocketAddr>,
 }
 
-async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, EntryError> {
-    let describe = |source| EntryError::Listen { role, address, source };
-    TcpListener::bind(address).await.map_err(describe)
-}
-
-fn bound(role: &'static str, listener: &TcpListener) -> Result<SocketAddr, EntryError> {
-    let address = SocketAddr::from(([0, 0, 0, 0], 0));
-    listener.local_addr().map_err(|source| EntryError::Listen { role, address, source })
-}
-
 impl RunningEntry {
     /// Binds the listeners of `settings` and starts to serve.
     pub async fn start(
@@ -130,13 +112,13 @@
         platform: EntryPlatform,
         registry: Registry,
     ) -> Result<Self, EntryError> {
-        let callers = bind("callers", settings.listen.caller).await?;
-        let readiness = bind("readiness", settings.listen.readiness).await?;
-        let directory = bind("directory", settings.listen.directory).await?;
-        let peers = bind("peers", settings.listen.peer).await?;
-        let caller_address = bound("callers", &callers)?;
-        let directory_address = bound("directory", &directory)?;
-        let readiness_address = bound("readiness", &readiness)?;
+        let callers = BoundListener::bind("callers", settings.listen.caller).await?;
+        let readiness = BoundListener::bind("readiness", settings.listen.readiness).await?;
+        let directory = BoundListener::bind("directory", settings.listen.directory).await?;
+        let peers = BoundListener::bind("peers", settings.listen.peer).await?;
+        let caller_address = callers.address;
+        let directory_address = directory.address;
+        let readiness_address = readiness.address;
         let clock = HostClock::start();
         let record = HostRecord {
             id: settings.host.clone(),
@@ -144,7 +126,7 @@
             region: settings.region.clone(),
             datacentre: settings.datacentre.clone(),
             address: caller_address,
-            peer_address: bound("peers", &peers)?,
+            peer_address: peers.address,
         };
         let mut metrics_address = None;
         let metrics = settings.listen.metrics;
@@ -152,9 +134,9 @@
         let mut tasks = Vec::new();
         if let Some(address) = metrics {
             // Requests are served without metrics rather than not at all.
-            match bind("metrics", address).await {
-                Ok(listener) => {
-                    metrics_address = Some(bound("metrics", &listener)?);
+            match BoundListener::bind("metrics", address).await {
+                Ok(BoundListener { listener, address }) => {
+                    metrics_address = Some(address);
                     let task = side_servers::serve_metrics(state.clone(), registry, listener);
                     tasks.push(tokio::spawn(task));
                 }
@@ -167,11 +149,13 @@
         let arguments = HostArguments { state: state.clone() };
         let (host, _) = HostActor::spawn(None, HostActor, arguments).await?;
         let server = Arc::new(CallerServer::new(state.clone(), fleet.clone()));
-        tasks.push(tokio::spawn(server.clone().serve(callers)));
-        tasks.push(tokio::spawn(peer_server::serve(state.clone(), peers)));
+        let cold_peers = Arc::new(ColdPeers::new(state.clone()));
+        tasks.push(tokio::spawn(cold_probes::run(state.clone(), cold_peers.clone())));
+        tasks.push(tokio::spawn(server.clone().serve(callers.listener)));
+        tasks.push(tokio::spawn(peer_server::serve(state.clone(), cold_peers, peers.listener)));
         tasks.push(tokio::spawn(load_peers::run(state.clone())));
-        tasks.push(tokio::spawn(side_servers::serve_directory(state.clone(), directory)));
-        tasks.push(tokio::spawn(side_servers::serve_readiness(state.clone(), readiness)));
+        tasks.push(tokio::spawn(side_servers::serve_directory(state.clone(), directory.listener)));
+        tasks.push(tokio::spawn(side_servers::serve_readiness(state.clone(), readiness.listener)));
         Ok(Self {
             state,
             server,
@@ -194,25 +178,16 @@
             drain_limit: grace.mul_f64(STOP_PART),
             longest_request: Duration::ZERO,
         };
-        let mut tracker = DrainTracker::begin(state.clock.now(), limits);
+        let tracker = DrainTracker::begin(state.clock.now(), limits);
         state.drain.send_replace(tracker.stage());
         log::info!(in_flight = self.server.in_flight(); "leaving");
         let farewell = self.host.call(HostMessage::Leave, Some(FAREWELL_TIMEOUT));
         if let Err(err) = farewell.await {
             log::warn!(error:% = err; "tell the store that this host leaves");
         }
-        loop {
-            let before = tracker.stage();
-            tracker.advance(state.clock.now(), self.server.in_flight());
-            if tracker.stage() != before {
-                state.drain.send_replace(tracker.stage());
-                log::info!(stage:? = tracker.stage(), in_flight = self.server.in_flight(); "drain stage");
-            }
-            if tracker.stage() == DrainStage::Ended {
-                break;
-            }
-            sleep(STOP_TICK).await;
-        }
+        let in_flight = || self.server.in_flight();
+        follow_drain(tracker, state.clock, &state.drain, in_flight, STOP_TICK).await;
+        state.drain.send_replace(DrainStage::Ended);
         self.fleet.stop(None);
         self.host.stop(None);
         for task in self.tasks {
@@ -224,12 +199,11 @@
 /// Runs an entry host until a signal ends it.
 pub async fn run(
     settings: EntrySettings,
-    path: PathBuf,
+    file: SettingsFile,
     platform: EntryPlatform,
 ) -> Result<(), EntryError> {
-    let mut terminate = listen_for(SignalKind::terminate())?;
-    let mut interrupt = listen_for(SignalKind::interrupt())?;
-    let hangup = listen_for(SignalKind::hangup())?;
+    let mut signals = EndSignals::new().map_err(EntryError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).map_err(EntryError::Signals)?;
     let registry = Registry::new();
     let target = TelemetryTarget {
         host: &settings.host,
@@ -240,31 +214,23 @@
     let guard = telemetry::install(&target)?;
     let host = settings.host.clone();
     let entry = RunningEntry::start(settings, platform, registry).await?;
-    let reloading = tokio::spawn(reload::run(entry.state.clone(), path, hangup));
+    let reloading = tokio::spawn(reload::run(entry.state.clone(), file, hangup));
     let seeds = entry.state.settings.load().seeds.clone();
     log::info!(
         host:%, seeds:?, peers:% = entry.state.record.peer_address, callers:% = entry.caller_address, directory:% = entry.directory_address,
         readiness:% = entry.readiness_address, metrics:? = entry.metrics_address;
         "started"
     );
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    signals.next().await;
     let ending = async {
         entry.stop().await;
         reloading.abort();
     };
     tokio::select! {
         () = ending => {}
-        _ = terminate.recv() => log::warn!("ended by a second signal"),
-        _ = interrupt.recv() => log::warn!("ended by a second signal"),
+        () = signals.next() => log::warn!("ended by a second signal"),
     }
     drop(guard);
     log::info!("ended");
     Ok(())
 }
-
-fn listen_for(kind: SignalKind) -> Result<Signal, EntryError> {
-    signal(kind).map_err(EntryError::Signals)
-}
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -9,7 +9,7 @@
 };
 use sapphireknot_wire::entry::{
     CopyPart, ReadCopyRequest, ShareLoadsReply, ShareLoadsRequest, TakeTokensReply,
-    TakeTokensRequest,
+    TakeTokensRequest, TellColdReply, TellColdRequest,
     entry_server::{Entry, EntryServer},
 };
 use tokio::{net::TcpListener, sync::Semaphore};
@@ -17,6 +17,7 @@
 use tonic::{Request, Response, Status, transport::Server};
 
 use super::{
+    cold_peers::{ColdPeers, decode_cold},
     copy_calls,
     evidence_codec::{decode_evidence, encode_evidence},
     load_peers::{decode_regions, decode_reports, encode_regions, encode_reports, take_evidence},
@@ -29,6 +30,7 @@
 /// Server of the calls between hosts.
 struct PeerServer {
     state: Arc<EntryState>,
+    cold_peers: Arc<ColdPeers>,
     copies: Arc<Semaphore>,
 }
 
@@ -76,6 +78,24 @@
         Ok(Response::new(reply))
     }
 
+    async fn tell_cold(
+        &self,
+        request: Request<TellColdRequest>,
+    ) -> Result<Response<TellColdReply>, Status> {
+        let request = request.into_inner();
+        let now = self.state.clock.now();
+        let reports = decode_cold(&request, now);
+        let news = self.state.core.lock().take_cold(&reports, now);
+        if !news.is_empty() {
+            log::info!(servers = news.len(); "servers are cold, as another host tells");
+            if request.relay {
+                let listeners = self.state.core.lock().neighbours();
+                self.cold_peers.tell(news, listeners);
+            }
+        }
+        Ok(Response::new(TellColdReply::default()))
+    }
+
     async fn share_loads(
         &self,
         request: Request<ShareLoadsRequest>,
@@ -83,7 +103,7 @@
         let ShareLoadsRequest { reports, position, regions, evidence, evidence_position, host } =
             request.into_inner();
         let now = self.state.clock.now();
-        let evidence = decode_evidence(&evidence);
+        let evidence = decode_evidence(&evidence, now);
         let heard = EvidencePosition(evidence_position);
         let incarnation = self.state.record.incarnation;
         // A region without servers of its own has no load to tell, but may have evidence.
@@ -96,7 +116,7 @@
             let (evidence, after) = core.evidence_for(None, heard, incarnation);
             let reply = ShareLoadsReply {
                 regions: encode_regions(&core.own_region_loads(now), now),
-                evidence: encode_evidence(&evidence),
+                evidence: encode_evidence(&evidence, now),
                 evidence_position: after.0,
                 ..ShareLoadsReply::default()
             };
@@ -115,7 +135,7 @@
             reports: Some(encode_reports(&news, now)),
             position: position.0,
             regions: encode_regions(&core.region_loads(now), now),
-            evidence: encode_evidence(&evidence),
+            evidence: encode_evidence(&evidence, now),
             evidence_position: after.0,
         };
         Ok(Response::new(reply))
@@ -123,9 +143,9 @@
 }
 
 /// Serves other hosts until the process ends.
-pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
+pub async fn serve(state: Arc<EntryState>, cold_peers: Arc<ColdPeers>, listener: TcpListener) {
     let copies = Arc::new(Semaphore::new(MAX_COPIES));
-    let service = EntryServer::new(PeerServer { state, copies });
+    let service = EntryServer::new(PeerServer { state, cold_peers, copies });
     let server = Server::builder().tcp_nodelay(true).add_service(service);
     if let Err(err) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
         log::error!(error:% = err; "serve other hosts");
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -10,15 +10,21 @@
         shares::QuotaSlack,
     },
     time::ClockSpan,
+    units::ByteCount,
 };
 use serde::{Deserialize, Serialize};
 use serde_with::{DefaultOnNull, serde_as};
 
 use crate::{
     constants,
-    settings::{LogSettings, TelemetrySettings, decode_tree},
+    settings::{LogSettings, TelemetrySettings},
+    settings_tree::{CheckedSettings, check_tree},
 };
 
+/// One of so many parts of the memory is for the bodies of requests and one for those of responses. The others are for the
+/// process itself, its connections, and what the system queues for them.
+const BODY_PARTS: usize = 4;
+
 /// Settings of an entry host.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -41,6 +47,9 @@
     #[serde_as(deserialize_as = "DefaultOnNull")]
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Memory beyond which the process is killed, if there is such a limit.
+    #[serde(default)]
+    pub memory: Option<ByteCount>,
     /// Bounds over all hosts together and of a graceful shutdown.
     #[serde_as(deserialize_as = "DefaultOnNull")]
     #[serde(default)]
@@ -115,13 +124,41 @@
 }
 
 impl EntrySettings {
-    /// Reads the settings from a tree.
+    /// Checks a tree and fills it up with defaults.
     pub fn from_tree(tree: serde_json::Value) -> Result<Self, Vec<ConfigProblem>> {
-        let settings: Self = decode_tree(tree)?;
-        let problems = settings.problems();
-        if problems.is_empty() { Ok(settings) } else { Err(problems) }
+        check_tree(tree)
+    }
+
+    /// Memory for the bodies of requests, and as much for those of responses.
+    pub fn body_bytes(&self) -> usize {
+        let Some(memory) = self.memory else { return constants::MAX_BUFFERED_BYTES };
+        usize::try_from(memory.0).unwrap_or(usize::MAX) / BODY_PARTS
+    }
+
+    /// Place of this host.
+    pub fn place(&self) -> HostPlace {
+        HostPlace {
+            host: self.host.clone(),
+            region: self.region.clone(),
+            regions: self.regions.clone(),
+        }
     }
 
+    /// Bounds over all hosts together.
+    pub fn shared_bounds(&self) -> SharedBounds {
+        SharedBounds {
+            quota: QuotaSlack {
+                tolerance: self.bounds.quota_tolerance,
+                requests: self.bounds.quota_slack,
+            },
+            retry_ratio: self.bounds.retry_ratio,
+            retry_slack: self.bounds.retry_slack,
+            apply_time: self.bounds.apply_time.0,
+        }
+    }
+}
+
+impl CheckedSettings for EntrySettings {
     fn problems(&self) -> Vec<ConfigProblem> {
         let mut problems = Vec::new();
         if self.regions.get(&self.datacentre) != Some(&self.region) {
@@ -145,31 +182,10 @@
                 problems.push(ConfigProblem::new(field, span, "more than 0s"));
             }
         }
-        if self.log.level.parse::<log::LevelFilter>().is_err() {
-            let allowed = "error, warn, info, debug or trace";
-            problems.push(ConfigProblem::new("log.level", &self.log.level, allowed));
+        if self.memory == Some(ByteCount(0)) {
+            problems.push(ConfigProblem::new("memory", ByteCount(0), "more than 0B"));
         }
+        problems.extend(self.log.problem());
         problems
     }
-
-    /// Place of this host.
-    pub fn place(&self) -> HostPlace {
-        HostPlace {
-            host: self.host.clone(),
-            region: self.region.clone(),
-            regions: self.regions.clone(),
-        }
-    }
-
-    /// Bounds over all hosts together.
-    pub fn shared_bounds(&self) -> SharedBounds {
-        SharedBounds {
-            quota: QuotaSlack {
-                tolerance: self.bounds.quota_tolerance,
-                requests: self.bounds.quota_slack,
-            },
-            retry_ratio: self.bounds.retry_ratio,
-            retry_slack: self.bounds.retry_slack,
-        }
-    }
 }
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -19,6 +19,7 @@
 use opentelemetry::{KeyValue, trace::SpanKind};
 use parking_lot::Mutex;
 use sapphireknot::{
+    drain::DrainStage,
     idempotency::{ClaimEnd, ClaimKey},
     refusal::{RefusalReason, RequestRefusal, RunState},
     retry::RetryBudget,
@@ -34,7 +35,8 @@
 };
 use crate::{
     buffers::BufferBudget,
-    context::{DrainStage, HostContext, QuotaVerdict},
+    context::HostContext,
+    interfaces::QuotaVerdict,
     telemetry::{self, HopSpan, PathMeters},
     upstream::connections::{ConnectionPool, REQUEST_ID},
 };
@@ -76,6 +78,7 @@
             header_timeout: limits.header_timeout.0,
             max_header_bytes: limits.max_header_bytes,
             write_timeout: limits.write_timeout.0,
+            send_bytes: None,
         };
         let serve = |stream, peer| {
             let server = self.clone();
--- a/crates/sapphireknotd/src/front/forward.rs
+++ b/crates/sapphireknotd/src/front/forward.rs
@@ -10,6 +10,7 @@
 use sapphireknot::{
     ids::{OrganisationId, ServerId},
     keys::KeyDigest,
+    picker::ServerOutcome,
     refusal::{RefusalReason, RequestRefusal, RunState},
     retry::{AttemptEnd, RetryPolicy, RetryVerdict},
     routes::RouteMatch,
@@ -23,7 +24,7 @@
 };
 use crate::{
     claims::RequestClaim,
-    context::{PickQuery, PickRefusal, ServerOutcome, ServerTicket, VersionSample},
+    interfaces::{PickQuery, PickRefusal, ServerTicket, VersionSample},
     telemetry::{self, HopSpan},
     upstream::connections::{ExchangeError, REQUEST_ID},
 };
@@ -180,7 +181,9 @@
                 log::warn!(request = request.request_id, server:% = ticket.server(), error:% = err; "attempt failed");
                 let end = match err {
                     ExchangeError::NotSent { .. } => AttemptEnd::NotSent,
-                    ExchangeError::Broken { .. } => AttemptEnd::MaybeRan,
+                    ExchangeError::NoMemory { .. } | ExchangeError::Broken { .. } => {
+                        AttemptEnd::MaybeRan
+                    }
                 };
                 (ServerOutcome::Broken, ended(end, RefusalReason::UpstreamFailed))
             }
