--- a/crates/sapphireknotd/src/clock.rs
+++ b/crates/sapphireknotd/src/clock.rs
@@ -4,26 +4,30 @@
 
 use sapphireknot::time::{MonoTime, WallTime};
 
-/// Monotonic time of the start of the process, in microseconds. A day, so that what other hosts saw before this process
-/// started has a time of its own.
-const START_US: u64 = 86_400_000_000;
+/// Start of a clock that holds what other hosts saw before this process started.
+const DAY: MonoTime = MonoTime(86_400_000_000);
 
 /// Monotonic and wall clock.
 #[derive(Debug, Clone, Copy)]
 pub struct HostClock {
     origin: Instant,
+    start: MonoTime,
 }
 
 impl HostClock {
-    /// A clock whose monotonic time starts late enough that earlier points in time exist.
+    /// A clock whose monotonic time starts at one second, so that earlier points in time exist.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: Instant::now(), start: MonoTime(1_000_000) }
+    }
+
+    /// A clock whose monotonic time starts at one day, so that times told by hosts that run longer can be held.
+    pub fn start_at_day() -> Self {
+        Self { origin: Instant::now(), start: DAY }
     }
 
     /// The monotonic time.
     pub fn now(&self) -> MonoTime {
-        let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
-        MonoTime(micros.saturating_add(START_US))
+        self.start.after(self.origin.elapsed())
     }
 
     /// The wall time.
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -136,7 +136,7 @@
         let caller_address = bound("callers", &callers)?;
         let directory_address = bound("directory", &directory)?;
         let readiness_address = bound("readiness", &readiness)?;
-        let clock = HostClock::start();
+        let clock = HostClock::start_at_day();
         let record = HostRecord {
             id: settings.host.clone(),
             incarnation: IncarnationId(clock.wall().0),
