--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -119,7 +119,7 @@
         let caller_address = callers.address;
         let directory_address = directory.address;
         let readiness_address = readiness.address;
-        let clock = HostClock::start();
+        let clock = HostClock::start_at_day();
         let record = HostRecord {
             id: settings.host.clone(),
             incarnation: IncarnationId(clock.wall().0),
