--- a/crates/sapphireknot/src/steering/plan.rs
+++ b/crates/sapphireknot/src/steering/plan.rs
@@ -40,6 +40,8 @@
     pub prefix: String,
     /// Whether requests may run more than once.
     pub is_idempotent: bool,
+    /// Whether this release knows the kind that the operators gave it.
+    pub has_known_kind: bool,
     /// Longest time that a request may wait for its response.
     pub timeout: Duration,
     /// Time within which a response has its full value.
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -75,6 +75,7 @@
         host_name: "survey.example".to_owned(),
         prefix: prefix.to_owned(),
         is_idempotent: true,
+        has_known_kind: true,
         timeout: Duration::from_millis(1_200),
         target_latency: Duration::from_millis(200),
         priority: RequestPriority(2),
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -9,7 +9,7 @@
 
 mod attempt;
 mod attempt_ticket;
-mod caller_body;
+pub mod caller_body;
 pub mod caller_server;
 pub mod cold_peers;
 pub mod cold_probes;
--- a/crates/sapphireknotd/src/entry/caller_body.rs
+++ b/crates/sapphireknotd/src/entry/caller_body.rs
@@ -34,7 +34,7 @@
 
 /// Why a response breaks off.
 #[derive(Debug, Error)]
-pub(super) enum PassError {
+pub enum PassError {
     /// The backend server broke off.
     #[error("pass on response: {0}")]
     Server(#[from] ExchangeError),
@@ -47,7 +47,7 @@
 }
 
 /// Body of a response to a caller.
-pub(super) enum EntryBody {
+pub enum EntryBody {
     /// It is complete.
     Whole(Full<Bytes>),
     /// It is passed on while it arrives.
@@ -55,7 +55,7 @@
 }
 
 /// Body that is passed on while it arrives.
-pub(super) struct PassedBody {
+pub struct PassedBody {
     pieces: BodyPieces,
     clock: HostClock,
     /// When the server must have sent the rest.
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -1,8 +1,9 @@
 //! Serves callers: finds the route, checks key and quota, and forwards.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use http::{HeaderValue, Request, Response, header};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use opentelemetry::trace::SpanKind;
 use ractor::ActorRef;
@@ -14,7 +15,7 @@
     time::MonoTime,
 };
 use sapphireknot_platform::CallerHead;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::Semaphore};
 
 use super::{
     caller_body::EntryBody,
@@ -30,8 +31,9 @@
     constants,
     front::{
         bodies::read_body,
-        connections::{ConnectionLimits, accept_connections, serve_connection},
+        connections::{ConnectionLimits, accept_connections, serve_pipelined},
         headers::drop_hop_by_hop,
+        pipeline::PipelineService,
         refusals::FrontRefusal,
     },
     telemetry::{self, HopSpan},
@@ -43,6 +45,9 @@
 
 /// Connections of callers at the same time; leaves descriptors for backend servers out of the 4,100 of a host.
 const MAX_CONNECTIONS: usize = 2_400;
+/// Requests of all connections that are worked on before earlier ones of their connections are answered; the heads and
+/// responses of so many take a few megabytes.
+const MAX_AHEAD: usize = 512;
 /// Time to open a connection to a backend server; ten round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle connections that are kept per backend server; twelve hosts stay far below its limit.
@@ -69,6 +74,8 @@
     buffers: BufferBudget,
     /// Held by each connection that may have a request in flight.
     busy: Arc<()>,
+    /// Room for requests that are worked on before earlier ones of their connections are answered.
+    ahead: Arc<Semaphore>,
     /// Whether spans leave the process; without a receiver they are not produced.
     has_traces: bool,
 }
@@ -97,6 +104,7 @@
             // A request that has not run is refused rather than kept waiting for memory.
             buffers: BufferBudget::new(body_bytes),
             busy: Arc::default(),
+            ahead: Arc::new(Semaphore::new(MAX_AHEAD)),
             has_traces,
         }
     }
@@ -111,10 +119,9 @@
         let serve = |stream, _peer| {
             let server = self.clone();
             async move {
-                let answer = |request| server.handle(request);
-                let limits = server.connection_limits();
-                let drain = &server.state.drain;
-                serve_connection(stream, limits, drain, &server.busy, answer).await;
+                let (limits, ahead) = (server.connection_limits(), server.ahead.clone());
+                let (drain, busy) = (&server.state.drain, &server.busy);
+                serve_pipelined(stream, limits, ahead, drain, busy, server.clone()).await;
             }
         };
         let drain = &self.state.drain;
@@ -134,8 +141,11 @@
         }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Result<Response<EntryBody>, Infallible> {
-        let started = self.state.clock.now();
+    async fn handle(
+        &self,
+        request: Request<Option<Incoming>>,
+        started: MonoTime,
+    ) -> Response<EntryBody> {
         let head = self.state.platform.dialect.read_request(request.headers());
         let span = self.has_traces.then(|| {
             let parent = telemetry::extract_parent(request.headers());
@@ -143,10 +153,8 @@
         });
         let plan = self.state.plan.load_full();
         let (parts, body) = request.into_parts();
-        let route = plan.as_deref().and_then(|plan| {
-            let host_name = host_name(&parts)?;
-            plan.find_route(host_name, parts.uri.path()).cloned()
-        });
+        let route =
+            plan.as_deref().and_then(|it| find_route(it, &parts.uri, &parts.headers)).cloned();
         let mut trail = RequestTrail {
             head: head.clone(),
             plan: plan.clone(),
@@ -167,14 +175,14 @@
             }
         };
         let report = RequestReport { state: self.state.clone(), trail, started, span };
-        Ok(self.finish(result, report))
+        self.finish(result, report)
     }
 
     async fn answer(
         &self,
         inputs: RequestInputs<'_>,
         parts: http::request::Parts,
-        body: Incoming,
+        body: Option<Incoming>,
         trail: &mut RequestTrail,
         span: Option<&HopSpan>,
     ) -> Result<Response<EntryBody>, FrontRefusal> {
@@ -185,7 +193,10 @@
         let deadline = started.after(patience.min(route.timeout));
         let caller_deadline = head.patience.map(|it| started.after(it));
         let (max_bytes, until) = (plan.limits.max_body_bytes, self.state.clock.instant(deadline));
-        let body = read_body(&self.buffers, &parts.headers, body, max_bytes, until).await?;
+        let body = match body {
+            Some(body) => read_body(&self.buffers, &parts.headers, body, max_bytes, until).await?,
+            None => Bytes::new(),
+        };
         if let Some(organisation) = organisation
             && let Err(retry_at) = self.quotas.admit(&self.state, organisation).await
         {
@@ -255,13 +266,36 @@
         };
         // The length is that of the body, which the library tells.
         response.headers_mut().remove(header::CONTENT_LENGTH);
-        if *self.state.drain.borrow() >= DrainStage::Leaving {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
         response
     }
 }
 
+impl PipelineService for CallerServer {
+    type Body = EntryBody;
+
+    fn now(&self) -> MonoTime {
+        self.state.clock.now()
+    }
+
+    fn is_leaving(&self) -> bool {
+        *self.state.drain.borrow() >= DrainStage::Leaving
+    }
+
+    fn is_idempotent(&self, request: &Request<()>) -> bool {
+        let plan = self.state.plan.load();
+        let route = plan.as_deref().and_then(|it| find_route(it, request.uri(), request.headers()));
+        route.is_some_and(|it| it.is_idempotent)
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Option<Incoming>>,
+        arrived: MonoTime,
+    ) -> Response<EntryBody> {
+        self.handle(request, arrived).await
+    }
+}
+
 /// What is known of a request before its body is read.
 #[derive(Clone, Copy)]
 struct RequestInputs<'a> {
@@ -280,9 +314,14 @@
     owner.ok_or_else(|| FrontRefusal::not_run(RefusalReason::KeyRejected))
 }
 
-fn host_name(parts: &http::request::Parts) -> Option<&str> {
-    let named = parts.uri.authority().map(|it| it.as_str());
-    named.or_else(|| parts.headers.get(header::HOST)?.to_str().ok())
+fn find_route<'a>(
+    plan: &'a RoutingPlan,
+    target: &Uri,
+    headers: &HeaderMap,
+) -> Option<&'a Arc<RouteRule>> {
+    let named = target.authority().map(|it| it.as_str());
+    let host_name = named.or_else(|| headers.get(header::HOST)?.to_str().ok())?;
+    plan.find_route(host_name, target.path())
 }
 
 fn request_id_header() -> http::HeaderName {
--- a/crates/sapphireknotd/src/entry/meters.rs
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -23,6 +23,7 @@
     exchange_failures: Counter<u64>,
     sent_copies: Counter<u64>,
     cold_probes: Counter<u64>,
+    unknown_routes: Counter<u64>,
 }
 
 impl Default for EntryMeters {
@@ -43,6 +44,7 @@
                 .build(),
             sent_copies: meter.u64_counter("sapphireknot.entry.sent_copies").build(),
             cold_probes: meter.u64_counter("sapphireknot.entry.cold_probes").build(),
+            unknown_routes: meter.u64_counter("sapphireknot.entry.unknown_routes").build(),
         }
     }
 }
@@ -83,6 +85,11 @@
         self.cold_probes.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts routes of a new plan whose kind this release does not know.
+    pub fn count_unknown_routes(&self, count: usize) {
+        self.unknown_routes.add(count as u64, &[]);
+    }
+
     /// Counts a failed call to the store.
     pub fn count_store_failure(&self, step: &'static str) {
         self.store_failures.add(1, &[KeyValue::new("step", step)]);
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -78,6 +78,7 @@
         let known = self.plan.load().as_ref().map(|it| it.generation);
         let Some(plan) = plan.filter(|it| Some(it.generation) != known) else { return };
         log::info!(generation:% = plan.generation, was:? = known.map(|it| it.0); "plan in force");
+        self.meters.count_unknown_routes(plan.routes().filter(|it| !it.has_known_kind).count());
         self.plan.store(Some(plan));
     }
 
--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -5,7 +5,10 @@
 pub mod gate;
 pub mod headers;
 pub mod lookups;
+pub mod pipeline;
+pub mod pipeline_queue;
 pub mod refusals;
+pub mod request_scan;
 pub mod streams;
 
 mod forward;
--- a/crates/sapphireknotd/src/front/connections.rs
+++ b/crates/sapphireknotd/src/front/connections.rs
@@ -15,16 +15,20 @@
 use http::{Request, Response};
 use hyper::{
     body::{Body, Incoming},
+    server::conn::http1,
     service::service_fn,
 };
 use sapphireknot::drain::DrainStage;
 use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Semaphore, watch},
 };
 
-use super::streams::PromptStream;
+use super::{
+    pipeline::{PipelineLimits, PipelineService, serve_pipeline},
+    streams::PromptStream,
+};
 use crate::serving::{self, AcceptRules, FullRule, http1_builder, serve_http1};
 
 /// Least size of a buffer that hyper accepts.
@@ -86,6 +90,64 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    let stream = prompt_stream(stream, limits);
+    let has_begun = AtomicBool::new(false);
+    let service = service_fn(|request| {
+        has_begun.store(true, Ordering::Relaxed);
+        answer(request)
+    });
+    let builder = connection_builder(limits);
+    let closing = wait_stage(drain, DrainStage::Closing);
+    let mut busy = BusyMark::new(busy);
+    let ends_early = || busy.ends_early(has_begun.load(Ordering::Relaxed));
+    if let Err(err) = serve_http1(stream, &builder, service, closing, ends_early).await {
+        log::debug!(error:% = err; "connection of a caller ended");
+    }
+}
+
+/// Serves one connection as [`serve_connection`] does, on which requests are worked on before earlier ones are answered.
+pub async fn serve_pipelined<S>(
+    stream: TcpStream,
+    limits: ConnectionLimits,
+    ahead: Arc<Semaphore>,
+    drain: &watch::Sender<DrainStage>,
+    busy: &Arc<()>,
+    service: Arc<S>,
+) where
+    S: PipelineService,
+{
+    let stream = prompt_stream(stream, limits);
+    let builder = connection_builder(limits);
+    let closing = wait_stage(drain, DrainStage::Closing);
+    let mut busy = BusyMark::new(busy);
+    let ends_early = |has_begun| busy.ends_early(has_begun);
+    let limits = PipelineLimits { max_header_bytes: limits.max_header_bytes, ahead };
+    let served = serve_pipeline(stream, &builder, limits, service, closing, ends_early).await;
+    if let Err(err) = served {
+        log::debug!(error:% = err; "connection of a caller ended");
+    }
+}
+
+/// Mark of a connection that may have a request in flight.
+struct BusyMark(Option<Arc<()>>);
+
+impl BusyMark {
+    /// Counts before the connection looks at the stage, so that the end of closing cannot miss it.
+    fn new(busy: &Arc<()>) -> Self {
+        Self(Some(busy.clone()))
+    }
+
+    /// Whether a connection on which a request was begun or not ends with the host.
+    fn ends_early(&mut self, has_begun: bool) -> bool {
+        if !has_begun {
+            // A first request is still answered, but the end of the host does not wait for it.
+            self.0 = None;
+        }
+        has_begun
+    }
+}
+
+fn prompt_stream(stream: TcpStream, limits: ConnectionLimits) -> PromptStream {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!(error:% = err; "set TCP_NODELAY");
     }
@@ -95,28 +157,13 @@
         // Without the bound the connection serves all the same.
         log::debug!(error:% = err; "set SO_SNDBUF");
     }
-    let stream = PromptStream::new(stream, limits.write_timeout);
-    let has_begun = AtomicBool::new(false);
-    let service = service_fn(|request| {
-        has_begun.store(true, Ordering::Relaxed);
-        answer(request)
-    });
+    PromptStream::new(stream, limits.write_timeout)
+}
+
+fn connection_builder(limits: ConnectionLimits) -> http1::Builder {
     let mut builder = http1_builder(limits.header_timeout);
     builder
         .max_header_size(limits.max_header_bytes)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-    let closing = wait_stage(drain, DrainStage::Closing);
-    // Counts before it looks at the stage, so that the end of closing cannot miss it.
-    let mut busy = Some(busy.clone());
-    let ends_early = || {
-        let has_begun = has_begun.load(Ordering::Relaxed);
-        if !has_begun {
-            // A first request is still answered, but the end of the host does not wait for it.
-            busy = None;
-        }
-        has_begun
-    };
-    if let Err(err) = serve_http1(stream, &builder, service, closing, ends_early).await {
-        log::debug!(error:% = err; "connection of a caller ended");
-    }
+    builder
 }
--- /dev/null
+++ b/crates/sapphireknotd/src/front/pipeline.rs
@@ -0,0 +1,330 @@
+//! Connections on which callers send requests before earlier ones are answered.
+//!
+//! The HTTP library reads one request after the other and writes the responses in order. What it does not read yet is read
+//! here ([`AheadStream`]), up to a bound, and requests that may run beside each other are begun in tasks of their own. When
+//! the library comes to such a request it gets the response of its task. A connection that ends drops the tasks.
+
+use std::{
+    convert::Infallible,
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::{HeaderValue, Request, Response, header};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use sapphireknot::time::MonoTime;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::JoinHandle,
+};
+
+use super::{pipeline_queue::PipelineQueue, request_scan::RequestScan};
+
+/// Requests of one connection that are worked on ahead of their turn.
+const MAX_AHEAD: usize = 16;
+/// Bytes that are read at a time while the HTTP library does not read.
+const READ_BYTES: usize = 2 << 10;
+
+/// What answers the requests of a connection.
+pub trait PipelineService: Send + Sync + 'static {
+    /// Body of responses.
+    type Body: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
+        + Send
+        + 'static;
+
+    /// Time at which requests arrive.
+    fn now(&self) -> MonoTime;
+
+    /// Whether the host leaves, so that connections end after the requests that were begun.
+    fn is_leaving(&self) -> bool;
+
+    /// Whether a request may run more than once.
+    fn is_idempotent(&self, request: &Request<()>) -> bool;
+
+    /// Answers a request whose head arrived at `arrived`.
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Option<Incoming>>,
+        arrived: MonoTime,
+    ) -> impl Future<Output = Response<Self::Body>> + Send;
+}
+
+/// Bounds of what is read ahead.
+#[derive(Debug, Clone)]
+pub struct PipelineLimits {
+    /// Bytes of the head of a request, and of all that wait to be read by the HTTP library.
+    pub max_header_bytes: usize,
+    /// Requests of all connections that are worked on ahead.
+    pub ahead: Arc<Semaphore>,
+}
+
+/// Work on a request ahead of its turn; ends when it is dropped.
+struct AheadTask<B> {
+    answer: JoinHandle<Response<B>>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl<B> Drop for AheadTask<B> {
+    fn drop(&mut self) {
+        self.answer.abort();
+    }
+}
+
+/// Reading side of a connection that the HTTP library and [`serve_pipeline`] share.
+struct SharedStream<I, B> {
+    stream: I,
+    /// Bytes that the HTTP library has not read.
+    unread: BytesMut,
+    max_unread: usize,
+    has_ended: bool,
+    scan: RequestScan,
+    queue: PipelineQueue<AheadTask<B>>,
+    /// Whether the service got a request.
+    has_begun: bool,
+    /// Whether it has not answered the last one, so that a caller that leaves ends its work.
+    is_answering: bool,
+}
+
+/// Result of reading ahead.
+enum AheadRead {
+    /// The HTTP library may go on.
+    More,
+    /// The caller left while a request was being answered.
+    Left,
+}
+
+impl<I, B> SharedStream<I, B>
+where
+    I: AsyncRead + Unpin,
+    B: Send + 'static,
+{
+    fn scan<S>(&mut self, bytes: &[u8], service: &S)
+    where
+        S: PipelineService<Body = B>,
+    {
+        if self.scan.is_ended() {
+            return;
+        }
+        for head in self.scan.take(bytes) {
+            self.queue.push(head, service.now());
+        }
+    }
+
+    /// Reads what the HTTP library does not.
+    fn poll_ahead<S>(&mut self, cx: &mut Context<'_>, service: &S) -> Poll<AheadRead>
+    where
+        S: PipelineService<Body = B>,
+    {
+        if self.has_ended || self.unread.len() >= self.max_unread {
+            return Poll::Pending;
+        }
+        let mut space = [0; READ_BYTES];
+        let mut buf = ReadBuf::new(&mut space);
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+        if result.is_err() || buf.filled().is_empty() {
+            self.has_ended = true;
+            return Poll::Ready(if self.is_answering { AheadRead::Left } else { AheadRead::More });
+        }
+        self.scan(buf.filled(), service);
+        self.unread.extend_from_slice(buf.filled());
+        Poll::Ready(AheadRead::More)
+    }
+
+    fn start_ahead<S>(&mut self, service: &Arc<S>, ahead: &Arc<Semaphore>)
+    where
+        S: PipelineService<Body = B>,
+    {
+        let is_idempotent = |request: &Request<()>| service.is_idempotent(request);
+        let start = |request: Request<()>, arrived| {
+            let permit = ahead.clone().try_acquire_owned().ok()?;
+            let answer = service.clone().answer(request.map(|()| None), arrived);
+            Some(AheadTask { answer: tokio::spawn(answer), _permit: permit })
+        };
+        while !service.is_leaving() && self.queue.start_next(is_idempotent, start) {}
+    }
+}
+
+/// Stream of a connection as the HTTP library sees it.
+struct AheadStream<I, S>
+where
+    S: PipelineService,
+{
+    shared: Arc<Mutex<SharedStream<I, S::Body>>>,
+    service: Arc<S>,
+}
+
+impl<I, S> AsyncRead for AheadStream<I, S>
+where
+    I: AsyncRead + Unpin,
+    S: PipelineService,
+{
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut shared = self.shared.lock();
+        if !shared.unread.is_empty() {
+            let count = shared.unread.len().min(buf.remaining());
+            buf.put_slice(&shared.unread[..count]);
+            shared.unread.advance(count);
+            return Poll::Ready(Ok(()));
+        }
+        if shared.has_ended {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut shared.stream).poll_read(cx, buf))?;
+        let bytes = &buf.filled()[before..];
+        shared.has_ended = bytes.is_empty();
+        shared.scan(bytes, self.service.as_ref());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<I, S> AsyncWrite for AheadStream<I, S>
+where
+    I: AsyncWrite + Unpin,
+    S: PipelineService,
+{
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.shared.lock().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.shared.lock().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.shared.lock().stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.shared.lock().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.shared.lock().stream).poll_shutdown(cx)
+    }
+}
+
+/// Serves one connection until it ends.
+///
+/// When `closing` completes and `ends_early` agrees, which is told whether a request was begun, the connection ends after
+/// the requests that were.
+pub async fn serve_pipeline<I, S, C, G>(
+    stream: I,
+    builder: &http1::Builder,
+    limits: PipelineLimits,
+    service: Arc<S>,
+    closing: C,
+    ends_early: G,
+) -> hyper::Result<()>
+where
+    I: AsyncRead + AsyncWrite + Unpin,
+    S: PipelineService,
+    C: Future<Output = ()>,
+    G: FnOnce(bool) -> bool,
+{
+    let shared = Arc::new(Mutex::new(SharedStream {
+        stream,
+        unread: BytesMut::new(),
+        max_unread: limits.max_header_bytes,
+        has_ended: false,
+        scan: RequestScan::new(limits.max_header_bytes),
+        queue: PipelineQueue::new(MAX_AHEAD),
+        has_begun: false,
+        is_answering: false,
+    }));
+    let answer = service_fn(|request| answer_in_turn(&shared, &service, request));
+    let stream = AheadStream { shared: shared.clone(), service: service.clone() };
+    let connection = builder.serve_connection(TokioIo::new(stream), answer);
+    tokio::pin!(connection, closing);
+    let mut ends_early = Some(ends_early);
+    let mut is_closing = false;
+    std::future::poll_fn(|cx| {
+        loop {
+            if let Poll::Ready(result) = connection.as_mut().poll(cx) {
+                return Poll::Ready(result);
+            }
+            is_closing = is_closing || closing.as_mut().poll(cx).is_ready();
+            // Requests that were begun ahead are still answered.
+            if is_closing && !shared.lock().queue.has_work() {
+                let has_begun = shared.lock().has_begun;
+                if ends_early.take().is_some_and(|it| it(has_begun)) {
+                    connection.as_mut().graceful_shutdown();
+                    continue;
+                }
+            }
+            let read = shared.lock().poll_ahead(cx, service.as_ref());
+            shared.lock().start_ahead(&service, &limits.ahead);
+            match read {
+                Poll::Ready(AheadRead::More) => {}
+                Poll::Ready(AheadRead::Left) => return Poll::Ready(Ok(())),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    })
+    .await
+}
+
+/// Answers the request whose turn has come, with what was begun ahead if there is something.
+async fn answer_in_turn<I, S>(
+    shared: &Mutex<SharedStream<I, S::Body>>,
+    service: &Arc<S>,
+    request: Request<Incoming>,
+) -> Result<Response<S::Body>, Infallible>
+where
+    S: PipelineService,
+{
+    let begun = {
+        let mut shared = shared.lock();
+        shared.has_begun = true;
+        shared.is_answering = true;
+        shared.queue.begin()
+    };
+    let is_queued = begun.is_some();
+    let arrived = begun.as_ref().map_or_else(|| service.now(), |it| it.arrived);
+    let done = match begun.and_then(|it| it.work) {
+        Some(mut task) => match (&mut task.answer).await {
+            Ok(response) => Some(response),
+            Err(err) => {
+                log::error!(error:% = err; "answer request ahead of its turn");
+                None
+            }
+        },
+        None => None,
+    };
+    let mut response = match done {
+        Some(response) => response,
+        None => service.clone().answer(request.map(Some), arrived).await,
+    };
+    let mut shared = shared.lock();
+    shared.is_answering = false;
+    if is_queued {
+        shared.queue.end();
+    }
+    // A response that closes the connection would cut those that were begun behind it.
+    if service.is_leaving() && !shared.queue.has_work() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/sapphireknotd/src/front/request_scan.rs
@@ -0,0 +1,254 @@
+//! Finds the heads of requests in the bytes of a connection.
+//!
+//! Only the framing is read: where a head ends and where its body does. What is unusual in it (another version, an
+//! upgrade, a length that is told twice, a connection that the caller ends) ends the scan, so that a head is never found
+//! inside the body of another request. The HTTP library reads the same bytes and decides about them.
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::{HeaderName, HeaderValue, Method, Request, Uri, header};
+
+/// Headers of one request; the HTTP library takes as many.
+const MAX_HEADERS: usize = 100;
+/// Longest line that tells the size of a chunk, or that follows the last one.
+const MAX_LINE_BYTES: usize = 1 << 10;
+
+/// Head of a request that was found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScannedHead {
+    /// Its bytes, up to the empty line.
+    pub bytes: Bytes,
+    /// Whether a body follows.
+    pub has_body: bool,
+}
+
+/// Scan of one connection.
+#[derive(Debug)]
+pub struct RequestScan {
+    stage: ScanStage,
+    /// Bytes of a head or line of which the end has not arrived.
+    pending: BytesMut,
+    max_head_bytes: usize,
+}
+
+/// What the next byte belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ScanStage {
+    Head,
+    Body {
+        left: u64,
+    },
+    ChunkSize,
+    /// Data of a chunk with the line end behind it.
+    Chunk {
+        left: u64,
+    },
+    Trailer,
+    /// Nothing more is read.
+    Ended,
+}
+
+/// Length of the body behind a head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyLength {
+    Told(u64),
+    Chunked,
+}
+
+/// What the head says of the bytes behind it.
+#[derive(Debug)]
+struct HeadFraming {
+    head_bytes: usize,
+    body: BodyLength,
+    is_last: bool,
+}
+
+impl ScannedHead {
+    /// The request without its body.
+    pub fn to_request(&self) -> Option<Request<()>> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut headers);
+        parsed.parse(&self.bytes).ok().filter(httparse::Status::is_complete)?;
+        let mut request = Request::new(());
+        *request.method_mut() = Method::from_bytes(parsed.method?.as_bytes()).ok()?;
+        *request.uri_mut() = parsed.path?.parse::<Uri>().ok()?;
+        for header in parsed.headers.iter() {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            request.headers_mut().append(name, HeaderValue::from_bytes(header.value).ok()?);
+        }
+        Some(request)
+    }
+}
+
+impl RequestScan {
+    /// A scan from the first byte of a connection, on which heads have at most `max_head_bytes`.
+    pub fn new(max_head_bytes: usize) -> Self {
+        Self { stage: ScanStage::Head, pending: BytesMut::new(), max_head_bytes }
+    }
+
+    /// Whether nothing more is found on this connection.
+    pub fn is_ended(&self) -> bool {
+        self.stage == ScanStage::Ended
+    }
+
+    /// Takes the next bytes and returns the heads that are complete with them.
+    pub fn take(&mut self, mut bytes: &[u8]) -> Vec<ScannedHead> {
+        let mut heads = Vec::new();
+        loop {
+            match self.stage {
+                ScanStage::Ended => return heads,
+                ScanStage::Body { left } => {
+                    let left = skip(&mut self.pending, &mut bytes, left);
+                    if left > 0 {
+                        self.stage = ScanStage::Body { left };
+                        return heads;
+                    }
+                    self.stage = ScanStage::Head;
+                }
+                ScanStage::Chunk { left } => {
+                    let left = skip(&mut self.pending, &mut bytes, left);
+                    if left > 0 {
+                        self.stage = ScanStage::Chunk { left };
+                        return heads;
+                    }
+                    self.stage = ScanStage::ChunkSize;
+                }
+                ScanStage::Head | ScanStage::ChunkSize | ScanStage::Trailer => {
+                    self.pending.extend_from_slice(bytes);
+                    bytes = &[];
+                    if self.pending.is_empty() {
+                        return heads;
+                    }
+                    let is_complete = match self.stage {
+                        ScanStage::Head => self.take_head(&mut heads),
+                        ScanStage::ChunkSize => self.take_chunk_size(),
+                        _ => self.take_trailer(),
+                    };
+                    if !is_complete {
+                        return heads;
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        self.stage = ScanStage::Ended;
+        self.pending = BytesMut::new();
+    }
+
+    /// Returns whether a head was complete.
+    fn take_head(&mut self, heads: &mut Vec<ScannedHead>) -> bool {
+        let framing = match read_framing(&self.pending) {
+            Ok(Some(framing)) => framing,
+            Ok(None) if self.pending.len() <= self.max_head_bytes => return false,
+            Ok(None) | Err(NotScanned) => {
+                self.end();
+                return false;
+            }
+        };
+        let bytes = self.pending.split_to(framing.head_bytes).freeze();
+        heads.push(ScannedHead { bytes, has_body: framing.body != BodyLength::Told(0) });
+        match framing.body {
+            _ if framing.is_last => self.end(),
+            BodyLength::Told(0) => {}
+            BodyLength::Told(left) => self.stage = ScanStage::Body { left },
+            BodyLength::Chunked => self.stage = ScanStage::ChunkSize,
+        }
+        true
+    }
+
+    /// Returns whether the line was complete.
+    fn take_chunk_size(&mut self) -> bool {
+        match httparse::parse_chunk_size(&self.pending) {
+            Ok(httparse::Status::Complete((line_bytes, size))) => {
+                self.pending.advance(line_bytes);
+                self.stage = match size {
+                    0 => ScanStage::Trailer,
+                    _ => ScanStage::Chunk { left: size.saturating_add(2) },
+                };
+                true
+            }
+            Ok(httparse::Status::Partial) if self.pending.len() <= MAX_LINE_BYTES => false,
+            Ok(httparse::Status::Partial) | Err(_) => {
+                self.end();
+                false
+            }
+        }
+    }
+
+    /// Returns whether the line was complete.
+    fn take_trailer(&mut self) -> bool {
+        match self.pending.iter().position(|it| *it == b'\n') {
+            Some(end) => {
+                let line = self.pending.split_to(end + 1);
+                if matches!(line.as_ref(), b"\r\n" | b"\n") {
+                    self.stage = ScanStage::Head;
+                }
+                true
+            }
+            None if self.pending.len() <= MAX_LINE_BYTES => false,
+            None => {
+                self.end();
+                false
+            }
+        }
+    }
+}
+
+/// Skips up to `count` bytes of both parts, and returns how many are left to skip.
+fn skip(pending: &mut BytesMut, bytes: &mut &[u8], count: u64) -> u64 {
+    let take = |len: usize, count: u64| len.min(usize::try_from(count).unwrap_or(usize::MAX));
+    let first = take(pending.len(), count);
+    pending.advance(first);
+    let second = take(bytes.len(), count - first as u64);
+    bytes.advance(second);
+    count - first as u64 - second as u64
+}
+
+/// The bytes are no usual head.
+struct NotScanned;
+
+/// What the head at the start of `bytes` says; `None` while it is incomplete.
+fn read_framing(bytes: &[u8]) -> Result<Option<HeadFraming>, NotScanned> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let head_bytes = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(head_bytes)) => head_bytes,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(NotScanned),
+    };
+    if parsed.version != Some(1) || parsed.method == Some("CONNECT") {
+        return Err(NotScanned);
+    }
+    let (mut body, mut is_last) = (None, false);
+    for header in parsed.headers.iter() {
+        let is_named = |name: HeaderName| header.name.eq_ignore_ascii_case(name.as_str());
+        if is_named(header::UPGRADE) {
+            return Err(NotScanned);
+        } else if is_named(header::CONNECTION) {
+            is_last |= tells_close(header.value);
+        } else if is_named(header::CONTENT_LENGTH) {
+            let length = told_length(header.value).ok_or(NotScanned)?;
+            if body.replace(BodyLength::Told(length)).is_some() {
+                return Err(NotScanned);
+            }
+        } else if is_named(header::TRANSFER_ENCODING) {
+            let is_chunked = header.value.eq_ignore_ascii_case(b"chunked");
+            if !is_chunked || body.replace(BodyLength::Chunked).is_some() {
+                return Err(NotScanned);
+            }
+        }
+    }
+    Ok(Some(HeadFraming { head_bytes, body: body.unwrap_or(BodyLength::Told(0)), is_last }))
+}
+
+fn tells_close(value: &[u8]) -> bool {
+    value.split(|it| *it == b',').any(|it| it.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
+fn told_length(value: &[u8]) -> Option<u64> {
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/sapphireknotd/tests/pipeline_queue.rs
@@ -0,0 +1,132 @@
+//! Requests of a connection that are begun before their turn.
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
+use http::Request;
+use sapphireknot::time::MonoTime;
+use sapphireknotd::front::{
+    pipeline_queue::PipelineQueue,
+    request_scan::{RequestScan, ScannedHead},
+};
+
+/// Requests of the tests that are begun ahead at most.
+const MAX_AHEAD: usize = 3;
+
+fn head(method: &str, path: &str) -> ScannedHead {
+    let text = format!("{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+    RequestScan::new(1 << 10).take(text.as_bytes()).remove(0)
+}
+
+/// Requests below `/once` may run once.
+fn is_idempotent(request: &Request<()>) -> bool {
+    !request.uri().path().starts_with("/once")
+}
+
+/// Begins what may be begun, and returns the paths.
+fn start_all(queue: &mut PipelineQueue<String>) -> Vec<String> {
+    let mut started = Vec::new();
+    loop {
+        let start = |request: Request<()>, _: MonoTime| Some(request.uri().path().to_owned());
+        let mut path = None;
+        if !queue.start_next(is_idempotent, |request, arrived| {
+            path = start(request, arrived);
+            path.clone()
+        }) {
+            return started;
+        }
+        started.extend(path);
+    }
+}
+
+/// Guards against requests that run once being begun while a response before theirs may close the connection, and
+/// against requests that overtake one whose effect they may depend on.
+#[test]
+fn behind_single_run() {
+    let mut queue = PipelineQueue::new(MAX_AHEAD);
+    for (method, path) in [("GET", "/a"), ("GET", "/b"), ("GET", "/once"), ("GET", "/c")] {
+        queue.push(head(method, path), MonoTime::default());
+    }
+    queue.begin();
+    assert_eq!(start_all(&mut queue), ["/b"]);
+    queue.end();
+    assert_eq!(queue.begin().unwrap().work.as_deref(), Some("/b"));
+    queue.end();
+    assert!(queue.begin().unwrap().work.is_none());
+    assert!(start_all(&mut queue).is_empty(), "begun behind a request that runs once");
+    queue.end();
+    assert!(queue.begin().unwrap().work.is_none());
+}
+
+/// Guards against requests that are begun behind an unsafe method, whose body may close the connection.
+#[test]
+fn behind_unsafe_method() {
+    let mut queue = PipelineQueue::new(MAX_AHEAD);
+    queue.push(head("POST", "/a"), MonoTime::default());
+    queue.push(head("GET", "/b"), MonoTime::default());
+    queue.begin();
+    assert!(start_all(&mut queue).is_empty());
+}
+
+/// Guards against one connection that takes the work of all, and against room that is not given back.
+#[test]
+fn bounded_work() {
+    let mut queue = PipelineQueue::new(MAX_AHEAD);
+    for idx in 0..8 {
+        queue.push(head("GET", &format!("/{idx}")), MonoTime::default());
+    }
+    queue.begin();
+    assert_eq!(start_all(&mut queue), ["/1", "/2", "/3"]);
+    queue.end();
+    queue.begin();
+    assert_eq!(start_all(&mut queue), ["/4"]);
+}
+
+fn check_order(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut queue = PipelineQueue::new(MAX_AHEAD);
+    let (mut pushed, mut begun, mut ended) = (Vec::new(), 0, 0);
+    let mut started = Vec::new();
+    for _ in 0..60 {
+        match u.int_in_range(0..=2)? {
+            0 => {
+                let path = if u.ratio(1, 4)? { "/once" } else { "/many" };
+                let path = format!("{path}/{}", pushed.len());
+                queue.push(head("GET", &path), MonoTime::default());
+                pushed.push(path);
+            }
+            // The library reads the next request once the one before it is answered.
+            1 if begun == ended && begun < pushed.len() => {
+                let request = queue.begin().expect("a request waits");
+                let was_started = started.contains(&pushed[begun]);
+                assert_eq!(request.work.is_some(), was_started, "{}", pushed[begun]);
+                begun += 1;
+            }
+            2 if begun > ended => {
+                queue.end();
+                ended += 1;
+            }
+            _ => {}
+        }
+        for path in start_all(&mut queue) {
+            let place = pushed.iter().position(|it| *it == path).expect("a request that was sent");
+            assert!(place >= begun, "{path} is begun ahead after its turn has come");
+            assert!(!started.contains(&path), "{path} is begun twice");
+            let unanswered = &pushed[ended..=place];
+            assert!(unanswered.iter().all(|it| it.starts_with("/many")), "{unanswered:?}");
+            started.push(path);
+        }
+        let waiting = pushed[begun..].iter().filter(|it| started.contains(it)).count();
+        assert!(waiting <= MAX_AHEAD);
+        assert_eq!(queue.has_work(), waiting > 0);
+    }
+    Ok(())
+}
+
+/// Guards against work that is begun twice, beyond the bound, out of turn, or handed to another request.
+#[test]
+fn random_orders() {
+    for seed in 0..100_u64 {
+        arbtest(check_order).seed(seed << 32 | 1_024).run();
+    }
+}
