entry host: take changes of the store from the collector of the region

Cause: each host waits for changes with a watch of its own, which is paid for by host and change.

Ruled out: longer pauses between watches, as changes then take effect late; a revision told by other hosts without a check at the store, as hosts that the store leaves out together would not notice.

Change: the collector of load reports watches, and its replies carry the changes after the revision that the other host knows. A host watches by itself when the collector does not answer, does not watch itself or lacks changes, after each failed call to the store, and when a lagging read shows a later revision of which it was not told within the usual pause.

--- a/crates/sapphireknot/src/steering/feed_copy.rs
+++ b/crates/sapphireknot/src/steering/feed_copy.rs
@@ -5,10 +5,17 @@
 //! the time at which the store last answered; a host that takes it keeps that time, so that the age of a copy that was
 //! handed on twice is still counted from the store's last answer.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::time::MonoTime;
 
+/// Changes that are kept for hosts that follow this one; they ask several times a second.
+const RECENT_CHANGES: usize = 1_024;
+
 /// Revision of the store at which an entry was written, or up to which a copy is complete.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CopyRevision(pub u64);
@@ -82,6 +89,29 @@
     pub entries: Vec<RawEntry>,
 }
 
+/// Changes between two revisions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyChanges {
+    /// Revision after which these are all changes.
+    pub after: CopyRevision,
+    /// Revision up to which they are.
+    pub revision: CopyRevision,
+    /// Changes in the order of the store.
+    pub entries: Vec<RawEntry>,
+}
+
+impl CopyChanges {
+    /// What a host that knows everything up to `known` has not seen; `None` if something between would be missing, or if
+    /// nothing is new.
+    pub fn since(&self, known: CopyRevision) -> Option<Self> {
+        if self.after > known || self.revision <= known {
+            return None;
+        }
+        let entries = self.entries.iter().filter(|it| it.revision > known).cloned().collect();
+        Some(Self { after: known, revision: self.revision, entries })
+    }
+}
+
 #[derive(Debug)]
 struct HeldEntry {
     revision: CopyRevision,
@@ -93,6 +123,10 @@
 pub struct FeedCopy {
     entries: BTreeMap<String, HeldEntry>,
     revision: CopyRevision,
+    /// Latest changes.
+    recent: VecDeque<RawEntry>,
+    /// Revision after which `recent` has all changes.
+    recent_after: CopyRevision,
     /// When the store last answered; `None` until the copy is complete.
     confirmed_at: Option<MonoTime>,
     source: CopySource,
@@ -110,11 +144,22 @@
     pub fn replace(&mut self, entries: Vec<RawEntry>, revision: CopyRevision) {
         self.entries.clear();
         self.confirmed_at = None;
-        self.take(entries, revision);
+        self.hold(entries, revision);
+        self.forget_changes();
     }
 
     /// Takes changes of the store up to `revision`.
     pub fn take(&mut self, entries: Vec<RawEntry>, revision: CopyRevision) {
+        self.recent.extend(entries.iter().filter(|it| it.revision > self.revision).cloned());
+        while self.recent.len() > RECENT_CHANGES
+            && let Some(dropped) = self.recent.pop_front()
+        {
+            self.recent_after = dropped.revision;
+        }
+        self.hold(entries, revision);
+    }
+
+    fn hold(&mut self, entries: Vec<RawEntry>, revision: CopyRevision) {
         for RawEntry { key, revision, value } in entries {
             // A read is no snapshot: what it found late is told again by the changes after it.
             if self.entries.get(&key).is_some_and(|it| revision < it.revision) {
@@ -128,6 +173,22 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Begins the list of changes anew, as those up to now are not known one by one.
+    fn forget_changes(&mut self) {
+        self.recent.clear();
+        self.recent_after = self.revision;
+    }
+
+    /// Changes for a host that knows everything up to `known`; `None` if this copy is not the store's, or if not all of
+    /// them are known.
+    pub fn changes_since(&self, known: CopyRevision) -> Option<CopyChanges> {
+        if !self.follows_store() || known < self.recent_after {
+            return None;
+        }
+        let entries = self.recent.iter().filter(|it| it.revision > known).cloned().collect();
+        Some(CopyChanges { after: known, revision: self.revision, entries })
+    }
+
     /// Notes that this is what the store held at `now`.
     pub fn confirm(&mut self, now: MonoTime) {
         self.confirmed_at = Some(now);
@@ -207,6 +268,7 @@
         let news = CopyNews { is_complete, entries: written.chain(removed).collect() };
         self.entries = entries;
         self.revision = offer.revision;
+        self.forget_changes();
         self.confirmed_at = Some(offer.confirmed_at);
         self.source = CopySource::Peer;
         Some(news)
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -17,6 +17,7 @@
 mod decision_line;
 pub mod decision_log;
 pub mod evidence_codec;
+pub mod feed_relay;
 pub mod fleet_actor;
 pub mod host_actor;
 pub mod load_peers;
--- /dev/null
+++ b/crates/sapphireknotd/src/entry/feed_relay.rs
@@ -0,0 +1,118 @@
+//! Changes of the store that one host of a region passes on to the others.
+//!
+//! A watch of the store is paid for by each host that waits and each time that something changes, so that its cost grows
+//! with hosts times changes. The collector of a region watches, and the other hosts get the changes with the exchange of
+//! load reports. A host watches by itself as soon as the collector does not answer, does not watch or lacks changes, or
+//! as soon as the store has a later revision that the collector did not tell in time.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use sapphireknot::steering::feed_copy::{CopyChanges, CopyRevision, RawEntry};
+use sapphireknot_platform::{FeedPage, StoreRevision};
+use sapphireknot_wire::entry::{ChangedEntry, FeedChanges};
+use tokio::sync::watch;
+
+use super::state::EntryState;
+
+/// What the collector of the region tells.
+#[derive(Debug)]
+pub struct FeedRelay {
+    /// Latest changes; `None` while the collector tells nothing. Each begins at what this host knew when it asked.
+    told: watch::Sender<Option<CopyChanges>>,
+    /// Whether this host watches the store itself.
+    is_watching: AtomicBool,
+}
+
+impl Default for FeedRelay {
+    fn default() -> Self {
+        Self { told: watch::Sender::new(None), is_watching: AtomicBool::new(true) }
+    }
+}
+
+impl FeedRelay {
+    /// What the collector tells from now on.
+    pub fn subscribe(&self) -> watch::Receiver<Option<CopyChanges>> {
+        self.told.subscribe()
+    }
+
+    /// Takes what the collector told; `None` if it did not.
+    pub fn take(&self, changes: Option<FeedChanges>) {
+        self.told.send_if_modified(|told| {
+            let has_news = told.is_some() || changes.is_some();
+            *told = changes.map(decode_changes);
+            has_news
+        });
+    }
+
+    /// Notes whether this host watches the store itself.
+    pub fn set_watching(&self, is_watching: bool) {
+        self.is_watching.store(is_watching, Ordering::Relaxed);
+    }
+}
+
+/// Changes for a host that knows everything up to `known`; `None` if this one gets them from another host itself, as two
+/// hosts that follow each other would notice nothing.
+pub fn changes_for(state: &EntryState, known: u64) -> Option<FeedChanges> {
+    if known == 0 || !state.relay.is_watching.load(Ordering::Relaxed) {
+        return None;
+    }
+    let changes = state.copy.lock().changes_since(CopyRevision(known))?;
+    Some(encode_changes(changes))
+}
+
+/// Waits for changes after `known`; `None` once the collector tells nothing, or not all of them.
+pub async fn next_page(
+    state: &EntryState,
+    told: &mut watch::Receiver<Option<CopyChanges>>,
+    known: StoreRevision,
+) -> Option<FeedPage> {
+    let known = CopyRevision(known.0);
+    loop {
+        {
+            let told = told.borrow_and_update();
+            let changes = told.as_ref()?;
+            if let Some(news) = changes.since(known) {
+                return Some(decode_page(state, news));
+            }
+            if changes.after > known {
+                return None;
+            }
+        }
+        told.changed().await.ok()?;
+    }
+}
+
+fn decode_page(state: &EntryState, changes: CopyChanges) -> FeedPage {
+    let store = &state.platform.store;
+    FeedPage {
+        changes: changes.entries.iter().filter_map(|it| store.decode_entry(it)).collect(),
+        entries: changes.entries,
+        revision: StoreRevision(changes.revision.0),
+    }
+}
+
+fn encode_changes(changes: CopyChanges) -> FeedChanges {
+    let encode = |it: RawEntry| ChangedEntry {
+        key: it.key,
+        revision: it.revision.0,
+        value: it.value.map(|it| it.to_vec()),
+    };
+    FeedChanges {
+        after: changes.after.0,
+        revision: changes.revision.0,
+        entries: changes.entries.into_iter().map(encode).collect(),
+    }
+}
+
+fn decode_changes(changes: FeedChanges) -> CopyChanges {
+    let decode = |it: ChangedEntry| RawEntry {
+        key: it.key,
+        revision: CopyRevision(it.revision),
+        value: it.value.map(Into::into),
+    };
+    CopyChanges {
+        after: CopyRevision(changes.after),
+        revision: CopyRevision(changes.revision),
+        entries: changes.entries.into_iter().map(decode).collect(),
+    }
+}
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -5,6 +5,7 @@
 //! in their order, publishes the plan, and writes the records of rollouts that are due. After a failed call the task goes
 //! on from the same revision; when the store has dropped that history it reads the latest state. While a watch waits, the
 //! task compares revisions with the store at intervals, as the answer to a watch may be lost while other calls succeed.
+//! Where another host of the region watches, its changes are taken instead ([`super::feed_relay`]).
 //! Until the store has told everything, and while it does not answer, the actor also takes what other hosts offer
 //! ([`super::peer_source`]).
 
@@ -26,7 +27,7 @@
 };
 use tokio::{sync::watch, time::sleep};
 
-use super::state::EntryState;
+use super::{feed_relay, state::EntryState};
 use crate::constants::{
     FLEET_FIRST_RETRY, FLEET_MAX_RETRY, FLEET_REVISION_CHECK, FLEET_WATCH_PAUSE, FLEET_WATCH_WAIT,
 };
@@ -304,11 +305,31 @@
     let mut wait = Duration::ZERO;
     let mut pause = FLEET_FIRST_RETRY.0;
     let mut failures = state.store_failures();
+    let mut relayed = state.relay.subscribe();
     // Revision of the store of which the last watch did not tell.
     let mut untold: Option<StoreRevision> = None;
     loop {
         let apply_time = state.settings.load().bounds.apply_time.0;
+        // After a failure, or while changes are missing, this host asks the store itself.
+        let is_relayed = !wait.is_zero() && relayed.borrow().is_some();
+        state.relay.set_watching(!is_relayed);
+        let check_interval = apply_time.mul_f64(FLEET_REVISION_CHECK);
         let result = match known {
+            Some(revision) if is_relayed => tokio::select! {
+                page = feed_relay::next_page(&state, &mut relayed, revision) => match page {
+                    Some(page) => Ok(FleetMessage::Changed(page)),
+                    None => {
+                        wait = Duration::ZERO;
+                        continue;
+                    }
+                },
+                err = next_failure(&mut failures) => Err(FeedError::Store(err)),
+                newer = overdue_revision(&state, revision, check_interval, pause_of(apply_time)) => {
+                    log::info!(revision:%, newer:%; "changes were not passed on in time");
+                    wait = Duration::ZERO;
+                    continue;
+                }
+            },
             None => {
                 let page = store.read_all(recency).await.map_err(FeedError::Store);
                 page.map(|page| FleetMessage::Read(page, recency))
@@ -317,7 +338,7 @@
                 page = store.next_changes(revision, wait) => page.map(FleetMessage::Changed),
                 // A watch that waits at a store that answers nothing else may wait for ever.
                 err = next_failure(&mut failures) => Err(FeedError::Store(err)),
-                newer = newer_revision(&state, revision, apply_time.mul_f64(FLEET_REVISION_CHECK)) => {
+                newer = newer_revision(&state, revision, check_interval) => {
                     untold = Some(newer);
                     wait = Duration::ZERO;
                     continue;
@@ -371,10 +392,17 @@
             }
             continue;
         }
-        sleep(apply_time.mul_f64(FLEET_WATCH_PAUSE)).await;
+        if !is_relayed {
+            sleep(pause_of(apply_time)).await;
+        }
     }
 }
 
+/// Pause between watches.
+fn pause_of(apply_time: Duration) -> Duration {
+    apply_time.mul_f64(FLEET_WATCH_PAUSE)
+}
+
 /// Waits for a call that the store did not answer since the last one.
 async fn next_failure(failures: &mut watch::Receiver<Option<StoreError>>) -> StoreError {
     loop {
@@ -406,6 +434,19 @@
     }
 }
 
+/// Waits until the store has a later revision than `known`, and then for `patience`, in which the collector tells of it
+/// if it watches the store.
+async fn overdue_revision(
+    state: &EntryState,
+    known: StoreRevision,
+    interval: Duration,
+    patience: Duration,
+) -> StoreRevision {
+    let newer = newer_revision(state, known, interval).await;
+    sleep(patience).await;
+    newer
+}
+
 fn count_failure(state: &EntryState, err: &StoreError) {
     let (StoreError::Refused { step, .. } | StoreError::Unanswered { step, .. }) = err;
     state.meters.count_store_failure(step);
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -67,6 +67,7 @@
             position = ReportPosition::default();
         }
         if collector.id == state.record.id {
+            state.relay.take(None);
             let others = state.core.lock().far_collectors();
             for collector in others {
                 let link = links.entry(collector.id.clone()).or_default();
@@ -74,14 +75,15 @@
             }
         } else {
             let link = links.entry(collector.id.clone()).or_default();
-            if let Some(next) = exchange(&state, &channels, &collector, position, link).await {
-                position = next;
+            match exchange(&state, &channels, &collector, position, link).await {
+                Some(next) => position = next,
+                None => state.relay.take(None),
             }
         }
     }
 }
 
-/// Position of the collector's reply; `None` if there was nothing to tell or no answer.
+/// Position of the collector's reply; `None` if there was no answer.
 async fn exchange(
     state: &EntryState,
     channels: &PeerChannels,
@@ -96,9 +98,6 @@
         let evidence = core.untold_evidence(collector, link.told, state.record.incarnation);
         (core.untold_loads(now), evidence)
     };
-    if reports.is_empty() && evidence.is_empty() {
-        return None;
-    }
     let request = ShareLoadsRequest {
         reports: Some(encode_reports(&reports, now)),
         position: position.0,
@@ -106,6 +105,7 @@
         evidence: encode_evidence(&evidence, now),
         evidence_position: link.heard.0,
         host: state.record.id.to_string(),
+        known_revision: state.copy.lock().known().0,
     };
     let reply = call(state, channels, collector, client.share_loads(request)).await?;
     let now = state.clock.now();
@@ -113,6 +113,7 @@
     state.meters.count_load_reports(news.len());
     let evidence = decode_evidence(&reply.evidence, now);
     link.advance(told, EvidencePosition(reply.evidence_position));
+    state.relay.take(reply.changes);
     let mut core = state.core.lock();
     core.take_loads(&news);
     core.take_region_loads(decode_regions(&reply.regions, now));
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -20,6 +20,7 @@
     cold_peers::{ColdPeers, decode_cold},
     copy_calls,
     evidence_codec::{decode_evidence, encode_evidence},
+    feed_relay,
     load_peers::{decode_regions, decode_reports, encode_regions, encode_reports, take_evidence},
     state::EntryState,
 };
@@ -100,8 +101,15 @@
         &self,
         request: Request<ShareLoadsRequest>,
     ) -> Result<Response<ShareLoadsReply>, Status> {
-        let ShareLoadsRequest { reports, position, regions, evidence, evidence_position, host } =
-            request.into_inner();
+        let ShareLoadsRequest {
+            reports,
+            position,
+            regions,
+            evidence,
+            evidence_position,
+            host,
+            known_revision,
+        } = request.into_inner();
         let now = self.state.clock.now();
         let evidence = decode_evidence(&evidence, now);
         let heard = EvidencePosition(evidence_position);
@@ -125,6 +133,7 @@
         let reports = decode_reports(&reports.unwrap_or_default(), now);
         self.state.meters.count_load_reports(reports.len());
         let position = ReportPosition(position);
+        let changes = feed_relay::changes_for(&self.state, known_revision);
         let mut core = self.state.core.lock();
         let (news, position) = core.collect_loads(&reports, position, now);
         take_evidence(&mut core, evidence);
@@ -137,6 +146,7 @@
             regions: encode_regions(&core.region_loads(now), now),
             evidence: encode_evidence(&evidence, now),
             evidence_position: after.0,
+            changes,
         };
         Ok(Response::new(reply))
     }
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use super::{
-    decision_log::DecisionLog, meters::EntryMeters, platform::EntryPlatform,
+    decision_log::DecisionLog, feed_relay::FeedRelay, meters::EntryMeters, platform::EntryPlatform,
     settings::EntrySettings,
 };
 use crate::clock::HostClock;
@@ -35,6 +35,8 @@
     pub core: Mutex<SteeringCore>,
     /// What the store told, for hosts that cannot read it; not locked together with the decisions.
     pub copy: Mutex<FeedCopy>,
+    /// Changes of the store that the collector of the region tells.
+    pub relay: FeedRelay,
     /// Plan in force; `None` until the first one was read.
     pub plan: ArcSwapOption<RoutingPlan>,
     /// Stage of the graceful shutdown.
@@ -64,6 +66,7 @@
             record,
             core: Mutex::new(core),
             copy: Mutex::default(),
+            relay: FeedRelay::default(),
             plan: ArcSwapOption::empty(),
             drain: watch::Sender::new(DrainStage::Serving),
             meters: EntryMeters::default(),
