steering: name other hosts in each answer of a region with more than 64

Cause: an answer of the directory holds 64 hosts, and the first 64 by name were told, so that further hosts of a region of 65 and more never got a caller.

Test: host_naming::many_hosts, 100 hosts; before, 36 of them were never named.

--- a/crates/sapphireknotd/src/entry/side_servers.rs
+++ b/crates/sapphireknotd/src/entry/side_servers.rs
@@ -37,7 +37,8 @@
         let own = state.is_ready().then_some(&state.record);
         let core = state.core.lock();
         let own = own.filter(|own| core.hosts().all(|it| it.id != own.id));
-        name_hosts(core.hosts().chain(own), plan.as_deref(), &query.host_name, &region)
+        let (hosts, plan) = (core.hosts().chain(own), plan.as_deref());
+        name_hosts(hosts, plan, &query.host_name, &region, &mut rand::rng())
     };
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
