entry host: reach hosts of regions that are far away

Cause: connections to other hosts had to open in 100 ms and owners of quotas had to answer in 100 ms, which a region 55 ms away one way never does.

Change: calls to other regions have a limit of 500 ms; owners of other regions are asked at the same time; the way to a region is measured by the exchange of its collectors and weighs the choice of servers there instead of 30 ms.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -32,8 +32,10 @@
     time::MonoTime,
 };
 
-/// Time that a server in another region than that of the object costs, in milliseconds: a round trip between regions.
+/// Time that a server in another region than that of the object costs, in milliseconds, until the way was measured.
 const AWAY_MS: f64 = 30.0;
+/// Growth of the shortest measured way with each longer measurement, so that a detour is followed.
+const WAY_GROWTH: f64 = 1.05;
 /// Weight of a new sample in the usual load.
 const USUAL_WEIGHT: f64 = 0.05;
 /// Part of the remaining time that the expected time may take; estimates are too low for half of the requests.
@@ -67,6 +69,8 @@
     servers: Vec<ServerState>,
     place: PlaceTable,
     region_loads: HashMap<RegionId, RegionLoad>,
+    /// Shortest way to a region and back that was measured lately, in milliseconds.
+    ways_ms: HashMap<RegionId, f64>,
     /// Work by target latency, which tells kinds of requests apart.
     work: HashMap<u64, WorkEstimate>,
     /// Requests that run or wait per slot, over all servers.
@@ -86,6 +90,7 @@
             servers: Vec::new(),
             place: PlaceTable::new(region),
             region_loads: HashMap::new(),
+            ways_ms: HashMap::new(),
             work: HashMap::new(),
             usual_load: 0.3,
             evacuated: HashSet::new(),
@@ -148,6 +153,12 @@
 
     /// Takes what the collector of a region told, unless something later is known.
     pub fn record_region(&mut self, load: RegionLoad) {
+        if let Some(way) = load.round_trip {
+            let way_ms = way.as_secs_f64() * 1_000.0;
+            let known = self.ways_ms.get(&load.region);
+            let way_ms = known.map_or(way_ms, |it| way_ms.min(it * WAY_GROWTH));
+            self.ways_ms.insert(load.region.clone(), way_ms);
+        }
         let known = self.region_loads.get(&load.region);
         if known.is_none_or(|it| it.at < load.at) {
             self.region_loads.insert(load.region.clone(), load);
@@ -166,6 +177,7 @@
             region: room.region,
             utilisation: room.utilisation,
             home_share: self.place.home_share(),
+            round_trip: None,
             at: now,
         })
     }
@@ -222,7 +234,7 @@
                 None => ObjectPlace::Any,
             };
             let rank = place.rank().unwrap_or_default();
-            let away = if place == ObjectPlace::OtherRegion { AWAY_MS } else { 0.0 };
+            let away = if place == ObjectPlace::OtherRegion { self.away_ms(server) } else { 0.0 };
             let load = server.estimated_load(self.usual_load, now);
             let work_ms = work.by_rank[rank].max(work.warm()) * server.slowness(now);
             let wait = wait_ms(load, server.slots(), work.warm() * server.slowness(now));
@@ -305,6 +317,11 @@
             && !query.excluded.contains(&server.record.id)
     }
 
+    /// What the way to the region of a server costs that is not that of the object.
+    fn away_ms(&self, server: &ServerState) -> f64 {
+        self.ways_ms.get(&server.region).copied().unwrap_or(AWAY_MS)
+    }
+
     /// Requests per slot that a server may have for a request of this rank.
     fn max_load(&self, priority: RequestPriority) -> f64 {
         if priority < self.least_urgent { MOST_URGENT_LOAD } else { LEAST_URGENT_LOAD }
--- a/crates/sapphireknot/src/steering/loads.rs
+++ b/crates/sapphireknot/src/steering/loads.rs
@@ -40,6 +40,8 @@
     pub utilisation: f64,
     /// Share of their objects that hosts of the region keep there.
     pub home_share: f64,
+    /// Way to the region and back; `None` if it was not measured.
+    pub round_trip: Option<Duration>,
     /// When that was.
     pub at: MonoTime,
 }
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -68,10 +68,16 @@
 /// Time in which a change in the store takes effect on every host.
 pub const APPLY_TIME: ClockSpan = ClockSpan::from_secs(2);
 /// Part of that time for which a host waits between watches: changes gather meanwhile, as each call is paid for.
-pub const FLEET_WATCH_PAUSE: f64 = 0.3;
+pub const FLEET_WATCH_PAUSE: f64 = 0.15;
 /// Part of that time after which a host that waits for changes compares its revision with that of the store. The pause and
 /// this leave a fifth of the time for two calls; a read that may lag costs a tenth of a watch.
 pub const FLEET_REVISION_CHECK: f64 = 0.5;
+/// Part of that time after which a host that is told of changes by another one compares its revision with that of the
+/// store.
+pub const FLEET_RELAY_CHECK: f64 = 0.4;
+/// Part of that time for which it then waits to be told; the pause of the other host and an exchange fit in. The rest is
+/// for its own call to the store.
+pub const FLEET_RELAY_PATIENCE: f64 = 0.25;
 /// First pause after a failed call to the store.
 pub const FLEET_FIRST_RETRY: ClockSpan = ClockSpan::from_millis(200);
 /// Longest pause after failed calls; short enough that a host follows soon after the store's return.
--- a/crates/sapphireknotd/src/entry/cold_peers.rs
+++ b/crates/sapphireknotd/src/entry/cold_peers.rs
@@ -13,7 +13,10 @@
 use sapphireknot_wire::entry::TellColdRequest;
 use tokio::time::{sleep, timeout};
 
-use super::{peer_channels::PeerChannels, state::EntryState};
+use super::{
+    peer_channels::{FAR_CALL_TIMEOUT, PeerChannels},
+    state::EntryState,
+};
 
 /// Time in which a host answers; it may have little processor time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
@@ -69,7 +72,9 @@
         let now = self.state.clock.now();
         let Some(mut client) = self.channels.client(listener, now) else { return false };
         let request = encode_cold(reports, relay, now);
-        let cause = match timeout(CALL_TIMEOUT, client.tell_cold(request)).await {
+        let is_far = listener.region != self.state.record.region;
+        let limit = if is_far { FAR_CALL_TIMEOUT } else { CALL_TIMEOUT };
+        let cause = match timeout(limit, client.tell_cold(request)).await {
             Ok(Ok(_)) => {
                 self.channels.record_answer(listener);
                 return true;
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -29,7 +29,8 @@
 
 use super::{feed_relay, state::EntryState};
 use crate::constants::{
-    FLEET_FIRST_RETRY, FLEET_MAX_RETRY, FLEET_REVISION_CHECK, FLEET_WATCH_PAUSE, FLEET_WATCH_WAIT,
+    FLEET_FIRST_RETRY, FLEET_MAX_RETRY, FLEET_RELAY_CHECK, FLEET_RELAY_PATIENCE,
+    FLEET_REVISION_CHECK, FLEET_WATCH_PAUSE, FLEET_WATCH_WAIT,
 };
 
 /// Interval at which deadlines are checked.
@@ -324,7 +325,7 @@
                     }
                 },
                 err = next_failure(&mut failures) => Err(FeedError::Store(err)),
-                newer = overdue_revision(&state, revision, check_interval, pause_of(apply_time)) => {
+                newer = overdue_revision(&state, revision, apply_time) => {
                     log::info!(revision:%, newer:%; "changes were not passed on in time");
                     wait = Duration::ZERO;
                     continue;
@@ -393,16 +394,11 @@
             continue;
         }
         if !is_relayed {
-            sleep(pause_of(apply_time)).await;
+            sleep(apply_time.mul_f64(FLEET_WATCH_PAUSE)).await;
         }
     }
 }
 
-/// Pause between watches.
-fn pause_of(apply_time: Duration) -> Duration {
-    apply_time.mul_f64(FLEET_WATCH_PAUSE)
-}
-
 /// Waits for a call that the store did not answer since the last one.
 async fn next_failure(failures: &mut watch::Receiver<Option<StoreError>>) -> StoreError {
     loop {
@@ -434,16 +430,15 @@
     }
 }
 
-/// Waits until the store has a later revision than `known`, and then for `patience`, in which the collector tells of it
-/// if it watches the store.
+/// Waits until the store has a later revision than `known`, and then for a while in which the collector tells of it if it
+/// watches the store.
 async fn overdue_revision(
     state: &EntryState,
     known: StoreRevision,
-    interval: Duration,
-    patience: Duration,
+    apply_time: Duration,
 ) -> StoreRevision {
-    let newer = newer_revision(state, known, interval).await;
-    sleep(patience).await;
+    let newer = newer_revision(state, known, apply_time.mul_f64(FLEET_RELAY_CHECK)).await;
+    sleep(apply_time.mul_f64(FLEET_RELAY_PATIENCE)).await;
     newer
 }
 
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -23,13 +23,13 @@
 
 use super::{
     evidence_codec::{decode_evidence, encode_evidence},
-    peer_channels::PeerChannels,
+    peer_channels::{FAR_CALL_TIMEOUT, PeerChannels},
     state::EntryState,
 };
 
 /// Interval of the exchange; half of the time after which a report counts for a third.
 const INTERVAL: Duration = Duration::from_millis(400);
-/// Time in which a collector answers; it may be a host with little processor time.
+/// Time in which the collector of the own region answers; it may be a host with little processor time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Evidence that was exchanged with one collector.
@@ -107,7 +107,7 @@
         host: state.record.id.to_string(),
         known_revision: state.copy.lock().known().0,
     };
-    let reply = call(state, channels, collector, client.share_loads(request)).await?;
+    let reply = call(state, channels, collector, CALL_TIMEOUT, client.share_loads(request)).await?;
     let now = state.clock.now();
     let news = decode_reports(&reply.reports.unwrap_or_default(), now);
     state.meters.count_load_reports(news.len());
@@ -144,9 +144,12 @@
         evidence_position: link.heard.0,
         ..ShareLoadsRequest::default()
     };
-    if let Some(reply) = call(state, channels, collector, client.share_loads(request)).await {
+    let reply = client.share_loads(request);
+    if let Some(reply) = call(state, channels, collector, FAR_CALL_TIMEOUT, reply).await {
+        let began = now;
         let now = state.clock.now();
-        let regions = decode_regions(&reply.regions, now);
+        let mut regions = decode_regions(&reply.regions, now);
+        regions.iter_mut().for_each(|it| it.round_trip = Some(now.since(began)));
         link.advance(told, EvidencePosition(reply.evidence_position));
         let mut core = state.core.lock();
         core.take_region_loads(regions);
@@ -167,12 +170,13 @@
     state: &EntryState,
     channels: &PeerChannels,
     collector: &HostRecord,
+    limit: Duration,
     reply: C,
 ) -> Option<ShareLoadsReply>
 where
     C: Future<Output = Result<Response<ShareLoadsReply>, Status>>,
 {
-    let cause = match timeout(CALL_TIMEOUT, reply).await {
+    let cause = match timeout(limit, reply).await {
         Ok(Ok(reply)) => {
             channels.record_answer(collector);
             return Some(reply.into_inner());
@@ -194,6 +198,9 @@
         utilisation_permille: permille(it.utilisation),
         home_permille: permille(it.home_share),
         age_ms: u32::try_from(now.since(it.at).as_millis()).unwrap_or(u32::MAX),
+        round_trip_ms: it
+            .round_trip
+            .map_or(0, |it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX).max(1)),
     };
     loads.iter().map(encode).collect()
 }
@@ -207,6 +214,8 @@
             region: it.region.parse().ok()?,
             utilisation: f64::from(it.utilisation_permille) / 1_000.0,
             home_share: f64::from(it.home_permille) / 1_000.0,
+            round_trip: (it.round_trip_ms > 0)
+                .then(|| Duration::from_millis(it.round_trip_ms.into())),
             at: now.before(Duration::from_millis(it.age_ms.into())),
         })
     };
--- a/crates/sapphireknotd/src/entry/peer_channels.rs
+++ b/crates/sapphireknotd/src/entry/peer_channels.rs
@@ -7,8 +7,10 @@
 use sapphireknot_wire::entry::entry_client::EntryClient;
 use tonic::transport::{Channel, Endpoint};
 
-/// Time to open a connection; a host of the same region is a few milliseconds away.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time to open a connection to a host of any region; calls have shorter limits of their own.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time in which a host of another region answers, connection included: regions may be 60 ms apart one way.
+pub const FAR_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a host that did not answer is not asked again.
 const AVOID: Duration = Duration::from_millis(500);
 
--- a/crates/sapphireknotd/src/entry/quota_peers.rs
+++ b/crates/sapphireknotd/src/entry/quota_peers.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use futures_util::future::join_all;
 use parking_lot::Mutex;
 use sapphireknot::{
     ids::OrganisationId,
@@ -10,9 +11,12 @@
 };
 use sapphireknot_wire::entry::{TakeTokensReply, TakeTokensRequest};
 
-use super::{peer_channels::PeerChannels, state::EntryState};
+use super::{
+    peer_channels::{FAR_CALL_TIMEOUT, PeerChannels},
+    state::EntryState,
+};
 
-/// Time in which an owner answers; a host of the same region is a few milliseconds away.
+/// Time in which an owner of the same region answers, which is a few milliseconds away.
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Least time for which an organisation is refused without a call, so that one that sends far too much costs few calls.
 const MIN_DENIAL: Duration = Duration::from_millis(80);
@@ -84,13 +88,19 @@
             Ok(granted) => return Some((granted, now)),
             Err(retry_at) => retry_at,
         };
-        for owner in far {
-            match self.ask_owner(state, &owner, organisation, count).await {
-                Some(Ok(granted)) => return Some((granted, now)),
-                Some(Err(other)) => retry_at = retry_at.min(other),
-                None => {}
+        // All at once, as the request waits for the way to another region.
+        let part = count.div_ceil(u32::try_from(far.len()).unwrap_or(u32::MAX).max(1));
+        let calls = far.iter().map(|it| self.ask_owner(state, it, organisation, part));
+        let mut granted = 0;
+        for answer in join_all(calls).await.into_iter().flatten() {
+            match answer {
+                Ok(tokens) => granted += tokens,
+                Err(other) => retry_at = retry_at.min(other),
             }
         }
+        if granted > 0 {
+            return Some((granted, now));
+        }
         Some((0, retry_at.max(state.clock.now().after(MIN_DENIAL))))
     }
 
@@ -104,7 +114,9 @@
     ) -> Option<Result<u32, MonoTime>> {
         let call = TakeTokensRequest { organisation: organisation.to_string(), count };
         let mut client = self.channels.client(owner, state.clock.now())?;
-        let cause = match tokio::time::timeout(CALL_TIMEOUT, client.take_tokens(call)).await {
+        let is_far = owner.region != state.record.region;
+        let limit = if is_far { FAR_CALL_TIMEOUT } else { CALL_TIMEOUT };
+        let cause = match tokio::time::timeout(limit, client.take_tokens(call)).await {
             Ok(Ok(reply)) => {
                 self.channels.record_answer(owner);
                 let TakeTokensReply { is_owner, granted, retry_ms } = reply.into_inner();
