steering: choose collectors by the capacity of their machines

Change: hosts register the capacity of their machine, from the settings machine.cores and machine.link_mbps. A collector is one of the largest; owners of quotas are spread by capacity. Changes above 32 KB are not passed on.

--- a/crates/sapphireknot/src/steering/core/load_exchange.rs
+++ b/crates/sapphireknot/src/steering/core/load_exchange.rs
@@ -8,7 +8,7 @@
     steering::{
         fleet::HostRecord,
         loads::{LoadReport, RegionLoad, ReportPosition},
-        shares::host_of,
+        shares::central_host,
     },
     time::MonoTime,
 };
@@ -24,7 +24,7 @@
     /// Host that collects the load reports of this region.
     pub fn load_collector(&self) -> Option<&HostRecord> {
         let hosts = self.fleet.hosts().filter(|it| it.region == self.place.region);
-        host_of(COLLECTOR_SEED, hosts)
+        central_host(COLLECTOR_SEED, hosts)
     }
 
     /// Hosts that collect the load reports of other regions.
@@ -33,7 +33,7 @@
         let regions: BTreeSet<&RegionId> =
             self.fleet.hosts().map(|it| &it.region).filter(|it| *it != own).collect();
         let collector = |region: &RegionId| {
-            host_of(COLLECTOR_SEED, self.fleet.hosts().filter(|it| it.region == *region))
+            central_host(COLLECTOR_SEED, self.fleet.hosts().filter(|it| it.region == *region))
         };
         regions.into_iter().filter_map(collector).cloned().collect()
     }
--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -6,6 +6,8 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use super::{cold::ColdReport, server_state::server_hash};
 use crate::{
     ids::{DatacentreId, HostId, IncarnationId, RegionId, ServerId, ServiceId, VersionId},
@@ -45,6 +47,20 @@
     pub started: u64,
 }
 
+/// What a machine can carry, in thousandths of a core with 400 Mbit/s; zero for a host that does not tell.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct HostCapacity(pub u32);
+
+impl HostCapacity {
+    /// Link that goes with a whole core, in Mbit/s.
+    const LINK_MBPS: f64 = 400.0;
+
+    /// Capacity of a machine with `cores` and a link of `link_mbps`, whichever is the narrower.
+    pub fn new(cores: f64, link_mbps: f64) -> Self {
+        Self((cores.min(link_mbps / Self::LINK_MBPS) * 1_000.0) as u32)
+    }
+}
+
 /// Entry host as it registers itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostRecord {
@@ -60,6 +76,8 @@
     pub address: SocketAddr,
     /// Address for other hosts.
     pub peer_address: SocketAddr,
+    /// Capacity of its machine.
+    pub capacity: HostCapacity,
 }
 
 /// Backend server that is registered.
--- a/crates/sapphireknot/src/steering/shares.rs
+++ b/crates/sapphireknot/src/steering/shares.rs
@@ -46,13 +46,24 @@
     host_of(xxh3_64(organisation.as_str().as_bytes()), hosts)
 }
 
-/// Host that has the task `seed` for its region: the same one for all hosts with the same list.
+/// Host that has the task `seed`, which all other hosts of its region call upon: one with the largest capacity.
+pub fn central_host<'a, I>(seed: u64, hosts: I) -> Option<&'a HostRecord>
+where
+    I: Iterator<Item = &'a HostRecord> + Clone,
+{
+    let largest = hosts.clone().map(|it| it.capacity).max()?;
+    host_of(seed, hosts.filter(|it| it.capacity == largest))
+}
+
+/// Host that has the task `seed` for its region: the same one for all hosts with the same list. Tasks are spread by
+/// capacity.
 pub fn host_of<'a, I>(seed: u64, hosts: I) -> Option<&'a HostRecord>
 where
     I: Iterator<Item = &'a HostRecord>,
 {
     let score = |host: &HostRecord| {
-        rendezvous_score(rendezvous_draw(seed, xxh3_64(host.id.as_str().as_bytes())), 1)
+        let draw = rendezvous_draw(seed, xxh3_64(host.id.as_str().as_bytes()));
+        rendezvous_score(draw, host.capacity.0.max(1))
     };
     hosts.max_by_key(|host| (score(host), host.id.clone()))
 }
--- a/crates/sapphireknot/tests/steering/load_reports.rs
+++ b/crates/sapphireknot/tests/steering/load_reports.rs
@@ -7,6 +7,7 @@
     picker::ServerOutcome,
     steering::{
         core::{AttemptReport, FleetChange, HostPlace, SteeringCore},
+        fleet::{HostCapacity, HostRecord},
         loads::{LoadBoard, LoadReport, ReportPosition},
         plan::RequestPriority,
         query::{ChoiceQuery, ChosenServer},
@@ -206,3 +207,26 @@
     assert!((0.55..0.85).contains(&share), "{share} kept at home");
     assert!((share - followed).abs() < 0.05, "{share} and {followed}");
 }
+
+/// Guards against a region whose hosts all call upon a machine with little processor time and a narrow link.
+#[test]
+fn strong_collector() {
+    let hosts = |strong: &[&str]| {
+        let hosts = ["h1", "h2", "h3", "h4", "h5", "h6"].map(|it| {
+            let capacity = HostCapacity::new(if strong.contains(&it) { 0.5 } else { 0.1 }, 200.0);
+            FleetChange::Host(HostRecord { capacity, ..host(it, "east") })
+        });
+        let mut core = SteeringCore::new(place("east"), bounds());
+        core.take(hosts.to_vec(), at(0));
+        core
+    };
+    for strong in ["h1", "h2", "h3", "h4", "h5", "h6"] {
+        let core = hosts(&[strong]);
+        assert_eq!(core.load_collector().unwrap().id.as_str(), strong);
+    }
+    let mut core = hosts(&["h2", "h5"]);
+    let first = core.load_collector().unwrap().id.clone();
+    core.take(vec![FleetChange::HostGone(first.clone())], at(100));
+    let next = core.load_collector().unwrap().id.clone();
+    assert!(first != next && ["h2", "h5"].contains(&next.as_str()), "{first}, {next}");
+}
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -11,6 +11,7 @@
 mod load_reports;
 mod object_place;
 mod quota_owners;
+mod recent_changes;
 mod route_index;
 mod share_bounds;
 mod stale_work;
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -8,7 +8,7 @@
     steering::{
         choice::ServicePicker,
         core::{HostPlace, SharedBounds, SteeringCore},
-        fleet::{FleetTable, HostRecord, ServerRecord},
+        fleet::{FleetTable, HostCapacity, HostRecord, ServerRecord},
         plan::{
             CallerLimits, OrganisationRule, RequestPriority, RouteRule, RoutingPlan, ServiceRule,
             SplitPart,
@@ -58,6 +58,7 @@
         datacentre: id(&format!("{region}-a")),
         address: format!("127.0.0.1:{}", 8_000 + name.len()).parse().expect("address"),
         peer_address: format!("127.0.0.1:{}", 7_000 + name.len()).parse().expect("address"),
+        capacity: HostCapacity::default(),
     }
 }
 
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -128,6 +128,7 @@
             datacentre: settings.datacentre.clone(),
             address: caller_address,
             peer_address: peers.address,
+            capacity: settings.capacity(),
         };
         let mut metrics_address = None;
         let metrics = settings.listen.metrics;
--- a/crates/sapphireknotd/src/entry/feed_relay.rs
+++ b/crates/sapphireknotd/src/entry/feed_relay.rs
@@ -14,6 +14,10 @@
 
 use super::state::EntryState;
 
+/// Bytes of changes that are passed on; the collector sends them to each host of the region, so that larger ones, such as
+/// a configuration, are read at the store.
+const MAX_RELAYED_BYTES: usize = 32 << 10;
+
 /// What the collector of the region tells.
 #[derive(Debug)]
 pub struct FeedRelay {
@@ -50,14 +54,16 @@
     }
 }
 
-/// Changes for a host that knows everything up to `known`; `None` if this one gets them from another host itself, as two
+/// Changes for a host that knows everything up to `known`; `None` if they are large, or if this one gets them from another host itself, as two
 /// hosts that follow each other would notice nothing.
 pub fn changes_for(state: &EntryState, known: u64) -> Option<FeedChanges> {
     if known == 0 || !state.relay.is_watching.load(Ordering::Relaxed) {
         return None;
     }
     let changes = state.copy.lock().changes_since(CopyRevision(known))?;
-    Some(encode_changes(changes))
+    let bytes = |it: &RawEntry| it.key.len() + it.value.as_ref().map_or(0, |value| value.len());
+    let is_small = changes.entries.iter().map(bytes).sum::<usize>() <= MAX_RELAYED_BYTES;
+    is_small.then(|| encode_changes(changes))
 }
 
 /// Waits for changes after `known`; `None` once the collector tells nothing, or not all of them.
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -7,6 +7,7 @@
     ids::{DatacentreId, HostId, RegionId},
     steering::{
         core::{HostPlace, SharedBounds},
+        fleet::HostCapacity,
         shares::QuotaSlack,
     },
     time::ClockSpan,
@@ -50,6 +51,10 @@
     /// Memory beyond which the process is killed, if there is such a limit.
     #[serde(default)]
     pub memory: Option<ByteCount>,
+    /// What the machine can carry, if that is limited.
+    #[serde_as(deserialize_as = "DefaultOnNull")]
+    #[serde(default)]
+    pub machine: MachineSettings,
     /// Bounds over all hosts together and of a graceful shutdown.
     #[serde_as(deserialize_as = "DefaultOnNull")]
     #[serde(default)]
@@ -78,6 +83,16 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// What a machine can carry.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MachineSettings {
+    /// Cores, or a part of one.
+    pub cores: Option<f64>,
+    /// Bandwidth of its link in Mbit/s.
+    pub link_mbps: Option<f64>,
+}
+
 /// Store of the platform.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -135,6 +150,13 @@
         usize::try_from(memory.0).unwrap_or(usize::MAX) / BODY_PARTS
     }
 
+    /// Capacity of the machine; none if it is not told whole.
+    pub fn capacity(&self) -> HostCapacity {
+        let MachineSettings { cores, link_mbps } = self.machine;
+        let capacity = cores.zip(link_mbps).map(|(cores, link)| HostCapacity::new(cores, link));
+        capacity.unwrap_or_default()
+    }
+
     /// Place of this host.
     pub fn place(&self) -> HostPlace {
         HostPlace {
@@ -173,6 +195,13 @@
                 problems.push(ConfigProblem::new(field, part, "0 to 1"));
             }
         }
+        let machine =
+            [("machine.cores", self.machine.cores), ("machine.link_mbps", self.machine.link_mbps)];
+        for (field, value) in machine.into_iter().filter_map(|(field, it)| Some((field, it?))) {
+            if !value.is_finite() || value <= 0.0 {
+                problems.push(ConfigProblem::new(field, value, "more than 0"));
+            }
+        }
         for (field, span) in [
             ("bounds.name_lifetime", self.bounds.name_lifetime),
             ("bounds.apply_time", self.bounds.apply_time),
--- a/crates/sapphireknotd/tests/entry_settings.rs
+++ b/crates/sapphireknotd/tests/entry_settings.rs
@@ -83,3 +83,22 @@
     let err = load("entry-unknown.yaml", &unknown, &[]).unwrap_err().to_string();
     assert!(err.contains("colour"), "{err}");
 }
+
+/// Guards against a machine whose capacity is taken for something when it is not told, or told as nothing.
+#[test]
+fn machine_capacity() {
+    let without: String = sample()
+        .lines()
+        .filter(|it| !["machine", "  cores", "  link_mbps"].iter().any(|name| it.starts_with(name)))
+        .fold(String::new(), |text, line| format!("{text}{line}\n"));
+    let capacity = |name: &str, machine: &str| {
+        let path = format!("entry-machine-{name}.yaml");
+        load(&path, &format!("{without}{machine}"), &[]).map(|it| it.capacity().0)
+    };
+    assert_eq!(load("entry-machine.yaml", &sample(), &[]).unwrap().capacity().0, 200);
+    assert_eq!(capacity("absent", "").unwrap(), 0);
+    assert_eq!(capacity("null", "machine:\n").unwrap(), 0);
+    assert_eq!(capacity("narrow", "machine: {cores: 0.5, link_mbps: 20}\n").unwrap(), 50);
+    let refused = capacity("nothing", "machine: {cores: 0, link_mbps: 20}\n").unwrap_err();
+    assert!(refused.to_string().contains("machine.cores"), "{refused}");
+}
--- a/crates/sapphireknotd/tests/settings_reload.rs
+++ b/crates/sapphireknotd/tests/settings_reload.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use sapphireknot::{ids::IncarnationId, steering::fleet::HostRecord};
+use sapphireknot::{
+    ids::IncarnationId,
+    steering::fleet::{HostCapacity, HostRecord},
+};
 use sapphireknot_adapter::{HttpDialect, HttpFleetStore};
 use sapphireknotd::{
     clock::HostClock,
@@ -50,6 +53,7 @@
         datacentre: settings.datacentre.clone(),
         address: settings.listen.caller,
         peer_address: settings.listen.peer,
+        capacity: HostCapacity::default(),
     };
     EntryState::new(settings, platform, HostClock::start(), record)
 }
