--- a/crates/sapphireknotd/src/front/pipeline.rs
+++ b/crates/sapphireknotd/src/front/pipeline.rs
@@ -1,7 +1,7 @@
 //! Connections on which callers send requests before earlier ones are answered.
 //!
 //! The HTTP library reads one request after the other and writes the responses in order. What it does not read yet is read
-//! here ([`AheadStream`]), up to a bound, and requests that may run beside each other are begun in tasks of their own. When
+//! here (`AheadStream`), up to a bound, and requests that may run beside each other are begun in tasks of their own. When
 //! the library comes to such a request it gets the response of its task. A connection that ends drops the tasks.
 
 use std::{
