entry host: one rule for the limit of far calls, one stage for skipped bytes

The choice between the limits of near and far calls stood in cold_peers and quota_peers and is peer_channels::call_limit now. A scan skips bodies and chunks in one stage. An answer of the directory shuffles only the hosts that do not fit, not the whole fleet. A comment still named the former pause between watches, and a doc comment was not wrapped.

--- a/crates/sapphireknot/src/steering/naming.rs
+++ b/crates/sapphireknot/src/steering/naming.rs
@@ -28,14 +28,16 @@
 {
     let mut hosts: Vec<&HostRecord> = hosts.collect();
     hosts.sort_by(|a, b| a.id.cmp(&b.id));
-    if hosts.len() > MAX_NAMED {
-        hosts.shuffle(rng);
-    }
     let routes = plan.into_iter().flat_map(|it| it.routes_of(host_name));
     let homes: HashSet<&RegionId> = routes.flat_map(|it| &it.homes).collect();
-    let addresses = |is_named: &dyn Fn(&HostRecord) -> bool| -> Vec<SocketAddr> {
+    let mut addresses = |is_named: &dyn Fn(&HostRecord) -> bool| -> Vec<SocketAddr> {
         let named = hosts.iter().filter(|it| is_named(it)).map(|it| it.address);
-        named.take(MAX_NAMED).collect()
+        let mut named: Vec<SocketAddr> = named.collect();
+        if named.len() > MAX_NAMED {
+            named.shuffle(rng);
+            named.truncate(MAX_NAMED);
+        }
+        named
     };
     let near = addresses(&|it| it.region == *region);
     if !near.is_empty() {
--- a/crates/sapphireknotd/src/constants.rs
+++ b/crates/sapphireknotd/src/constants.rs
@@ -70,7 +70,7 @@
 /// Part of that time for which a host waits between watches: changes gather meanwhile, as each call is paid for.
 pub const FLEET_WATCH_PAUSE: f64 = 0.15;
 /// Part of that time after which a host that waits for changes compares its revision with that of the store. The pause and
-/// this leave a fifth of the time for two calls; a read that may lag costs a tenth of a watch.
+/// this leave a third of the time for two calls; a read that may lag costs a tenth of a watch.
 pub const FLEET_REVISION_CHECK: f64 = 0.5;
 /// Part of that time after which a host that is told of changes by another one compares its revision with that of the
 /// store.
--- a/crates/sapphireknotd/src/entry/cold_peers.rs
+++ b/crates/sapphireknotd/src/entry/cold_peers.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    peer_channels::{FAR_CALL_TIMEOUT, PeerChannels},
+    peer_channels::{PeerChannels, call_limit},
     state::EntryState,
 };
 
@@ -72,8 +72,7 @@
         let now = self.state.clock.now();
         let Some(mut client) = self.channels.client(listener, now) else { return false };
         let request = encode_cold(reports, relay, now);
-        let is_far = listener.region != self.state.record.region;
-        let limit = if is_far { FAR_CALL_TIMEOUT } else { CALL_TIMEOUT };
+        let limit = call_limit(listener, &self.state.record, CALL_TIMEOUT);
         let cause = match timeout(limit, client.tell_cold(request)).await {
             Ok(Ok(_)) => {
                 self.channels.record_answer(listener);
--- a/crates/sapphireknotd/src/entry/feed_relay.rs
+++ b/crates/sapphireknotd/src/entry/feed_relay.rs
@@ -54,8 +54,8 @@
     }
 }
 
-/// Changes for a host that knows everything up to `known`; `None` if they are large, or if this one gets them from another host itself, as two
-/// hosts that follow each other would notice nothing.
+/// Changes for a host that knows everything up to `known`; `None` if they are large, or if this one gets them from another
+/// host itself, as two hosts that follow each other would notice nothing.
 pub fn changes_for(state: &EntryState, known: u64) -> Option<FeedChanges> {
     if known == 0 || !state.relay.is_watching.load(Ordering::Relaxed) {
         return None;
--- a/crates/sapphireknotd/src/entry/peer_channels.rs
+++ b/crates/sapphireknotd/src/entry/peer_channels.rs
@@ -70,3 +70,8 @@
         Some(channel)
     }
 }
+
+/// Time in which `peer` answers `own`: `near` in the same region.
+pub fn call_limit(peer: &HostRecord, own: &HostRecord, near: Duration) -> Duration {
+    if peer.region == own.region { near } else { FAR_CALL_TIMEOUT }
+}
--- a/crates/sapphireknotd/src/entry/quota_peers.rs
+++ b/crates/sapphireknotd/src/entry/quota_peers.rs
@@ -12,7 +12,7 @@
 use sapphireknot_wire::entry::{TakeTokensReply, TakeTokensRequest};
 
 use super::{
-    peer_channels::{FAR_CALL_TIMEOUT, PeerChannels},
+    peer_channels::{PeerChannels, call_limit},
     state::EntryState,
 };
 
@@ -114,8 +114,7 @@
     ) -> Option<Result<u32, MonoTime>> {
         let call = TakeTokensRequest { organisation: organisation.to_string(), count };
         let mut client = self.channels.client(owner, state.clock.now())?;
-        let is_far = owner.region != state.record.region;
-        let limit = if is_far { FAR_CALL_TIMEOUT } else { CALL_TIMEOUT };
+        let limit = call_limit(owner, &state.record, CALL_TIMEOUT);
         let cause = match tokio::time::timeout(limit, client.take_tokens(call)).await {
             Ok(Ok(reply)) => {
                 self.channels.record_answer(owner);
--- a/crates/sapphireknotd/src/front/request_scan.rs
+++ b/crates/sapphireknotd/src/front/request_scan.rs
@@ -34,14 +34,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ScanStage {
     Head,
-    Body {
+    /// A body of this length, or the data of a chunk with the line end behind it.
+    Skipped {
         left: u64,
+        is_chunk: bool,
     },
     ChunkSize,
-    /// Data of a chunk with the line end behind it.
-    Chunk {
-        left: u64,
-    },
     Trailer,
     /// Nothing more is read.
     Ended,
@@ -96,21 +94,13 @@
         loop {
             match self.stage {
                 ScanStage::Ended => return heads,
-                ScanStage::Body { left } => {
+                ScanStage::Skipped { left, is_chunk } => {
                     let left = skip(&mut self.pending, &mut bytes, left);
                     if left > 0 {
-                        self.stage = ScanStage::Body { left };
+                        self.stage = ScanStage::Skipped { left, is_chunk };
                         return heads;
                     }
-                    self.stage = ScanStage::Head;
-                }
-                ScanStage::Chunk { left } => {
-                    let left = skip(&mut self.pending, &mut bytes, left);
-                    if left > 0 {
-                        self.stage = ScanStage::Chunk { left };
-                        return heads;
-                    }
-                    self.stage = ScanStage::ChunkSize;
+                    self.stage = if is_chunk { ScanStage::ChunkSize } else { ScanStage::Head };
                 }
                 ScanStage::Head | ScanStage::ChunkSize | ScanStage::Trailer => {
                     self.pending.extend_from_slice(bytes);
@@ -151,7 +141,9 @@
         match framing.body {
             _ if framing.is_last => self.end(),
             BodyLength::Told(0) => {}
-            BodyLength::Told(left) => self.stage = ScanStage::Body { left },
+            BodyLength::Told(left) => {
+                self.stage = ScanStage::Skipped { left, is_chunk: false };
+            }
             BodyLength::Chunked => self.stage = ScanStage::ChunkSize,
         }
         true
@@ -164,7 +156,7 @@
                 self.pending.advance(line_bytes);
                 self.stage = match size {
                     0 => ScanStage::Trailer,
-                    _ => ScanStage::Chunk { left: size.saturating_add(2) },
+                    _ => ScanStage::Skipped { left: size.saturating_add(2), is_chunk: true },
                 };
                 true
             }
--- a/crates/sapphireknotd/tests/pipeline_queue.rs
+++ b/crates/sapphireknotd/tests/pipeline_queue.rs
@@ -28,12 +28,12 @@
 fn start_all(queue: &mut PipelineQueue<String>) -> Vec<String> {
     let mut started = Vec::new();
     loop {
-        let start = |request: Request<()>, _: MonoTime| Some(request.uri().path().to_owned());
         let mut path = None;
-        if !queue.start_next(is_idempotent, |request, arrived| {
-            path = start(request, arrived);
+        let is_started = queue.start_next(is_idempotent, |request, _| {
+            path = Some(request.uri().path().to_owned());
             path.clone()
-        }) {
+        });
+        if !is_started {
             return started;
         }
         started.extend(path);
