entry host: log outcomes of both versions with rollout records

Cause: the lines of a rollout's record did not say which outcomes had been known, so that a share that rises by the clock, a completion that is too early and evidence that is too weak looked the same in the logs of a bad rollout.

Change: both lines carry the counts of all hosts that the writing host knew.

--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -282,13 +282,18 @@
 }
 
 async fn write_rollout(state: Arc<EntryState>, change: RecordChange) {
-    let result = state.platform.store.write_rollout(&change).await;
     let (service, phase) = (&change.record.service, change.record.phase);
+    // As they were when the change was decided.
+    let counts = state.core.lock().known_evidence(service);
+    let result = state.platform.store.write_rollout(&change).await;
     match result {
         Ok(WriteOutcome::Written) => {
-            log::info!(service:%, phase:?, target:% = change.record.target; "rollout record written");
+            let target = &change.record.target;
+            log::info!(service:%, phase:?, target:%, counts:?; "rollout record written");
+        }
+        Ok(outcome) => {
+            log::info!(service:%, phase:?, outcome:?, counts:?; "rollout record not written");
         }
-        Ok(outcome) => log::info!(service:%, phase:?, outcome:?; "rollout record not written"),
         Err(err) => {
             state.meters.count_store_failure("write rollout");
             log::warn!(service:%, phase:?, error:% = err; "write rollout record");
