--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -18,4 +18,5 @@
 #[cfg(test)]
 mod support;
 mod version_evidence;
+mod version_exposure;
 mod version_ramp;
