steering: derive the share of a new version from what it may have had

Callers saw a bad version with more requests than a bad version may have: 577 of 1,219, 172 allowed, when it turned bad 12 s after the start of a rollout of 15 s.

Cause: the share followed the clock alone and was whole from 0.62 of the time on, completion followed at 0.76, after which nothing is taken back.

Change: the limit comes from the settings. The new version has a canary share until shortly before the deadline and everything for less than seven hundredths of the time; completion is 0.4 s before the deadline. The settled record announces the change and carries the age of the order; a host that learns the age from it goes over at once. The share is bounded by what a host sent, too, so that refusals of the old version do not raise it. A version of which too many requests failed is not completed. Hosts go on telling the evidence of a version that they found bad. First outcomes are explained by the old version on all hosts, and losses in a data centre in which the other version has losses are one fault.

--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -21,6 +21,7 @@
 use super::{
     choice::{ServicePicker, ServicePickers},
     evidence::{EvidenceBoard, OutcomeQuality},
+    exposure::ExposureLimit,
     fleet::{FleetTable, HostRecord, ServerRecord},
     loads::{LoadBoard, LoadReport, ReportPosition},
     miss::{ChoiceMiss, MissCause},
@@ -28,7 +29,7 @@
     query::{ChoiceQuery, ChosenServer},
     server_state::{ServerLoad, server_hash},
     shares::{ColdHosts, HostShare, QuotaSlack},
-    version::{RolloutOrder, RolloutRecord, VersionTable},
+    version::{RolloutBounds, RolloutOrder, RolloutRecord, VersionTable},
 };
 use crate::{
     ids::{DatacentreId, HostId, RegionId, RouteId, ServerId, ServiceId},
@@ -55,6 +56,8 @@
     pub retry_slack: u32,
     /// Time in which a change in the store takes effect on every host.
     pub apply_time: Duration,
+    /// What a bad version may have of the requests during its rollout.
+    pub exposure: ExposureLimit,
 }
 
 /// Place of this host.
@@ -234,6 +237,8 @@
         let share = self.share(now);
         self.install_quotas(&plan, share, now);
         let limits = self.retry_limits(share.hosts);
+        let SharedBounds { exposure, apply_time, .. } = self.bounds;
+        self.versions.set_bounds(RolloutBounds { exposure, apply_time, hosts: share.hosts });
         self.budgets.retain(|id, _| plan.services.contains_key(id));
         self.pickers.retain(|id, _| plan.services.contains_key(id));
         let least_urgent = least_urgent_ranks(&plan);
@@ -312,7 +317,11 @@
             && let Some(new) = self.versions.new_version(service)
         {
             // The new version may have too few warm servers yet, and the old one may have gone already.
-            let other = if picker.reaches(new, now) {
+            let stable = self.versions.stable(service);
+            let is_old_gone = stable.is_some_and(|it| !picker.reaches(it, now));
+            let other = if picker.reaches(new, now) && is_old_gone {
+                Some(new.clone())
+            } else if picker.reaches(new, now) {
                 self.versions.choose(service, 1.0 - draw, now)
             } else {
                 self.versions.stable(service).cloned()
@@ -324,6 +333,7 @@
         }
         if let Ok(chosen) = &chosen {
             picker.record_sent(&chosen.record.id, now);
+            self.versions.record_sent(service, &chosen.record.version);
         }
         chosen
     }
--- a/crates/sapphireknot/src/steering/core/rollouts.rs
+++ b/crates/sapphireknot/src/steering/core/rollouts.rs
@@ -10,7 +10,7 @@
 impl SteeringCore {
     /// Changes of rollout records that are due. A version whose servers this host cannot reach does not take over.
     pub fn due_rollouts(&self, now: MonoTime) -> Vec<RecordChange> {
-        let mut due = self.versions.due_changes(self.bounds.apply_time, now);
+        let mut due = self.versions.due_changes(now);
         due.retain(|RecordChange { record, .. }| match record.phase {
             RolloutPhase::Running | RolloutPhase::Reverted => true,
             RolloutPhase::Settled | RolloutPhase::Completed => {
@@ -21,6 +21,11 @@
         due
     }
 
+    /// When the next change of a rollout's record is due after `now`.
+    pub fn next_rollout_change(&self, now: MonoTime) -> Option<MonoTime> {
+        self.versions.next_change(now)
+    }
+
     /// Version that takes a request without a rollout, for reports.
     pub fn usual_version(&self, service: &ServiceId, now: MonoTime) -> Option<VersionId> {
         self.versions.choose(service, 1.0, now)
--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -36,6 +36,11 @@
 const MIN_OTHERS: u32 = 6;
 /// Bad outcomes of the new version before it is judged.
 const MIN_BAD: u32 = 3;
+/// Share of failures beyond the explained ones that is no reason to revert at the end of a rollout.
+const TOLERATED_AT_END: f64 = 0.005;
+/// Likelihood ratio by which a version is not completed. It is read once, and lower than for a verdict: a completed
+/// version cannot be taken back, a reverted one can be ordered again.
+const DOUBT: f64 = 5.0;
 /// Highest rate of bad outcomes that is assumed.
 const MAX_RATE: f64 = 0.95;
 /// Outcomes of both versions over which the rate of the old one explains those of the new one; few enough to follow a
@@ -132,6 +137,17 @@
         self.old.requests.saturating_add(self.new.requests)
     }
 
+    /// The same counts, where the old version of all hosts explains the first outcomes of the new one: a host may have
+    /// sent its first request to the new version before the old one had an outcome.
+    fn explained_early(self) -> Self {
+        if self.new.requests >= BLOCK_SIZE || self.old.requests == 0 {
+            return self;
+        }
+        let rate = f64::from(self.old.bad()) / f64::from(self.old.requests);
+        let explained = self.explained.max(rate * f64::from(self.new.requests));
+        Self { explained, ..self }
+    }
+
     /// Bad outcomes of the new version that nothing explains.
     fn excess(&self) -> f64 {
         let allowed = self.explained + TOLERATED * f64::from(self.new.requests);
@@ -140,13 +156,23 @@
 
     /// Logarithm of the likelihood ratio against the new version.
     fn log_ratio(&self) -> f64 {
+        self.log_ratio_of(self.new.bad(), TOLERATED)
+    }
+
+    /// The same for failures, at the end of a rollout.
+    fn log_doubt(&self) -> f64 {
+        self.log_ratio_of(self.new.failures, TOLERATED_AT_END)
+    }
+
+    /// The same for `bad` outcomes of the new version, of which a share `tolerated` is allowed.
+    fn log_ratio_of(&self, bad: u32, tolerated: f64) -> f64 {
         let requests = f64::from(self.new.requests);
         if self.new.requests == 0 {
             return 0.0;
         }
-        let bad = f64::from(self.new.bad()).min(requests);
+        let bad = f64::from(bad).min(requests);
         let base = (self.explained / requests).min(MAX_RATE);
-        let allowed = (base + TOLERATED).min(MAX_RATE);
+        let allowed = (base + tolerated).min(MAX_RATE);
         let ratio = |excess: f64| {
             let worse = (base + excess).min(MAX_RATE);
             let log = bad * (worse / allowed).ln()
@@ -247,6 +273,30 @@
 
 /// Whether the new version is bad by this host's counts and those of `others`.
 pub fn is_bad<'a, I>(own: VersionCounts, others: I) -> bool
+where
+    I: Iterator<Item = &'a RegionEvidence>,
+{
+    let (sum, rest) = sum_and_rest(own, others);
+    if sum.new.bad() < MIN_BAD || sum.explained_early().log_ratio() < -FALSE_ALARM.ln() {
+        return false;
+    }
+    rest.new.requests < MIN_OTHERS || rest.explained_early().log_ratio() >= SUPPORT.ln()
+}
+
+/// Whether too many requests to the new version failed for it to be completed, by the same counts.
+pub fn is_doubtful<'a, I>(own: VersionCounts, others: I) -> bool
+where
+    I: Iterator<Item = &'a RegionEvidence>,
+{
+    let (sum, rest) = sum_and_rest(own, others);
+    if sum.new.failures < MIN_BAD || sum.log_doubt() < DOUBT.ln() {
+        return false;
+    }
+    rest.new.requests < MIN_OTHERS || rest.log_doubt() >= 0.0
+}
+
+/// Outcomes on all hosts, and those without the host that stands out most.
+fn sum_and_rest<'a, I>(own: VersionCounts, others: I) -> (VersionCounts, VersionCounts)
 where
     I: Iterator<Item = &'a RegionEvidence>,
 {
@@ -255,11 +305,7 @@
         sum = sum + other.sum;
         most = standing_out(most, other.most);
     }
-    if sum.new.bad() < MIN_BAD || sum.log_ratio() < -FALSE_ALARM.ln() {
-        return false;
-    }
-    let rest = sum - most;
-    rest.new.requests < MIN_OTHERS || rest.log_ratio() >= SUPPORT.ln()
+    (sum, sum - most)
 }
 
 fn standing_out(first: VersionCounts, second: VersionCounts) -> VersionCounts {
--- a/crates/sapphireknot/src/steering/server_losses.rs
+++ b/crates/sapphireknot/src/steering/server_losses.rs
@@ -3,8 +3,8 @@
 //! Attempts without a response at one server are no independent outcomes: a server that is down refuses each of them, and
 //! servers of a data centre go down together. A version is judged by what its servers do with requests. An attempt at a
 //! server that cannot be reached is therefore no outcome, and one that got no response is one outcome for each host and
-//! [`LOSS_INTERVAL`] until the server responds, or none if another host told that the server is silent. All of the latter
-//! count for the rate of the old version, which explains those of the new one. A version whose servers cannot be reached
+//! [`LOSS_INTERVAL`] until the server responds, or none if another host told that the server is silent or if servers of the
+//! other version in the same data centre give no response. All of the latter count for the rate of the old version, which explains those of the new one. A version whose servers cannot be reached
 //! must not take over; [`ServicePicker::reaches`] says whether they can.
 
 use std::time::Duration;
@@ -22,8 +22,23 @@
     /// Outcome that an attempt at a server without a response is which ends now; `None` if it is none.
     pub fn loss_quality(&self, id: &ServerId, now: MonoTime) -> Option<OutcomeQuality> {
         let idx = self.servers().binary_search_by(|it| it.record.id.cmp(id)).ok();
-        let server = idx.and_then(|it| self.servers().get(it));
-        server.map_or(Some(OutcomeQuality::Failed), |it| it.loss_quality(now))
+        let Some(server) = idx.and_then(|it| self.servers().get(it)) else {
+            return Some(OutcomeQuality::Failed);
+        };
+        let quality = server.loss_quality(now);
+        let is_shared = quality == Some(OutcomeQuality::Failed) && self.shares_loss(server, now);
+        if is_shared { Some(OutcomeQuality::LostAgain) } else { quality }
+    }
+
+    /// Whether servers of another version in the data centre of `server` give no response either. The version with most
+    /// of the requests learns within a few of them which servers are lost; the other one would still try each of its own.
+    fn shares_loss(&self, server: &ServerState, now: MonoTime) -> bool {
+        let record = &server.record;
+        self.servers().iter().any(|it| {
+            it.record.datacentre == record.datacentre
+                && it.record.version != record.version
+                && (it.is_lost(now) || self.is_silent(&it.record.id, now))
+        })
     }
 
     /// Whether half or more of the servers of a version can be reached.
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -8,6 +8,7 @@
     steering::{
         choice::ServicePicker,
         core::{HostPlace, SharedBounds, SteeringCore},
+        exposure::ExposureLimit,
         fleet::{FleetTable, HostCapacity, HostRecord, ServerRecord},
         plan::{
             CallerLimits, OrganisationRule, RequestPriority, RouteRule, RoutingPlan, ServiceRule,
@@ -121,6 +122,7 @@
         retry_ratio: 0.2,
         retry_slack: 64,
         apply_time: APPLY_TIME,
+        exposure: ExposureLimit::default(),
     }
 }
 
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -57,6 +57,8 @@
     RolloutBad(ServiceId),
     /// Time has passed.
     Tick,
+    /// The record of a rollout may be due before the next tick.
+    WriteDue,
 }
 
 /// Actor that follows the store.
@@ -101,7 +103,7 @@
 
     async fn handle(
         &self,
-        _myself: ActorRef<FleetMessage>,
+        myself: ActorRef<FleetMessage>,
         message: FleetMessage,
         actor: &mut FleetActorState,
     ) -> Result<(), ActorProcessingErr> {
@@ -156,7 +158,11 @@
                 actor.state.core.lock().tick(now);
                 actor.report(now);
                 actor.write_due(now);
+                if let Some(next) = actor.next_write(now) {
+                    myself.send_after(now.until(next), || FleetMessage::WriteDue);
+                }
             }
+            FleetMessage::WriteDue => actor.write_due(now),
         }
         Ok(())
     }
@@ -249,6 +255,13 @@
         }
     }
 
+    /// When a record is to be written before the next tick, as a rollout is completed shortly before its deadline.
+    fn next_write(&self, now: MonoTime) -> Option<MonoTime> {
+        let next = self.state.core.lock().next_rollout_change(now);
+        let turns = self.turns.values().map(|(_, turn)| *turn).filter(|it| *it > now);
+        turns.chain(next).min().filter(|it| *it < now.after(TICK))
+    }
+
     /// Starts writes of records that are due and whose turn it is.
     fn write_due(&mut self, now: MonoTime) {
         if self.is_down || self.has_peer_copy() {
--- a/crates/sapphireknotd/src/entry/settings.rs
+++ b/crates/sapphireknotd/src/entry/settings.rs
@@ -7,6 +7,7 @@
     ids::{DatacentreId, HostId, RegionId},
     steering::{
         core::{HostPlace, SharedBounds},
+        exposure::ExposureLimit,
         fleet::HostCapacity,
         shares::QuotaSlack,
     },
@@ -116,6 +117,10 @@
     pub retry_ratio: f64,
     /// Retries beyond that part in one window.
     pub retry_slack: u32,
+    /// Part of a service's requests that a bad version may have during its rollout.
+    pub exposed_share: f64,
+    /// Requests that a bad version may have beyond that part.
+    pub exposed_requests: u32,
     /// Longest time for which callers may keep an answer of the directory.
     pub name_lifetime: ClockSpan,
     /// Time in which a change in the store takes effect on every host.
@@ -126,7 +131,10 @@
 
 impl Default for EntryBounds {
     fn default() -> Self {
+        let exposure = ExposureLimit::default();
         Self {
+            exposed_share: exposure.share,
+            exposed_requests: exposure.requests,
             quota_tolerance: 0.0,
             quota_slack: 0,
             retry_ratio: constants::RETRY_RATIO,
@@ -176,6 +184,10 @@
             retry_ratio: self.bounds.retry_ratio,
             retry_slack: self.bounds.retry_slack,
             apply_time: self.bounds.apply_time.0,
+            exposure: ExposureLimit {
+                share: self.bounds.exposed_share,
+                requests: self.bounds.exposed_requests,
+            },
         }
     }
 }
@@ -190,6 +202,7 @@
         for (field, part) in [
             ("bounds.quota_tolerance", self.bounds.quota_tolerance),
             ("bounds.retry_ratio", self.bounds.retry_ratio),
+            ("bounds.exposed_share", self.bounds.exposed_share),
         ] {
             if !(0.0..=1.0).contains(&part) {
                 problems.push(ConfigProblem::new(field, part, "0 to 1"));
