steering: find new versions that are slow for their service

Cause: a response counted as slow from 4.5 target latencies on, and a request whose caller gave up was no outcome at all.

Change: during the canary phase a response is slow from 1.25 of the slowest usual ones on, at servers that are warm; a cancelled attempt that took as long is slow, too. The last decision counts slow responses besides failures. While a rollout is about to be completed, hosts exchange evidence every 0.1 s instead of 0.4 s.

Measured: slow_versions::twice_slow and callers_give_up are new; before, both end without a verdict.

--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -5,7 +5,8 @@
 //! the measured [`work`] say of it, [`cold`] tells which hosts ask servers whether they are cold while the store is away, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
 //! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
 //! quotas. [`version`] decides which version of a service takes a request while a rollout runs, by the limit of its
-//! [`exposure`] and the [`evidence`] that all hosts have on it; `server_losses` says what requests without a response tell of a version. [`naming`] decides which
+//! [`exposure`] and the [`evidence`] that all hosts have on it; `server_losses` says what requests without a response tell of a
+//! version, [`slowness`] which responses are slow. [`naming`] decides which
 //! hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what the store told for hosts that cannot read
 //! it, and [`copy_search`] picks one of several copies.
 
@@ -27,6 +28,7 @@
 mod server_losses;
 pub mod server_state;
 pub mod shares;
+pub mod slowness;
 pub mod tokens;
 pub mod version;
 pub mod work;
--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -355,6 +355,12 @@
         server.is_none_or(|it| it.silence(now) > SILENCE)
     }
 
+    /// Whether a server is cold.
+    pub fn is_cold(&self, id: &ServerId, now: MonoTime) -> bool {
+        let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id));
+        idx.ok().and_then(|it| self.servers.get(it)).is_some_and(|it| it.is_cold(now))
+    }
+
     /// Takes a load report of `id`.
     pub fn record_load(&mut self, id: &ServerId, load: ServerLoad, now: MonoTime) {
         let Some(server) = self.server_mut(id) else { return };
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -41,10 +41,6 @@
 
 /// Part of the retry budget of all hosts that is used; the rest covers requests that are delayed between windows.
 const USED_RETRIES: f64 = 0.75;
-/// Response time, in target latencies, from which a response of a new version counts as a failure. A cold server that
-/// does not know the object takes up to three.
-const BAD_SLOWNESS: f64 = 4.5;
-
 /// Bounds over all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SharedBounds {
@@ -361,9 +357,13 @@
             let server = server_hash(&record.id);
             self.loads.add(LoadReport { server, load, failing, at: now });
         }
-        let is_slow = elapsed.as_secs_f64() * 1_000.0 > target_ms * BAD_SLOWNESS;
+        let picker = self.pickers.get(&record.service);
+        let is_cold = picker.is_some_and(|it| it.is_cold(&record.id, now));
+        let time = elapsed.as_secs_f64() * 1_000.0 / target_ms.max(1.0);
+        let is_slow = self.versions.is_slow(&record.service, time, is_cold, now);
         let quality = match outcome {
-            ServerOutcome::Succeeded if is_slow => OutcomeQuality::Slow,
+            // The caller of a slow request often gives up first.
+            ServerOutcome::Succeeded | ServerOutcome::Cancelled if is_slow => OutcomeQuality::Slow,
             ServerOutcome::Succeeded => OutcomeQuality::Good,
             ServerOutcome::Failed => OutcomeQuality::Failed,
             ServerOutcome::Broken => match lost {
@@ -372,6 +372,9 @@
             },
             ServerOutcome::Shed | ServerOutcome::Cancelled => return false,
         };
+        if outcome == ServerOutcome::Succeeded {
+            self.versions.record_time(&record.service, &record.version, time);
+        }
         self.versions.record_outcome(&record.service, &record.version, quality)
     }
 
--- a/crates/sapphireknot/src/steering/core/rollouts.rs
+++ b/crates/sapphireknot/src/steering/core/rollouts.rs
@@ -26,6 +26,11 @@
         self.versions.next_change(now)
     }
 
+    /// Whether a rollout is about to be completed, so that evidence on it is needed soon.
+    pub fn decides_rollout(&self) -> bool {
+        self.versions.is_deciding()
+    }
+
     /// Version that takes a request without a rollout, for reports.
     pub fn usual_version(&self, service: &ServiceId, now: MonoTime) -> Option<VersionId> {
         self.versions.choose(service, 1.0, now)
--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -159,9 +159,9 @@
         self.log_ratio_of(self.new.bad(), TOLERATED)
     }
 
-    /// The same for failures, at the end of a rollout.
+    /// The same at the end of a rollout, for failures alone, of which fewer are tolerated, or for all bad outcomes.
     fn log_doubt(&self) -> f64 {
-        self.log_ratio_of(self.new.failures, TOLERATED_AT_END)
+        self.log_ratio_of(self.new.failures, TOLERATED_AT_END).max(self.log_ratio())
     }
 
     /// The same for `bad` outcomes of the new version, of which a share `tolerated` is allowed.
@@ -283,13 +283,13 @@
     rest.new.requests < MIN_OTHERS || rest.explained_early().log_ratio() >= SUPPORT.ln()
 }
 
-/// Whether too many requests to the new version failed for it to be completed, by the same counts.
+/// Whether too many requests to the new version failed or were slow for it to be completed, by the same counts.
 pub fn is_doubtful<'a, I>(own: VersionCounts, others: I) -> bool
 where
     I: Iterator<Item = &'a RegionEvidence>,
 {
     let (sum, rest) = sum_and_rest(own, others);
-    if sum.new.failures < MIN_BAD || sum.log_doubt() < DOUBT.ln() {
+    if sum.new.bad() < MIN_BAD || sum.log_doubt() < DOUBT.ln() {
         return false;
     }
     rest.new.requests < MIN_OTHERS || rest.log_doubt() >= 0.0
--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -19,6 +19,7 @@
 use super::{
     evidence::{OutcomeQuality, OwnEvidence, RegionEvidence, VersionCounts, is_bad, is_doubtful},
     exposure::{ExposureLimit, RolloutSchedule},
+    slowness::UsualSpeed,
 };
 use crate::{
     ids::{RegionId, ServiceId, VersionId},
@@ -134,6 +135,8 @@
     common: Option<VersionId>,
     /// Orders whose target this host found bad.
     reverted: Option<u64>,
+    /// Response times on this host of the version that takes the requests without a rollout.
+    usual: UsualSpeed,
     /// Outcomes on this host since the order.
     own: OwnEvidence,
     /// Outcomes on other hosts since the order, by region.
@@ -211,12 +214,17 @@
         now: MonoTime,
     ) -> bool {
         let schedule = self.schedule(order, seen, bounds, now);
-        let is_whole = self.is_settled() && (self.is_late || now >= schedule.whole_at);
+        let is_whole = self.is_whole(&schedule, now);
         // Servers of the old version that turn requests away must not raise the part of the new one.
         let allowed = schedule.canary * f64::from(self.sent.all) + CANARY_EXCESS;
         is_whole || (draw < schedule.canary && f64::from(self.sent.new) < allowed)
     }
 
+    /// Whether the new version takes everything.
+    fn is_whole(&self, schedule: &RolloutSchedule, now: MonoTime) -> bool {
+        self.is_settled() && (self.is_late || now >= schedule.whole_at)
+    }
+
     /// State that a rollout in state `phase` is to get.
     fn due_phase(
         &self,
@@ -359,6 +367,27 @@
         self.services.get(service)?.stable()
     }
 
+    /// Takes the response time of a request, in target latencies.
+    pub fn record_time(&mut self, service: &ServiceId, version: &VersionId, time: f64) {
+        let Some(versions) = self.services.get_mut(service) else { return };
+        if versions.stable() == Some(version) {
+            versions.usual.record(time);
+        }
+    }
+
+    /// Whether a response time, in target latencies, is slow for a service; `is_cold` says whether the server was cold.
+    pub fn is_slow(&self, service: &ServiceId, time: f64, is_cold: bool, now: MonoTime) -> bool {
+        let Some(versions) = self.services.get(service) else { return false };
+        let Some((order, seen)) = versions.running() else { return false };
+        // Under all requests its servers wait longer, and the old version has none to compare with.
+        let is_whole = versions.is_whole(&versions.schedule(order, seen, &self.bounds, now), now);
+        if is_cold || is_whole {
+            UsualSpeed::is_always_slow(time)
+        } else {
+            versions.usual.is_slow(time)
+        }
+    }
+
     /// Counts the outcome of a request, and says whether the rollout looks bad since this one.
     pub fn record_outcome(
         &mut self,
@@ -411,6 +440,11 @@
         times.flatten().filter(|it| *it > now).min()
     }
 
+    /// Whether a new version takes all requests soon or already, and may still be taken back.
+    pub fn is_deciding(&self) -> bool {
+        self.services.values().any(|it| it.running().is_some() && it.is_settled())
+    }
+
     /// Changes of records that are due.
     pub fn due_changes(&self, now: MonoTime) -> Vec<RecordChange> {
         let changes = self.services.iter().filter_map(|(service, versions)| {
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -14,6 +14,7 @@
 mod recent_changes;
 mod route_index;
 mod share_bounds;
+mod slow_versions;
 mod stale_work;
 #[cfg(test)]
 mod support;
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -29,6 +29,9 @@
 
 /// Interval of the exchange; half of the time after which a report counts for a third.
 const INTERVAL: Duration = Duration::from_millis(400);
+/// Interval while a rollout is about to be completed: evidence passes three hosts, and a completed rollout cannot be taken
+/// back.
+const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which the collector of the own region answers; it may be a host with little processor time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -59,7 +62,8 @@
     // Hosts that start together do not call together.
     sleep(INTERVAL.mul_f64(rand::random())).await;
     loop {
-        sleep(INTERVAL).await;
+        let is_deciding = state.core.lock().decides_rollout();
+        sleep(if is_deciding { DECISION_INTERVAL } else { INTERVAL }).await;
         let Some(collector) = state.core.lock().load_collector().cloned() else { continue };
         if chosen.as_ref() != Some(&collector.id) {
             log::info!(collector:% = collector.id; "collector of load reports");
