--- a/crates/sapphireknot/src/steering/place.rs
+++ b/crates/sapphireknot/src/steering/place.rs
@@ -169,7 +169,7 @@
     let mut sums: HashMap<&RegionId, (u32, f64)> = HashMap::new();
     for (region, slots, load) in servers {
         let sum = sums.entry(region).or_default();
-        sum.0 += slots;
+        sum.0 = sum.0.saturating_add(slots);
         sum.1 += load;
     }
     let room = |(region, (slots, load)): (&RegionId, (u32, f64))| RegionRoom {
