entry host: take a refusal on a kept connection only with the id of its request

Reported by operators of similar systems: a server writes an earlier refusal once more on a kept connection, and callers are told 'not run' for requests that run, or these run twice.

Cause: a refusal without an id was taken for the request that waits, and one with status 421 whatever its id.

Change: on a connection that carried responses before, a refusal needs the id of its request, with status 421 too; otherwise the outcome is unknown and the connection is closed. On a new connection one without an id is still believed, as there is no earlier one.

--- a/crates/sapphireknot-platform/src/dialect.rs
+++ b/crates/sapphireknot-platform/src/dialect.rs
@@ -52,6 +52,15 @@
     Foreign,
 }
 
+/// Whether a response is the first one on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// It is.
+    First,
+    /// The connection carried others before.
+    Again,
+}
+
 /// Response of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerAnswer {
@@ -93,6 +102,7 @@
         request_id: Option<&HeaderValue>,
         status: StatusCode,
         headers: &HeaderMap,
+        connection: ConnectionUse,
     ) -> ServerAnswer;
 
     /// Reads the response of a server that was asked for its health, whatever the status.
--- a/crates/sapphireknot-platform/src/lib.rs
+++ b/crates/sapphireknot-platform/src/lib.rs
@@ -12,7 +12,8 @@
 
 pub use self::{
     dialect::{
-        AnswerKind, CallerHead, NameQuery, RequestDialect, ServerAnswer, ServerHead, ServerHealth,
+        AnswerKind, CallerHead, ConnectionUse, NameQuery, RequestDialect, ServerAnswer, ServerHead,
+        ServerHealth,
     },
     fleet::{CallCount, FeedError, FeedPage, FleetStore, ReadRecency, WriteOutcome},
     grpc::{GrpcHosts, GrpcStore},
--- a/crates/sapphireknotd/src/entry/attempt.rs
+++ b/crates/sapphireknotd/src/entry/attempt.rs
@@ -9,10 +9,14 @@
 use http_body_util::Full;
 use opentelemetry::trace::SpanKind;
 use sapphireknot::{
-    ids::ServerId, picker::ServerOutcome, refusal::RefusalReason, retry::AttemptEnd,
-    steering::query::ChosenServer, time::MonoTime,
+    ids::ServerId,
+    picker::ServerOutcome,
+    refusal::RefusalReason,
+    retry::AttemptEnd,
+    steering::query::ChosenServer,
+    time::MonoTime,
 };
-use sapphireknot_platform::{AnswerKind, ServerAnswer, ServerHead};
+use sapphireknot_platform::{AnswerKind, ConnectionUse, ServerAnswer, ServerHead};
 use tokio::time::timeout_at;
 
 use super::{
@@ -65,7 +69,8 @@
         let dialect = &self.state.platform.dialect;
         let request_id = request.head.request_id.as_ref();
         let read = |head: &http::response::Parts| {
-            dialect.read_response(request_id, head.status, &head.headers)
+            let connection = head.extensions.get().copied().unwrap_or(ConnectionUse::Again);
+            dialect.read_response(request_id, head.status, &head.headers, connection)
         };
         let check = |head: &http::response::Parts| match read(head).kind {
             AnswerKind::Foreign => Err("response to another request".to_owned()),
--- a/crates/sapphireknotd/src/upstream/connections.rs
+++ b/crates/sapphireknotd/src/upstream/connections.rs
@@ -19,6 +19,7 @@
 };
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use sapphireknot_platform::ConnectionUse;
 use thiserror::Error;
 use tokio::{task::AbortHandle, time::timeout_at};
 
@@ -188,11 +189,11 @@
         C: Fn(&response::Parts) -> Result<(), String>,
     {
         let mut request = request;
-        let (connection, response) = loop {
+        let (connection, response, is_new) = loop {
             let (mut connection, is_new) = self.connection(peer).await?;
             connection.interim.watch(&mut request);
             match connection.sender.try_send_request(request).await {
-                Ok(response) => break (connection, response),
+                Ok(response) => break (connection, response, is_new),
                 Err(mut err) => match err.take_message() {
                     // The backend server closed an idle connection before the request was written.
                     Some(unsent) if !is_new => request = unsent,
@@ -208,7 +209,8 @@
             }
         };
         let broken = |cause: String| ExchangeError::Broken { peer, cause };
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
+        head.extensions.insert(if is_new { ConnectionUse::First } else { ConnectionUse::Again });
         if head.status.is_informational() {
             return Err(broken("unexpected change of protocol".to_owned()));
         }
