entry host: heed servers that leave or want no requests for a while

Cause: nothing read the header by which a server tells that it leaves, and the time that it gives with a refusal was not read on the managed platform.

Change: the adapter decodes both into terms of the product. The word of a server holds for one start of it (steering::notices): it outlives a registration that lapses, returns or says ready, and a later start ends it; a late word of an earlier start changes nothing. All final responses count, also those that belong to another request, and answers to questions for the health; one with status 421 comes from another server. Such a server drains for this host, or is left out until the longest time that it gave, for requests, retries and questions alike. When no other server is left, callers are refused at once with the time at which the first one wants requests again. Two lines and a counter.

--- a/crates/sapphireknot-platform/src/dialect.rs
+++ b/crates/sapphireknot-platform/src/dialect.rs
@@ -68,6 +68,10 @@
     pub kind: AnswerKind,
     /// Load of the server.
     pub load: Option<ServerLoad>,
+    /// Whether the server leaves.
+    pub is_leaving: bool,
+    /// Time for which it wants no further requests of this host.
+    pub away: Option<Duration>,
 }
 
 /// What a backend server tells of itself when it is asked.
@@ -77,6 +81,8 @@
     pub server: Option<ServerId>,
     /// Time for which it stays cold; `None` if it does not say.
     pub warmup_left: Option<Duration>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
 }
 
 /// Question of a caller where to connect.
--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -6,7 +6,8 @@
 //! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
 //! quotas. [`version`] decides which version of a service takes a request while a rollout runs, by the limit of its
 //! [`exposure`] and the [`evidence`] that all hosts have on it; `server_losses` says what requests without a response tell of a
-//! version, [`slowness`] which responses are slow. [`naming`] decides which
+//! version, [`slowness`] which responses are slow. [`notices`] holds what servers told of
+//! themselves in responses. [`naming`] decides which
 //! hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what the store told for hosts that cannot read
 //! it, and [`copy_search`] picks one of several copies.
 
@@ -22,6 +23,7 @@
 pub mod loads;
 pub mod miss;
 pub mod naming;
+pub mod notices;
 pub mod place;
 pub mod plan;
 pub mod query;
--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -355,6 +355,19 @@
         server.is_none_or(|it| it.silence(now) > SILENCE)
     }
 
+    /// Leaves a server out until it wants requests again.
+    pub fn set_away(&mut self, id: &ServerId, until: MonoTime) {
+        if let Some(server) = self.server_mut(id) {
+            server.away_until = until;
+        }
+    }
+
+    /// When the first of the servers that want no requests for now wants some again.
+    pub fn next_return(&self, now: MonoTime) -> Option<MonoTime> {
+        let away = self.servers.iter().filter(|it| !it.record.is_draining);
+        away.map(|it| it.away_until).filter(|it| *it > now).min()
+    }
+
     /// Whether a server is cold.
     pub fn is_cold(&self, id: &ServerId, now: MonoTime) -> bool {
         let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id));
--- a/crates/sapphireknot/src/steering/core/cold_exchange.rs
+++ b/crates/sapphireknot/src/steering/core/cold_exchange.rs
@@ -17,6 +17,8 @@
 pub struct ProbeTarget {
     /// Server.
     pub server: ServerId,
+    /// Its start.
+    pub started: u64,
     /// Address.
     pub address: SocketAddr,
     /// Path at which it tells of itself.
@@ -32,7 +34,9 @@
         let Some(plan) = &self.plan else { return Vec::new() };
         let mut teams: HashMap<&RegionId, Option<ProbeTeam>> = HashMap::new();
         let mut targets = Vec::new();
-        for record in self.fleet.servers().map(|it| &it.record).filter(|it| !it.is_draining) {
+        let asked =
+            self.fleet.servers().filter(|it| !it.record.is_draining && now >= it.away_until);
+        for record in asked.map(|it| &it.record) {
             let Some(rule) = plan.services.get(&record.service) else { continue };
             let Some(path) = rule.health_path.as_ref().filter(|_| !rule.warmup.is_zero()) else {
                 continue;
@@ -48,7 +52,8 @@
             });
             if team.as_ref().is_some_and(|it| it.asks(&record.id)) {
                 let (server, address) = (record.id.clone(), record.address);
-                targets.push(ProbeTarget { server, address, path: path.clone() });
+                let (started, path) = (record.started, path.clone());
+                targets.push(ProbeTarget { server, started, address, path });
             }
         }
         targets
--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::notices::ServerNotices;
 use super::{cold::ColdReport, server_state::server_hash};
 use crate::{
     ids::{DatacentreId, HostId, IncarnationId, RegionId, ServerId, ServiceId, VersionId},
@@ -89,6 +90,8 @@
     pub cold_until: MonoTime,
     /// Until when it is cold as it told itself rather than the store.
     told_until: MonoTime,
+    /// Until when it wants no requests of this host.
+    pub away_until: MonoTime,
     /// When it is removed unless it registers again.
     missing_until: Option<MonoTime>,
 }
@@ -102,6 +105,7 @@
     counted: HashMap<HostId, (RegionId, MonoTime)>,
     /// Until when an ended registration does not yet mean that the server is gone.
     doubtful_until: MonoTime,
+    notices: ServerNotices,
 }
 
 impl FleetTable {
@@ -112,6 +116,9 @@
 
     /// Takes a registration.
     pub fn register(&mut self, record: ServerRecord, now: MonoTime) {
+        let mut record = record;
+        record.is_draining |= self.notices.is_leaving(&record.id, record.started);
+        let away_until = self.notices.away_until(&record.id, record.started);
         let cold_until = now.after(record.warmup_left);
         let known = self.servers.get(&record.id);
         let is_restart = known.is_some_and(|it| it.record.started != record.started);
@@ -123,10 +130,36 @@
         // The store may still have the registration from before the server told that it is cold.
         let told_until = known.filter(|_| !is_restart).map(|it| it.told_until).unwrap_or_default();
         let cold_until = cold_until.max(told_until);
-        let server = FleetServer { cold_until, told_until, missing_until: None, record };
+        let server =
+            FleetServer { cold_until, told_until, away_until, missing_until: None, record };
         self.servers.insert(server.record.id.clone(), server);
     }
 
+    /// Notes that a server told that it leaves; says whether that is new.
+    pub fn record_leaving(&mut self, id: &ServerId, started: u64, now: MonoTime) -> bool {
+        let is_news = self.notices.add_leaving(id, started, now);
+        let known = self.servers.get_mut(id);
+        if let Some(known) = known.filter(|it| it.record.started == started) {
+            known.record.is_draining = true;
+        }
+        is_news
+    }
+
+    /// Notes that a server told that it wants no requests until `until`; returns the latest such time, unless the server
+    /// has started again.
+    pub fn record_away(
+        &mut self,
+        record: &ServerRecord,
+        until: MonoTime,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let until = self.notices.add_away(&record.id, record.started, until, now)?;
+        let known = self.servers.get_mut(&record.id);
+        let known = known.filter(|it| it.record.started == record.started)?;
+        known.away_until = until;
+        Some(until)
+    }
+
     /// Ends a registration.
     pub fn unregister(&mut self, id: &ServerId, now: MonoTime) {
         if now >= self.doubtful_until {
@@ -185,6 +218,7 @@
     pub fn expire(&mut self, now: MonoTime) {
         self.servers.retain(|_, it| it.missing_until.is_none_or(|until| now < until));
         self.counted.retain(|_, (_, until)| now < *until);
+        self.notices.expire(now);
     }
 
     /// When [`Self::expire`] is due.
--- a/crates/sapphireknot/src/steering/server_state.rs
+++ b/crates/sapphireknot/src/steering/server_state.rs
@@ -95,6 +95,8 @@
     shared: FailureTrace,
     slowness: f64,
     paused_until: MonoTime,
+    /// Until when it wants no requests of this host.
+    pub(super) away_until: MonoTime,
     /// Failures to connect since the last response.
     pauses: u32,
     /// From when an attempt without a response is an outcome of its own.
@@ -124,6 +126,7 @@
             shared: FailureTrace::default(),
             slowness: 1.0,
             paused_until: MonoTime::default(),
+            away_until: server.away_until,
             pauses: 0,
             next_loss_at: MonoTime::default(),
             unreached_at: None,
@@ -141,6 +144,7 @@
             self.record = Arc::new(server.record.clone());
         }
         self.cold_until = server.cold_until;
+        self.away_until = server.away_until;
     }
 
     /// Counts a request that is being sent.
@@ -217,7 +221,7 @@
 
     /// Whether requests may be sent to it at all.
     pub fn is_usable(&self, now: MonoTime) -> bool {
-        !self.record.is_draining && now >= self.paused_until
+        !self.record.is_draining && now >= self.paused_until && now >= self.away_until
     }
 
     /// Outcome that an attempt without a response is which ends now; `None` if the server cannot be reached.
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -13,6 +13,7 @@
 mod quota_owners;
 mod recent_changes;
 mod route_index;
+mod server_notices;
 mod share_bounds;
 mod slow_versions;
 mod stale_work;
--- /dev/null
+++ b/crates/sapphireknot/tests/steering/server_notices.rs
@@ -0,0 +1,102 @@
+//! What servers tell of themselves in their responses.
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use sapphireknot::{
+    ids::ServerId,
+    steering::{
+        core::{FleetChange, SteeringCore},
+        fleet::ServerRecord,
+    },
+    time::MonoTime,
+};
+
+use crate::support::{at, core, id, plan, query, server};
+
+fn started(record: &ServerRecord, started: u64) -> FleetChange {
+    FleetChange::Server(ServerRecord { started, ..record.clone() })
+}
+
+/// A host with one server, which started at 1.
+fn small_core() -> (SteeringCore, ServerRecord) {
+    let record = server("s1", "east");
+    let mut core = core("east");
+    core.take(vec![FleetChange::Plan(plan(1).into()), started(&record, 1)], at(0));
+    (core, record)
+}
+
+fn is_used(core: &mut SteeringCore, now: MonoTime) -> bool {
+    let mut rng = StdRng::seed_from_u64(1);
+    let chosen = core.choose(&id("reports"), query(None, now), now, &mut rng);
+    chosen.inspect(|it| core.withdraw_choice(it)).is_ok()
+}
+
+/// Guards against a registration that undoes the word of a server that leaves, and against a word that outlives a restart.
+#[test]
+fn leaves_once() {
+    let (mut core, record) = small_core();
+    assert!(is_used(&mut core, at(0)));
+    assert!(core.record_leaving(&record.id, 1, at(100)));
+    assert!(!core.record_leaving(&record.id, 1, at(200)), "known already");
+    assert!(!is_used(&mut core, at(200)));
+    core.take(vec![started(&record, 1)], at(300));
+    assert!(!is_used(&mut core, at(300)), "registered as ready");
+    core.take(vec![FleetChange::ServerGone(record.id.clone())], at(400));
+    core.take(vec![started(&record, 1)], at(60_000));
+    assert!(!is_used(&mut core, at(60_000)), "registered again");
+    core.take(vec![started(&record, 2)], at(60_100));
+    assert!(is_used(&mut core, at(60_100)), "started again");
+    core.record_leaving(&record.id, 1, at(60_200));
+    assert!(is_used(&mut core, at(60_200)), "a late answer of the earlier start");
+}
+
+/// Guards against a shorter time that ends a longer one, and a registration that ends it.
+#[test]
+fn longest_time() {
+    let (mut core, record) = small_core();
+    core.record_away(&record, at(5_000), at(0));
+    core.record_away(&record, at(2_000), at(100));
+    core.take(vec![started(&record, 1)], at(200));
+    assert!(!is_used(&mut core, at(4_900)));
+    assert_eq!(core.next_return(&id("reports"), at(4_900)), Some(at(5_000)));
+    assert!(is_used(&mut core, at(5_000)));
+    core.record_away(&record, at(9_000), at(5_000));
+    core.take(vec![started(&record, 2)], at(5_100));
+    assert!(is_used(&mut core, at(5_100)), "started again");
+}
+
+/// Guards against any order of words, registrations and restarts that lets a request through; the oracle holds the latest
+/// word for each start.
+#[test]
+fn any_order() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (mut core, record) = small_core();
+        let name: ServerId = record.id.clone();
+        let (mut start, mut is_leaving, mut away) = (1, false, at(0));
+        for step in 1..200 {
+            let now = at(step * 50);
+            match rng.random_range(0..8) {
+                0 => {
+                    is_leaving = true;
+                    core.record_leaving(&name, start, now);
+                }
+                1 | 2 => {
+                    let until = at(step * 50 + rng.random_range(0..2_000));
+                    away = away.max(until);
+                    let record = ServerRecord { started: start, ..record.clone() };
+                    core.record_away(&record, until, now);
+                }
+                3 => {
+                    (start, is_leaving, away) = (start + 1, false, at(0));
+                    core.take(vec![started(&record, start)], now);
+                }
+                4 => drop(core.record_leaving(&name, start - 1, now)),
+                5 => core.take(vec![FleetChange::ServerGone(name.clone())], now),
+                _ => {}
+            }
+            core.take(vec![started(&record, start)], now);
+            let expected = !is_leaving && now >= away;
+            assert_eq!(is_used(&mut core, now), expected, "seed {seed}, step {step}");
+        }
+    }
+}
--- a/crates/sapphireknotd/src/entry/attempt.rs
+++ b/crates/sapphireknotd/src/entry/attempt.rs
@@ -13,7 +13,7 @@
     picker::ServerOutcome,
     refusal::RefusalReason,
     retry::AttemptEnd,
-    steering::query::ChosenServer,
+    steering::{fleet::ServerRecord, query::ChosenServer},
     time::MonoTime,
 };
 use sapphireknot_platform::{AnswerKind, ConnectionUse, ServerAnswer, ServerHead};
@@ -72,9 +72,13 @@
             let connection = head.extensions.get().copied().unwrap_or(ConnectionUse::Again);
             dialect.read_response(request_id, head.status, &head.headers, connection)
         };
-        let check = |head: &http::response::Parts| match read(head).kind {
-            AnswerKind::Foreign => Err("response to another request".to_owned()),
-            AnswerKind::Ran | AnswerKind::NotRun | AnswerKind::OtherServer => Ok(()),
+        let check = |head: &http::response::Parts| {
+            let answer = read(head);
+            self.take_notices(&record, &answer);
+            match answer.kind {
+                AnswerKind::Foreign => Err("response to another request".to_owned()),
+                AnswerKind::Ran | AnswerKind::NotRun | AnswerKind::OtherServer => Ok(()),
+            }
         };
         let deadline = self.state.clock.instant(request.deadline);
         let outgoing = self.outgoing(request, &record.id, started);
@@ -89,7 +93,7 @@
         let (outcome, load, mut result) = match result {
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
-                let ServerAnswer { kind, load } = read(&parts);
+                let ServerAnswer { kind, load, .. } = read(&parts);
                 let body = EntryBody::new(body, self.state.clock, request.deadline);
                 let response = Response::from_parts(parts, body);
                 let (outcome, ended) = judge(kind, response, may_repeat);
@@ -140,6 +144,27 @@
         AttemptEnded { chosen, result }
     }
 
+    /// Takes what a server told of itself with a response, whatever that means for the request.
+    fn take_notices(&self, record: &ServerRecord, answer: &ServerAnswer) {
+        let now = self.state.clock.now();
+        let server = &record.id;
+        if answer.is_leaving && self.state.core.lock().record_leaving(server, record.started, now) {
+            self.state.meters.count_server_notice("leaving");
+            log::info!(service:% = record.service, server:%; "server leaves, as it tells");
+        }
+        let Some(away) = answer.away.filter(|it| !it.is_zero()) else { return };
+        self.state.core.lock().record_away(record, now.after(away), now);
+        self.state.meters.count_server_notice("away");
+        let Some(dropped) = self.state.decisions.take_line(LineKind::Failed, None, now) else {
+            return;
+        };
+        let away_ms = away.as_millis() as u64;
+        log::info!(
+            service:% = record.service, server:%, away_ms, lines_dropped = dropped;
+            "server wants no requests, as it tells"
+        );
+    }
+
     fn log_failure(
         &self,
         request: &EntryRequest<'_>,
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -85,12 +85,14 @@
 
 impl AttemptMiss {
     /// What a caller is told without an attempt.
-    fn refusal(&self, now: MonoTime) -> RequestRefusal {
+    ///
+    /// `next_return` is when a server that wants no requests for now wants some again.
+    fn refusal(&self, next_return: Option<MonoTime>, now: MonoTime) -> RequestRefusal {
         match self {
             Self::Deadline => RequestRefusal::not_run(RefusalReason::Deadline),
             Self::Choice(ChoiceMiss::NoServer { .. }) => {
-                RequestRefusal::not_run(RefusalReason::NoServer)
-                    .retry_at(now.after(MIN_RETRY_AFTER * 3))
+                let retry_at = next_return.unwrap_or(now.after(MIN_RETRY_AFTER * 3));
+                RequestRefusal::not_run(RefusalReason::NoServer).retry_at(retry_at)
             }
             Self::Choice(ChoiceMiss::NoRoom { wait, .. }) => {
                 let wait = (*wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
@@ -134,7 +136,7 @@
         let mut next = match self.choose(request, &tried) {
             Ok(chosen) => Some(chosen),
             Err(miss) => {
-                let refusal = miss.refusal(self.state.clock.now());
+                let refusal = self.refusal(request, &miss);
                 notes.miss = miss.into_choice();
                 return Err(refusal);
             }
@@ -197,7 +199,7 @@
                     }
                     Err(miss) => {
                         self.state.core.lock().budget_mut(request.service).refund();
-                        refusal = miss.refusal(now);
+                        refusal = self.refusal(request, &miss);
                         notes.miss = miss.into_choice();
                     }
                 }
@@ -233,6 +235,12 @@
         chosen
     }
 
+    fn refusal(&self, request: &EntryRequest<'_>, miss: &AttemptMiss) -> RequestRefusal {
+        let now = self.state.clock.now();
+        let next_return = self.state.core.lock().next_return(request.service, now);
+        miss.refusal(next_return, now)
+    }
+
     fn choose(
         &self,
         request: &EntryRequest<'_>,
--- a/crates/sapphireknotd/src/entry/meters.rs
+++ b/crates/sapphireknotd/src/entry/meters.rs
@@ -23,6 +23,7 @@
     exchange_failures: Counter<u64>,
     sent_copies: Counter<u64>,
     cold_probes: Counter<u64>,
+    server_notices: Counter<u64>,
     unknown_routes: Counter<u64>,
 }
 
@@ -44,6 +45,7 @@
                 .build(),
             sent_copies: meter.u64_counter("sapphireknot.entry.sent_copies").build(),
             cold_probes: meter.u64_counter("sapphireknot.entry.cold_probes").build(),
+            server_notices: meter.u64_counter("sapphireknot.entry.server_notices").build(),
             unknown_routes: meter.u64_counter("sapphireknot.entry.unknown_routes").build(),
         }
     }
@@ -85,6 +87,11 @@
         self.cold_probes.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts what a server told of itself with a response.
+    pub fn count_server_notice(&self, kind: &'static str) {
+        self.server_notices.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts routes of a new plan whose kind this release does not know.
     pub fn count_unknown_routes(&self, count: usize) {
         self.unknown_routes.add(count as u64, &[]);
