--- a/crates/sapphireknot/src/steering/core/rollouts.rs
+++ b/crates/sapphireknot/src/steering/core/rollouts.rs
@@ -27,8 +27,8 @@
     }
 
     /// Whether a rollout is about to be completed, so that evidence on it is needed soon.
-    pub fn decides_rollout(&self) -> bool {
-        self.versions.is_deciding()
+    pub fn decides_rollout(&self, now: MonoTime) -> bool {
+        self.versions.is_deciding(now)
     }
 
     /// Version that takes a request without a rollout, for reports.
--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -273,9 +273,13 @@
         self.services.get(service).is_some_and(|it| it.running().is_some() && it.is_settled())
     }
 
-    /// Whether a new version takes all requests soon or already, and may still be taken back.
-    pub fn is_deciding(&self) -> bool {
-        self.services.values().any(|it| it.running().is_some() && it.is_settled())
+    /// Whether a rollout is about to be completed.
+    pub fn is_deciding(&self, now: MonoTime) -> bool {
+        self.services.values().filter(|it| it.is_settled()).any(|versions| {
+            let Some((order, seen)) = versions.running() else { return false };
+            let schedule = versions.schedule(order, seen, &self.bounds, now);
+            now >= schedule.completed_at.before(self.bounds.apply_time)
+        })
     }
 
     /// Changes of records that are due.
--- a/crates/sapphireknot/tests/steering/version_ramp.rs
+++ b/crates/sapphireknot/tests/steering/version_ramp.rs
@@ -153,6 +153,21 @@
     assert!(table.own_evidence().next().is_none(), "the record tells it");
 }
 
+/// Guards against frequent calls between hosts for all of the time in which the new version of a long rollout has
+/// everything.
+#[test]
+fn decides_late() {
+    let mut table = table();
+    let span = Duration::from_secs(3_600);
+    table.add_order(RolloutOrder { span, ..order(7) }, at(0));
+    table.add_record(record(RolloutPhase::Running), 8, at(0));
+    let settled = RolloutRecord { age: Some(Duration::ZERO), ..record(RolloutPhase::Settled) };
+    table.add_record(settled, 9, at(3_400_000));
+    assert_eq!(share(&table, at(3_500_000)), 1.0);
+    assert!(!table.is_deciding(at(3_500_000)));
+    assert!(table.is_deciding(at(3_599_000)));
+}
+
 /// Failures that both versions have come from elsewhere; reverting a good version for them misses the deadline.
 #[test]
 fn common_failures() {
--- a/crates/sapphireknotd/src/entry/load_peers.rs
+++ b/crates/sapphireknotd/src/entry/load_peers.rs
@@ -62,7 +62,7 @@
     // Hosts that start together do not call together.
     sleep(INTERVAL.mul_f64(rand::random())).await;
     loop {
-        let is_deciding = state.core.lock().decides_rollout();
+        let is_deciding = state.core.lock().decides_rollout(state.clock.now());
         sleep(if is_deciding { DECISION_INTERVAL } else { INTERVAL }).await;
         let Some(collector) = state.core.lock().load_collector().cloned() else { continue };
         if chosen.as_ref() != Some(&collector.id) {
