--- a/crates/sapphireknot/src/steering.rs
+++ b/crates/sapphireknot/src/steering.rs
@@ -5,11 +5,10 @@
 //! the measured [`work`] say of it, [`cold`] tells which hosts ask servers whether they are cold while the store is away, [`place`] decides in which region its object is kept, and [`miss`] tells why no server
 //! takes a request. [`shares`] divides what is bounded over all hosts together and [`tokens`] holds admissions under
 //! quotas. [`version`] decides which version of a service takes a request while a rollout runs, by the limit of its
-//! [`exposure`] and the [`evidence`] that all hosts have on it; `server_losses` says what requests without a response tell of a
-//! version, [`slowness`] which responses are slow. [`notices`] holds what servers told of
-//! themselves in responses. [`naming`] decides which
-//! hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what the store told for hosts that cannot read
-//! it, and [`copy_search`] picks one of several copies.
+//! [`exposure`] and the [`evidence`] that all hosts have on it; `server_losses` says what requests without a response tell
+//! of a version, [`slowness`] which responses are slow. [`notices`] holds what servers told of themselves in responses.
+//! [`naming`] decides which hosts a caller is told. [`core`] holds them together. [`feed_copy`] keeps what the store told
+//! for hosts that cannot read it, and [`copy_search`] picks one of several copies.
 
 pub mod choice;
 pub mod cold;
--- a/crates/sapphireknot/src/steering/server_losses.rs
+++ b/crates/sapphireknot/src/steering/server_losses.rs
@@ -3,9 +3,10 @@
 //! Attempts without a response at one server are no independent outcomes: a server that is down refuses each of them, and
 //! servers of a data centre go down together. A version is judged by what its servers do with requests. An attempt at a
 //! server that cannot be reached is therefore no outcome, and one that got no response is one outcome for each host and
-//! [`LOSS_INTERVAL`] until the server responds, or none if another host told that the server is silent or if servers of the
-//! other version in the same data centre give no response. All of the latter count for the rate of the old version, which explains those of the new one. A version whose servers cannot be reached
-//! must not take over; [`ServicePicker::reaches`] says whether they can.
+//! [`LOSS_INTERVAL`] until the server responds, or none if another host told that the server is silent or if servers of
+//! the other version in the same data centre give no response. All of the latter count for the rate of the old version,
+//! which explains those of the new one. A version whose servers cannot be reached must not take over;
+//! [`ServicePicker::reaches`] says whether they can.
 
 use std::time::Duration;
 
