steering: compare response times from a quarter of a rollout on

Cause: servers that have just started are slower for some seconds, also when they are not cold, and their responses were compared with those of the old version at once.

--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -29,6 +29,9 @@
     time::MonoTime,
 };
 
+/// Part of a rollout's time from which the response times of both versions are compared.
+const COMPARED_FROM: f64 = 0.25;
+
 /// What operators asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutOrder {
@@ -209,7 +212,9 @@
         let Some((order, seen)) = versions.running() else { return false };
         // Under all requests its servers wait longer, and the old version has none to compare with.
         let is_whole = versions.is_whole(&versions.schedule(order, seen, &self.bounds, now), now);
-        if is_cold || is_whole {
+        // Servers that have just started are slower for some seconds, whether they are cold or not.
+        let is_early = now < seen.after(order.span.mul_f64(COMPARED_FROM));
+        if is_cold || is_whole || is_early {
             UsualSpeed::is_always_slow(time)
         } else {
             versions.usual.is_slow(time)
--- a/crates/sapphireknot/tests/steering/slow_versions.rs
+++ b/crates/sapphireknot/tests/steering/slow_versions.rs
@@ -127,6 +127,25 @@
     assert!(part == 0.0, "{part}");
 }
 
+/// Guards against the loss of a good version whose servers are slow for the first seconds after their start.
+#[test]
+fn slow_start() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut core = rolling_core();
+    for step in 0..400 {
+        let now = at(step * 10);
+        let Ok(chosen) = core.choose(&id("reports"), query(None, now), now, &mut rng) else {
+            continue;
+        };
+        let is_new = chosen.record.version == id::<VersionId>("v2");
+        let elapsed = Duration::from_millis(if is_new { 800 } else { 100 });
+        let (outcome, target_ms) = (ServerOutcome::Succeeded, TARGET_MS);
+        let chosen = &chosen;
+        let report = AttemptReport { chosen, outcome, load: None, target_ms, elapsed };
+        assert!(!core.record_attempt(report, now), "{now:?}");
+    }
+}
+
 /// Guards against the loss of a good version when callers leave early.
 #[test]
 fn early_leavers() {
