steering: look servers up in one place, ask for lost servers only when needed

The look-up of a server by its id stood in is_silent, is_cold and loss_quality, and each request during a rollout counted the servers of the old version that can be reached, also where nothing depended on it. Behaviour stays as it is.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -348,11 +348,15 @@
         }
     }
 
+    /// What this host knows of a server.
+    pub(super) fn server(&self, id: &ServerId) -> Option<&ServerState> {
+        let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id)).ok()?;
+        self.servers.get(idx)
+    }
+
     /// Whether a server has not been heard of since requests were sent to it.
     pub fn is_silent(&self, id: &ServerId, now: MonoTime) -> bool {
-        let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id));
-        let server = idx.ok().and_then(|it| self.servers.get(it));
-        server.is_none_or(|it| it.silence(now) > SILENCE)
+        self.server(id).is_none_or(|it| it.silence(now) > SILENCE)
     }
 
     /// Leaves a server out until it wants requests again.
@@ -370,8 +374,7 @@
 
     /// Whether a server is cold.
     pub fn is_cold(&self, id: &ServerId, now: MonoTime) -> bool {
-        let idx = self.servers.binary_search_by(|it| it.record.id.cmp(id));
-        idx.ok().and_then(|it| self.servers.get(it)).is_some_and(|it| it.is_cold(now))
+        self.server(id).is_some_and(|it| it.is_cold(now))
     }
 
     /// Takes a load report of `id`.
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -42,6 +42,7 @@
 
 /// Part of the retry budget of all hosts that is used; the rest covers requests that are delayed between windows.
 const USED_RETRIES: f64 = 0.75;
+
 /// Bounds over all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SharedBounds {
@@ -310,8 +311,8 @@
         let mut version = self.versions.choose(service, draw, now);
         let new = self.versions.new_version(service);
         let reaches = |it: Option<&VersionId>| it.is_some_and(|it| picker.reaches(it, now));
-        let is_old_gone = new.is_some() && !reaches(self.versions.stable(service));
-        if is_old_gone && reaches(new) && self.versions.is_settled(service) {
+        let is_old_gone = || !reaches(self.versions.stable(service));
+        if self.versions.is_settled(service) && is_old_gone() && reaches(new) {
             // Another host may have completed the rollout, of which this one has not heard yet.
             version = new.cloned();
         }
@@ -321,7 +322,7 @@
             // The new version may have too few warm servers yet, and the old one may have gone already.
             let other = if !reaches(new) {
                 self.versions.stable(service).cloned()
-            } else if is_old_gone {
+            } else if is_old_gone() {
                 new.cloned()
             } else {
                 self.versions.choose(service, 1.0 - draw, now)
--- a/crates/sapphireknot/src/steering/server_losses.rs
+++ b/crates/sapphireknot/src/steering/server_losses.rs
@@ -22,10 +22,7 @@
 impl ServicePicker {
     /// Outcome that an attempt at a server without a response is which ends now; `None` if it is none.
     pub fn loss_quality(&self, id: &ServerId, now: MonoTime) -> Option<OutcomeQuality> {
-        let idx = self.servers().binary_search_by(|it| it.record.id.cmp(id)).ok();
-        let Some(server) = idx.and_then(|it| self.servers().get(it)) else {
-            return Some(OutcomeQuality::Failed);
-        };
+        let Some(server) = self.server(id) else { return Some(OutcomeQuality::Failed) };
         let quality = server.loss_quality(now);
         let is_shared = quality == Some(OutcomeQuality::Failed) && self.shares_loss(server, now);
         if is_shared { Some(OutcomeQuality::LostAgain) } else { quality }
