steering: compare response times with the median of the version in use

Cause: a response was slow from 1.25 of the slowest of the last few hundred responses of the old version. Where its servers knew all objects that limit had fallen to one target latency (0.56 of one at the slowest) and each first request for an object at a new server, 1.0 to 1.7, was slow. Ruled out: rolling stops; hosts that ran since the start saw the same.

The limit is now 4.8 medians of the old version, which neither depends on how many objects are known nor on single responses: an unknown object takes three times as long. The median stays within the bounds in which it matters, so that an overload or fast times before do not last.

Tests: known_objects and slow_exceptions fail on the former code; former_times without the bounds.

--- a/crates/sapphireknot/src/steering/slowness.rs
+++ b/crates/sapphireknot/src/steering/slowness.rs
@@ -1,40 +1,49 @@
 //! Which responses are slow for their service.
 //!
-//! A version that takes twice as long as the one in use may still be fast for its target latency. Response times are
-//! therefore compared with those of the version in use, by the slowest of its last few hundred responses: a server that
-//! does not know the object of a request is slower than one that does, and a new version with few requests knows fewer
-//! objects, but its responses are no slower than the slowest ones of the old version.
+//! A version that takes twice as long as the one in use may still be fast for its target latency, so that response times
+//! are compared with those of the version in use. Its median is that of servers that know the object of the request; a
+//! new version with few requests knows few objects, and a server works about three times as long on an unknown one.
+//! Neither the slowest responses of the old version nor the median of the new one can therefore be compared: the former
+//! depend on how many objects are known, or on a single response, and the latter is higher for a good version as well.
 
 /// Response time, in target latencies, from which a response is slow for any service. A cold server that does not know
 /// the object takes up to three.
 const ALWAYS_SLOW: f64 = 4.5;
-/// Response time, in those of the slowest usual responses, from which a response is slow.
-const SLOWER: f64 = 1.25;
-/// Responses of the version in use before others are compared with them.
-const MIN_RESPONSES: u32 = 40;
-/// Part of the slowest response time that is left after each response.
-const MEMORY: f64 = 0.998;
+/// Response time, in those at servers that know the object, from which a response is slow: three for an unknown object,
+/// and the spread of such responses.
+const SLOWER: f64 = 4.8;
+/// Part by which a response moves the median.
+const MEDIAN_STEP: f64 = 0.02;
+
+/// Lowest median that counts: a response within its target latency is not slow, however fast the others are.
+const LEAST_MEDIAN: f64 = 1.0 / SLOWER;
+/// Highest median that counts.
+const MOST_MEDIAN: f64 = ALWAYS_SLOW / SLOWER;
 
 /// Response times of the version in use, in target latencies.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct UsualSpeed {
-    slowest: f64,
-    responses: u32,
+    median: f64,
+}
+
+impl Default for UsualSpeed {
+    fn default() -> Self {
+        Self { median: MOST_MEDIAN }
+    }
 }
 
 impl UsualSpeed {
     /// Takes the time of a response of the version in use.
     pub fn record(&mut self, time: f64) {
-        self.slowest = (self.slowest * MEMORY).max(time);
-        self.responses = self.responses.saturating_add(1);
+        let step = 1.0 + MEDIAN_STEP;
+        let median = if time > self.median { self.median * step } else { self.median / step };
+        // Beyond these bounds the limit stays the same; the median of an overload would take long to fall from there.
+        self.median = median.clamp(LEAST_MEDIAN, MOST_MEDIAN);
     }
 
     /// Whether `time` is slow.
     pub fn is_slow(&self, time: f64) -> bool {
-        let is_known = self.responses >= MIN_RESPONSES;
-        // A response within its target latency is not slow, however fast the others are.
-        let limit = (self.slowest * SLOWER).clamp(1.0, ALWAYS_SLOW);
-        time > if is_known { limit } else { ALWAYS_SLOW }
+        time > self.median * SLOWER
     }
 
     /// Whether `time` is slow for any service.
--- a/crates/sapphireknot/tests/steering/slow_versions.rs
+++ b/crates/sapphireknot/tests/steering/slow_versions.rs
@@ -10,6 +10,7 @@
         core::{AttemptReport, FleetChange, SteeringCore},
         fleet::ServerRecord,
         query::ChosenServer,
+        slowness::UsualSpeed,
         version::{RolloutOrder, RolloutPhase, RolloutRecord},
     },
     time::MonoTime,
@@ -98,6 +99,30 @@
     count as f64 / SEEDS.count() as f64
 }
 
+/// Guards against the loss of a good version whose servers do not know the objects yet, while those of the old version
+/// know them all.
+#[test]
+fn known_objects() {
+    let part = found(|is_new, rng| {
+        let millis = if is_new { usual_time(true, rng) } else { rng.random_range(60..150) };
+        (ServerOutcome::Succeeded, millis)
+    });
+    assert!(part == 0.0, "{part}");
+}
+
+/// Guards against a slow version that is overlooked as some responses of the old one were slow too.
+#[test]
+fn slow_exceptions() {
+    let part = found(|is_new, rng| {
+        let is_exception = !is_new && rng.random_bool(0.02);
+        let slower = if is_new && rng.random_bool(0.5) { 2 } else { 1 };
+        let is_known = rng.random_bool(if is_new { 0.2 } else { 0.92 });
+        let millis = if is_known { rng.random_range(60..150) } else { rng.random_range(200..340) };
+        (ServerOutcome::Succeeded, if is_exception { 700 } else { millis * slower })
+    });
+    assert!(part >= 0.95, "{part}");
+}
+
 /// Guards against a version that is twice as slow for half of its requests, which is still less than three target
 /// latencies.
 #[test]
@@ -156,3 +181,16 @@
     });
     assert!(part == 0.0, "{part}");
 }
+
+/// Guards against limits that keep the response times of an overload, or of a time with fast responses, for long.
+#[test]
+fn former_times() {
+    for former in [0.001, 3.0] {
+        let mut speed = UsualSpeed::default();
+        for time in std::iter::repeat_n(former, 5_000).chain(std::iter::repeat_n(0.5, 100)) {
+            speed.record(time);
+        }
+        assert!(speed.is_slow(3.0), "after {former}");
+        assert!(!speed.is_slow(2.0), "after {former}");
+    }
+}
