steering: bound what a server's reported load adds to the usual one

Found while header values were fuzzed: a server that reports a load of 4294967295,1 ended the task of the request in debug builds (the sum overflowed) and looked idle in release builds. With the sum mended, the same report raised the usual load of the service so far that the host held all servers for full and refused every request.

The sum is taken in floating point, and a report counts for at most 10 a slot in the usual load, which is above all limits on load. The load of the server itself stays as reported: it is left out until it reports less.

Test: load_reports::highest_load, failed before at the sum and then at the choice of a second server.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -38,6 +38,9 @@
 const WAY_GROWTH: f64 = 1.05;
 /// Weight of a new sample in the usual load.
 const USUAL_WEIGHT: f64 = 0.05;
+/// Highest load per slot that counts for the usual one, above all limits on load; a false report of one server must not
+/// make the others look full.
+const MOST_USUAL_LOAD: f64 = 10.0;
 /// Part of the remaining time that the expected time may take; estimates are too low for half of the requests.
 const TIME_PART: f64 = 0.9;
 /// Requests per slot that may run or wait at a server for the least urgent requests of a service.
@@ -381,7 +384,7 @@
     pub fn record_load(&mut self, id: &ServerId, load: ServerLoad, now: MonoTime) {
         let Some(server) = self.server_mut(id) else { return };
         server.record_load(load, now);
-        let per_slot = f64::from(load.running + load.waiting) / server.slots();
+        let per_slot = (load.total() / server.slots()).min(MOST_USUAL_LOAD);
         self.usual_load += (per_slot - self.usual_load) * USUAL_WEIGHT;
     }
 
--- a/crates/sapphireknot/src/steering/server_state.rs
+++ b/crates/sapphireknot/src/steering/server_state.rs
@@ -71,6 +71,13 @@
     pub waiting: u32,
 }
 
+impl ServerLoad {
+    /// Requests that run or wait.
+    pub fn total(self) -> f64 {
+        f64::from(self.running) + f64::from(self.waiting)
+    }
+}
+
 /// What this host knows of one backend server.
 #[derive(Debug)]
 pub struct ServerState {
@@ -162,7 +169,7 @@
         if at < self.load_at {
             return;
         }
-        self.load = f64::from(load.running + load.waiting);
+        self.load = load.total();
         self.load_at = at;
         self.unreached_at = self.unreached_at.filter(|it| *it > at);
         // Requests of this host that the report does not cover still count.
--- a/crates/sapphireknot/tests/steering/load_reports.rs
+++ b/crates/sapphireknot/tests/steering/load_reports.rs
@@ -43,13 +43,17 @@
     core.choose(&id("reports"), query, now, &mut StdRng::seed_from_u64(object)).expect("server")
 }
 
-fn report_full(core: &mut SteeringCore, chosen: &ChosenServer, now: MonoTime) {
+fn report_load(core: &mut SteeringCore, chosen: &ChosenServer, load: ServerLoad, now: MonoTime) {
     let outcome = ServerOutcome::Succeeded;
     let elapsed = Duration::from_millis(100);
-    let report = AttemptReport { chosen, outcome, load: Some(FULL), target_ms: 200.0, elapsed };
+    let report = AttemptReport { chosen, outcome, load: Some(load), target_ms: 200.0, elapsed };
     core.record_attempt(report, now);
 }
 
+fn report_full(core: &mut SteeringCore, chosen: &ChosenServer, now: MonoTime) {
+    report_load(core, chosen, FULL, now);
+}
+
 fn report(server: u64, millis: u64) -> LoadReport {
     LoadReport { server, load: Some(FULL), failing: None, at: at(millis) }
 }
@@ -230,3 +234,14 @@
     let next = core.load_collector().unwrap().id.clone();
     assert!(first != next && ["h2", "h5"].contains(&next.as_str()), "{first}, {next}");
 }
+
+/// Guards against a server that looks idle, or a host that ends, as the sum of its reported load overflows.
+#[test]
+fn highest_load() {
+    let mut core = core_of("h1");
+    let first = choose(&mut core, 7, at(1));
+    let load = ServerLoad { running: u32::MAX, waiting: 1 };
+    report_load(&mut core, &first, load, at(100));
+    let second = choose(&mut core, 7, at(110));
+    assert_ne!(first.record.id, second.record.id);
+}
