steering: derive what decides only where it is needed

Found while the change was read again; behaviour stays as it is.

- Each refusal scanned all servers of its service under the lock for the next one that returns, also where only refusals without a server use it; an overload refuses most requests for lack of room.
- shares_loss looked up each server that it held already by its identifier (ServerState::is_silent now).
- is_slow derived the schedule of a rollout, a sum over all regions, before it looked at what decides alone; due_phase read the evidence of a rollout that is not due yet.

Measured: the 145 tests of steering and clippy of the workspace pass.

--- a/crates/sapphireknot/src/steering/choice.rs
+++ b/crates/sapphireknot/src/steering/choice.rs
@@ -21,7 +21,7 @@
     place::{PlaceTable, sum_rooms},
     plan::{RequestPriority, ServiceRule},
     query::{ChoiceQuery, ChosenPlace, ChosenServer},
-    server_state::{ServerLoad, ServerState},
+    server_state::{SILENCE, ServerLoad, ServerState},
     shares::ColdHosts,
     work::{RANKS, WorkEstimate, queue_rounds, wait_ms},
 };
@@ -52,8 +52,6 @@
 const DISPLACED: f64 = 3.0;
 /// Part of the work that decides between servers that are otherwise alike, at random.
 const JITTER: f64 = 0.05;
-/// Silence beyond the expected time after which a server is taken to be unreachable.
-const SILENCE: Duration = Duration::from_millis(300);
 /// Factor on the expected time at a silent server.
 const SILENCE_FACTOR: f64 = 8.0;
 
@@ -359,7 +357,7 @@
 
     /// Whether a server has not been heard of since requests were sent to it.
     pub fn is_silent(&self, id: &ServerId, now: MonoTime) -> bool {
-        self.server(id).is_none_or(|it| it.silence(now) > SILENCE)
+        self.server(id).is_none_or(|it| it.is_silent(now))
     }
 
     /// Leaves a server out until it wants requests again.
--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -8,8 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::notices::ServerNotices;
-use super::{cold::ColdReport, server_state::server_hash};
+use super::{cold::ColdReport, notices::ServerNotices, server_state::server_hash};
 use crate::{
     ids::{DatacentreId, HostId, IncarnationId, RegionId, ServerId, ServiceId, VersionId},
     time::MonoTime,
--- a/crates/sapphireknot/src/steering/server_losses.rs
+++ b/crates/sapphireknot/src/steering/server_losses.rs
@@ -35,7 +35,7 @@
         self.servers().iter().any(|it| {
             it.record.datacentre == record.datacentre
                 && it.record.version != record.version
-                && (it.is_lost(now) || self.is_silent(&it.record.id, now))
+                && (it.is_lost(now) || it.is_silent(now))
         })
     }
 
--- a/crates/sapphireknot/src/steering/server_state.rs
+++ b/crates/sapphireknot/src/steering/server_state.rs
@@ -31,6 +31,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause, so that a server that returns is used again soon.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Silence beyond the expected time after which a server is taken to be unreachable.
+pub(super) const SILENCE: Duration = Duration::from_millis(300);
 /// Time for which a server counts as silent after another host could not reach it; hosts exchange reports more often.
 const TOLD_SILENCE: Duration = Duration::from_secs(1);
 /// Rate of failures from which one of them is recent; a failure adds 0.2, of which a third is left after its time.
@@ -290,6 +292,11 @@
         if self.in_flight == 0 { Duration::ZERO } else { now.since(self.silent_since) }
     }
 
+    /// Whether it has not been heard of since requests were sent to it.
+    pub fn is_silent(&self, now: MonoTime) -> bool {
+        self.silence(now) > SILENCE
+    }
+
     /// Whether another host could not reach it a moment ago.
     pub fn is_told_silent(&self, now: MonoTime) -> bool {
         self.unreached_at.is_some_and(|it| now < it.after(TOLD_SILENCE))
--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -211,10 +211,11 @@
         let Some(versions) = self.services.get(service) else { return false };
         let Some((order, seen)) = versions.running() else { return false };
         // Under all requests its servers wait longer, and the old version has none to compare with.
-        let is_whole = versions.is_whole(&versions.schedule(order, seen, &self.bounds, now), now);
+        let is_whole =
+            || versions.is_whole(&versions.schedule(order, seen, &self.bounds, now), now);
         // Servers that have just started are slower for some seconds, whether they are cold or not.
         let is_early = now < seen.after(order.span.mul_f64(COMPARED_FROM));
-        if is_cold || is_whole || is_early {
+        if is_cold || is_early || is_whole() {
             UsualSpeed::is_always_slow(time)
         } else {
             versions.usual.is_slow(time)
--- a/crates/sapphireknot/src/steering/version/service_versions.rs
+++ b/crates/sapphireknot/src/steering/version/service_versions.rs
@@ -159,11 +159,11 @@
                 let whole_at = if self.is_late { settled } else { settled.max(schedule.whole_at) };
                 let drain_time = schedule.drain_time().min(bounds.apply_time);
                 let is_idle = now >= whole_at.after(drain_time);
-                let is_due = now >= schedule.completed_at && is_idle;
+                if now < schedule.completed_at || !is_idle {
+                    return None;
+                }
                 let is_doubtful = is_doubtful(self.own.counts(), self.told.values());
-                let last =
-                    if is_doubtful { RolloutPhase::Reverted } else { RolloutPhase::Completed };
-                is_due.then_some(last)
+                Some(if is_doubtful { RolloutPhase::Reverted } else { RolloutPhase::Completed })
             }
         }
     }
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -86,12 +86,15 @@
 impl AttemptMiss {
     /// What a caller is told without an attempt.
     ///
-    /// `next_return` is when a server that wants no requests for now wants some again.
-    fn refusal(&self, next_return: Option<MonoTime>, now: MonoTime) -> RequestRefusal {
+    /// `next_return` says when a server that wants no requests for now wants some again.
+    fn refusal<F>(&self, next_return: F, now: MonoTime) -> RequestRefusal
+    where
+        F: FnOnce() -> Option<MonoTime>,
+    {
         match self {
             Self::Deadline => RequestRefusal::not_run(RefusalReason::Deadline),
             Self::Choice(ChoiceMiss::NoServer { .. }) => {
-                let retry_at = next_return.unwrap_or(now.after(MIN_RETRY_AFTER * 3));
+                let retry_at = next_return().unwrap_or(now.after(MIN_RETRY_AFTER * 3));
                 RequestRefusal::not_run(RefusalReason::NoServer).retry_at(retry_at)
             }
             Self::Choice(ChoiceMiss::NoRoom { wait, .. }) => {
@@ -237,8 +240,7 @@
 
     fn refusal(&self, request: &EntryRequest<'_>, miss: &AttemptMiss) -> RequestRefusal {
         let now = self.state.clock.now();
-        let next_return = self.state.core.lock().next_return(request.service, now);
-        miss.refusal(next_return, now)
+        miss.refusal(|| self.state.core.lock().next_return(request.service, now), now)
     }
 
     fn choose(
