entry: note a leaving server in one place

Attempts and questions to cold servers each recorded a server that leaves and counted it. Both call EntryState::record_leaving now; their log lines differ in the service and stay with them. Behaviour stays as it is.

Measured: server_notices and cold_probes pass but for the known red cold_probes::full_server.

--- a/crates/sapphireknotd/src/entry/attempt.rs
+++ b/crates/sapphireknotd/src/entry/attempt.rs
@@ -146,13 +146,12 @@
 
     /// Takes what a server told of itself with a response, whatever that means for the request.
     fn take_notices(&self, record: &ServerRecord, answer: &ServerAnswer) {
-        let now = self.state.clock.now();
         let server = &record.id;
-        if answer.is_leaving && self.state.core.lock().record_leaving(server, record.started, now) {
-            self.state.meters.count_server_notice("leaving");
+        if answer.is_leaving && self.state.record_leaving(server, record.started) {
             log::info!(service:% = record.service, server:%; "server leaves, as it tells");
         }
         let Some(away) = answer.away.filter(|it| !it.is_zero()) else { return };
+        let now = self.state.clock.now();
         self.state.core.lock().record_away(record, now.after(away), now);
         self.state.meters.count_server_notice("away");
         let Some(dropped) = self.state.decisions.take_line(LineKind::Failed, None, now) else {
--- a/crates/sapphireknotd/src/entry/cold_probes.rs
+++ b/crates/sapphireknotd/src/entry/cold_probes.rs
@@ -124,15 +124,6 @@
         }
     }
 
-    fn take_leaving(&self, target: &ProbeTarget) {
-        let now = self.state.clock.now();
-        let is_news = self.state.core.lock().record_leaving(&target.server, target.started, now);
-        if is_news {
-            self.state.meters.count_server_notice("leaving");
-            log::info!(server:% = target.server; "server leaves, as it tells");
-        }
-    }
-
     /// What the server tells; `None` if it is warm.
     async fn exchange(&self, target: &ProbeTarget) -> Result<Option<ColdReport>, String> {
         let request = Request::get(&target.path).header(header::HOST, target.address.to_string());
@@ -145,8 +136,8 @@
         if health.server.as_ref() != Some(&target.server) {
             return Err("another server has the address".to_owned());
         }
-        if health.is_leaving {
-            self.take_leaving(target);
+        if health.is_leaving && self.state.record_leaving(&target.server, target.started) {
+            log::info!(server:% = target.server; "server leaves, as it tells");
         }
         let left = health.warmup_left.filter(|it| !it.is_zero());
         let cold_until = left.map(|it| self.state.clock.now().after(it));
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use sapphireknot::{
     drain::DrainStage,
+    ids::ServerId,
     steering::{core::SteeringCore, feed_copy::FeedCopy, fleet::HostRecord, plan::RoutingPlan},
     time::MonoTime,
 };
@@ -85,6 +86,15 @@
         self.plan.store(Some(plan));
     }
 
+    /// Notes that a server told that it leaves; says whether that is new.
+    pub fn record_leaving(&self, server: &ServerId, started: u64) -> bool {
+        let is_news = self.core.lock().record_leaving(server, started, self.clock.now());
+        if is_news {
+            self.meters.count_server_notice("leaving");
+        }
+        is_news
+    }
+
     /// Tells of a call that the store did not answer.
     pub fn report_store_failure(&self, err: StoreError) {
         self.store_failures.send_replace(Some(err));
