--- a/crates/sapphireknot/tests/steering/slow_versions.rs
+++ b/crates/sapphireknot/tests/steering/slow_versions.rs
@@ -38,20 +38,17 @@
             changes.push(FleetChange::Server(ServerRecord { version: id(version), ..record }));
         }
     }
-    let (service, target): (_, VersionId) = (id("reports"), id("v2"));
-    let span = Duration::from_secs(16);
-    let order = RolloutOrder { service, target: target.clone(), span, revision: 7 };
+    let (service, target, span) = (id("reports"), id("v2"), Duration::from_secs(16));
+    let order = RolloutOrder { service, target, span, revision: 7 };
     changes.push(FleetChange::Order(order));
-    let (service, phase) = (id("reports"), RolloutPhase::Running);
-    let record = RolloutRecord { service, stable: id("v1"), target, order: 7, phase, age: None };
-    changes.push(FleetChange::Rollout(record, 8));
+    changes.push(FleetChange::Rollout(record(), 8));
     let mut core = core("east");
     core.take(changes, at(0));
     core
 }
 
-/// Plays the canary phase and the decision at the end; `respond` says of a version and the source of chance how a request ends and after how many
-/// milliseconds. Returns whether the version is found bad.
+/// Plays the canary phase and the decision at the end; `respond` says of a version and the source of chance how a request
+/// ends and after how many milliseconds. Returns whether the version is found bad.
 fn play<F>(seed: u64, respond: F) -> bool
 where
     F: Fn(bool, &mut StdRng) -> (ServerOutcome, u64),
--- a/crates/sapphireknot/tests/steering/version_ramp.rs
+++ b/crates/sapphireknot/tests/steering/version_ramp.rs
@@ -35,8 +35,13 @@
 }
 
 fn running() -> VersionTable {
+    running_for(order(7).span)
+}
+
+/// A table with a rollout that has the time `span`.
+fn running_for(span: Duration) -> VersionTable {
     let mut table = table();
-    table.add_order(order(7), at(0));
+    table.add_order(RolloutOrder { span, ..order(7) }, at(0));
     table.add_record(record(RolloutPhase::Running), 8, at(0));
     table
 }
@@ -157,10 +162,7 @@
 /// everything.
 #[test]
 fn decides_late() {
-    let mut table = table();
-    let span = Duration::from_secs(3_600);
-    table.add_order(RolloutOrder { span, ..order(7) }, at(0));
-    table.add_record(record(RolloutPhase::Running), 8, at(0));
+    let mut table = running_for(Duration::from_secs(3_600));
     let settled = RolloutRecord { age: Some(Duration::ZERO), ..record(RolloutPhase::Settled) };
     table.add_record(settled, 9, at(3_400_000));
     assert_eq!(share(&table, at(3_500_000)), 1.0);
@@ -266,10 +268,7 @@
 /// An order with less time than its records take must still be completed before its deadline.
 #[test]
 fn short_order() {
-    let mut table = table();
-    let span = Duration::from_secs(4);
-    table.add_order(RolloutOrder { span, ..order(7) }, at(0));
-    table.add_record(record(RolloutPhase::Running), 8, at(0));
+    let mut table = running_for(Duration::from_secs(4));
     let done = run_store(&mut table, 4_000, |_, _, _| {});
     assert!(done.expect("completed in time") <= at(3_700));
 }
