evidence: do not explain failures by the last responses of the old version

At the completion 11 of 192 responses of the new version had failed, and 10.2 of them counted as explained, though the old version failed in 88 of 5,371.

Cause: when the new version takes everything, the outcomes of the old one that still come are those of its slowest requests. A block with one old failure beside 19 new outcomes explained half of them, and its rate stayed for the blocks after it.

Change: while a block has fewer outcomes of the old version than of the new one, the missing ones are taken to be as those of the last blocks, whose rate is a running mean. A stall during the canary phase is explained as before, as nearly all outcomes of a block are the old version's then.

--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -46,6 +46,8 @@
 /// Outcomes of both versions over which the rate of the old one explains those of the new one; few enough to follow a
 /// stall of all servers, and enough for a rate.
 const BLOCK_SIZE: u32 = 20;
+/// Part by which a block moves the rate of the old version that later blocks fall back to.
+const RATE_WEIGHT: f64 = 0.5;
 /// Rate of bad outcomes of the old version before any is known.
 const FIRST_RATE: f64 = 0.02;
 
@@ -188,7 +190,7 @@
 pub struct OwnEvidence {
     closed: VersionCounts,
     block: VersionCounts,
-    /// Rate of bad outcomes of the old version when it was last used.
+    /// Rate of bad outcomes of the old version over the last blocks.
     old_rate: f64,
 }
 
@@ -211,7 +213,7 @@
         tally.record(quality);
         if block.requests() >= BLOCK_SIZE {
             self.closed = self.counts();
-            self.old_rate = self.block_rate();
+            self.old_rate += RATE_WEIGHT * (self.block_rate() - self.old_rate);
             self.block = VersionCounts::default();
         }
     }
@@ -224,7 +226,11 @@
 
     fn block_rate(&self) -> f64 {
         let old = self.block.old;
-        (f64::from(old.bad()) + self.old_rate) / (f64::from(old.requests) + 1.0)
+        // The last outcomes of an old version that gets nothing more are its slowest, and tell little of its rate.
+        let is_ending = old.requests < self.block.new.requests;
+        let assumed = if is_ending { BLOCK_SIZE.saturating_sub(old.requests) } else { 1 };
+        let assumed = f64::from(assumed);
+        (f64::from(old.bad()) + assumed * self.old_rate) / (f64::from(old.requests) + assumed)
     }
 }
 
--- a/crates/sapphireknot/tests/steering/version_evidence.rs
+++ b/crates/sapphireknot/tests/steering/version_evidence.rs
@@ -12,8 +12,8 @@
     steering::{
         core::{AttemptReport, FleetChange, HostPlace, SteeringCore},
         evidence::{
-            EvidenceBoard, EvidencePosition, HostEvidence, RegionEvidence, VersionCounts,
-            VersionTally, is_bad,
+            EvidenceBoard, EvidencePosition, HostEvidence, OutcomeQuality, OwnEvidence,
+            RegionEvidence, VersionCounts, VersionTally, is_bad,
         },
         fleet::{HostRecord, ServerRecord},
         loads::ReportPosition,
@@ -294,6 +294,26 @@
     }
 }
 
+/// Guards against the last outcomes of the old version, the slowest of its requests, as an explanation for failures of a
+/// new version that has taken over.
+#[test]
+fn last_outcomes() {
+    let mut own = OwnEvidence::default();
+    for idx in 0..300 {
+        let quality = if idx % 100 == 0 { OutcomeQuality::Failed } else { OutcomeQuality::Good };
+        own.record(idx % 30 == 0, quality);
+    }
+    let before = own.counts();
+    for idx in 0..60 {
+        let is_last = idx % 20 == 0;
+        let quality = if is_last { OutcomeQuality::Failed } else { OutcomeQuality::Good };
+        own.record(!is_last, quality);
+    }
+    let counts = own.counts() - before;
+    assert_eq!((counts.old.failures, counts.new.requests), (3, 57));
+    assert!(counts.explained < 5.0, "{counts:?}");
+}
+
 /// Says that a good version is never doubted with 12 and 70 hosts.
 fn assert_trusted<F>(what: &str, is_bad: F)
 where
