evidence: judge the outcomes of the latest part of a rollout

Cause: a version that turns bad late is hidden by its earlier good outcomes, as the likelihood ratio reads the sum since the order.

Change: a host keeps up to 16 marks of what it knew at earlier numbers of outcomes and judges the difference to each, with a sixteenth of the probability of a false verdict; what a single host sees never decides there. At the end of a rollout the ratio for failures is sensitive from 2% on instead of 6%. The simulation exchanges evidence every 0.1 s while a rollout is about to be completed, as hosts do since; no assertion changed.

--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -14,10 +14,14 @@
 //! uses.
 
 mod board;
+mod history;
 
 use std::ops::{Add, Sub};
 
-pub use self::board::{EvidenceBoard, EvidencePosition};
+pub use self::{
+    board::{EvidenceBoard, EvidencePosition},
+    history::EvidenceHistory,
+};
 
 use crate::{
     ids::{HostId, IncarnationId, RegionId, ServiceId},
@@ -38,6 +42,8 @@
 const MIN_BAD: u32 = 3;
 /// Share of failures beyond the explained ones that is no reason to revert at the end of a rollout.
 const TOLERATED_AT_END: f64 = 0.005;
+/// Shares of failures beyond the explained ones for which the ratio is most sensitive at the end of a rollout.
+const EXCESSES_AT_END: [f64; 4] = [0.02, 0.06, 0.2, 0.5];
 /// Likelihood ratio by which a version is not completed. It is read once, and lower than for a verdict: a completed
 /// version cannot be taken back, a reverted one can be ordered again.
 const DOUBT: f64 = 5.0;
@@ -158,16 +164,17 @@
 
     /// Logarithm of the likelihood ratio against the new version.
     fn log_ratio(&self) -> f64 {
-        self.log_ratio_of(self.new.bad(), TOLERATED)
+        self.log_ratio_of(self.new.bad(), TOLERATED, &EXCESSES)
     }
 
     /// The same at the end of a rollout, for failures alone, of which fewer are tolerated, or for all bad outcomes.
     fn log_doubt(&self) -> f64 {
-        self.log_ratio_of(self.new.failures, TOLERATED_AT_END).max(self.log_ratio())
+        let failures = self.log_ratio_of(self.new.failures, TOLERATED_AT_END, &EXCESSES_AT_END);
+        failures.max(self.log_ratio())
     }
 
-    /// The same for `bad` outcomes of the new version, of which a share `tolerated` is allowed.
-    fn log_ratio_of(&self, bad: u32, tolerated: f64) -> f64 {
+    /// The same for `bad` outcomes of the new version, of which a share `tolerated` is allowed, averaged over `excesses`.
+    fn log_ratio_of(&self, bad: u32, tolerated: f64, excesses: &[f64]) -> f64 {
         let requests = f64::from(self.new.requests);
         if self.new.requests == 0 {
             return 0.0;
@@ -175,13 +182,13 @@
         let bad = f64::from(bad).min(requests);
         let base = (self.explained / requests).min(MAX_RATE);
         let allowed = (base + tolerated).min(MAX_RATE);
-        let ratio = |excess: f64| {
+        let ratio = |excess: &f64| {
             let worse = (base + excess).min(MAX_RATE);
             let log = bad * (worse / allowed).ln()
                 + (requests - bad) * ((1.0 - worse) / (1.0 - allowed)).ln();
             log.exp()
         };
-        (EXCESSES.map(ratio).iter().sum::<f64>() / EXCESSES.len() as f64).ln()
+        (excesses.iter().map(ratio).sum::<f64>() / excesses.len() as f64).ln()
     }
 }
 
@@ -282,7 +289,7 @@
 where
     I: Iterator<Item = &'a RegionEvidence>,
 {
-    let (sum, rest) = sum_and_rest(own, others);
+    let (sum, rest) = sum_and_rest(own, others.map(|it| (it.sum, it.most)));
     if sum.new.bad() < MIN_BAD || sum.explained_early().log_ratio() < -FALSE_ALARM.ln() {
         return false;
     }
@@ -294,22 +301,23 @@
 where
     I: Iterator<Item = &'a RegionEvidence>,
 {
-    let (sum, rest) = sum_and_rest(own, others);
+    let (sum, rest) = sum_and_rest(own, others.map(|it| (it.sum, it.most)));
     if sum.new.bad() < MIN_BAD || sum.log_doubt() < DOUBT.ln() {
         return false;
     }
     rest.new.requests < MIN_OTHERS || rest.log_doubt() >= 0.0
 }
 
-/// Outcomes on all hosts, and those without the host that stands out most.
-fn sum_and_rest<'a, I>(own: VersionCounts, others: I) -> (VersionCounts, VersionCounts)
+/// Outcomes on all hosts, and those without the host that stands out most; `others` has each region's sum and the part of
+/// the host that stands out most there.
+fn sum_and_rest<I>(own: VersionCounts, others: I) -> (VersionCounts, VersionCounts)
 where
-    I: Iterator<Item = &'a RegionEvidence>,
+    I: Iterator<Item = (VersionCounts, VersionCounts)>,
 {
     let (mut sum, mut most) = (own, own);
-    for other in others {
-        sum = sum + other.sum;
-        most = standing_out(most, other.most);
+    for (region_sum, region_most) in others {
+        sum = sum + region_sum;
+        most = standing_out(most, region_most);
     }
     (sum, sum - most)
 }
--- a/crates/sapphireknot/src/steering/version.rs
+++ b/crates/sapphireknot/src/steering/version.rs
@@ -20,7 +20,7 @@
 
 use self::service_versions::{SentRequests, ServiceVersions};
 use super::{
-    evidence::{OutcomeQuality, OwnEvidence, RegionEvidence, VersionCounts},
+    evidence::{EvidenceHistory, OutcomeQuality, OwnEvidence, RegionEvidence, VersionCounts},
     exposure::ExposureLimit,
     slowness::UsualSpeed,
 };
@@ -126,6 +126,7 @@
         }
         versions.own = OwnEvidence::default();
         versions.told.clear();
+        versions.history = EvidenceHistory::default();
         (versions.sent, versions.noticed) = (SentRequests::default(), now);
         versions.is_late = false;
         versions.order = Some((order, now));
--- a/crates/sapphireknot/src/steering/version/service_versions.rs
+++ b/crates/sapphireknot/src/steering/version/service_versions.rs
@@ -6,7 +6,9 @@
 use crate::{
     ids::{RegionId, VersionId},
     steering::{
-        evidence::{OwnEvidence, RegionEvidence, VersionCounts, is_bad, is_doubtful},
+        evidence::{
+            EvidenceHistory, OwnEvidence, RegionEvidence, VersionCounts, is_bad, is_doubtful,
+        },
         exposure::RolloutSchedule,
         slowness::UsualSpeed,
     },
@@ -55,6 +57,8 @@
     pub(super) own: OwnEvidence,
     /// Outcomes on other hosts since the order, by region.
     pub(super) told: HashMap<RegionId, RegionEvidence>,
+    /// Outcomes that were known at earlier moments.
+    pub(super) history: EvidenceHistory,
 }
 
 impl ServiceVersions {
@@ -75,7 +79,9 @@
     pub(super) fn judge(&mut self) -> bool {
         let Some((order, _)) = self.running() else { return false };
         let revision = order.revision;
-        let is_bad = is_bad(self.own.counts(), self.told.values());
+        let own = self.own.counts();
+        let is_bad = is_bad(own, self.told.values()) || self.history.is_bad(own, &self.told);
+        self.history.record(own, &self.told);
         if is_bad {
             self.reverted = Some(revision);
         }
@@ -162,7 +168,9 @@
                 if now < schedule.completed_at || !is_idle {
                     return None;
                 }
-                let is_doubtful = is_doubtful(self.own.counts(), self.told.values());
+                let own = self.own.counts();
+                let is_doubtful = is_doubtful(own, self.told.values())
+                    || self.history.is_doubtful(own, &self.told);
                 Some(if is_doubtful { RolloutPhase::Reverted } else { RolloutPhase::Completed })
             }
         }
--- a/crates/sapphireknot/tests/steering/version_evidence.rs
+++ b/crates/sapphireknot/tests/steering/version_evidence.rs
@@ -33,6 +33,8 @@
 const SPAN_S: u64 = 16;
 /// Interval of the exchange, in milliseconds.
 const EXCHANGE_MS: u64 = 400;
+/// The same while a rollout is about to be completed.
+const DECISION_MS: u64 = 100;
 
 /// Time in which a server must answer.
 const TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -203,7 +205,9 @@
         for step in 0..RATE * SPAN_S {
             let now = MonoTime(at(0).0 + step * step_us);
             let millis = step * step_us / 1_000;
-            if (step * step_us).is_multiple_of(EXCHANGE_MS * 1_000) && self.exchange(now) {
+            let is_deciding = self.cores.iter().any(|it| it.decides_rollout(now));
+            let interval_ms = if is_deciding { DECISION_MS } else { EXCHANGE_MS };
+            if (step * step_us).is_multiple_of(interval_ms * 1_000) && self.exchange(now) {
                 return Course { noticed: Some(millis), bad };
             }
             let ended = if step % 20 == 0 { self.write(now) } else { None };
@@ -294,6 +298,18 @@
     }
 }
 
+/// Guards against a version that turns bad late and is hidden by its earlier good outcomes.
+#[test]
+fn late_evidence() {
+    for (percent, most) in [(50, 10.0), (20, 14.0)] {
+        let part = f64::from(percent) / 100.0;
+        let (noticed, bad) =
+            figures(12, |_, is_new, millis, draw| is_new && millis >= 14_000 && draw < part);
+        assert!(noticed == 1.0, "{percent}%: {noticed}");
+        assert!(bad <= most, "{percent}%: {bad}");
+    }
+}
+
 /// Guards against the last outcomes of the old version, the slowest of its requests, as an explanation for failures of a
 /// new version that has taken over.
 #[test]
