steering: complete rollouts earlier before their deadline, where the evidence allows

Cause: the operators read the state at intervals, so that a completion written x s before the deadline is missed with a probability of about 1 - x / 0.4 s. The margin was 0.31 to 0.4 s, of which the order's way to the first host takes 0.07 to 0.3 s: the host that watches the store pauses after each answer.

The canary share rises from half to one and a half of its mean, for evidence on late faults. What a version may have had at the deadline stays as it was. Operators' reads later than the deadline cannot be had; the order's way is the next step.

--- a/crates/sapphireknot/src/steering/version/service_versions.rs
+++ b/crates/sapphireknot/src/steering/version/service_versions.rs
@@ -136,8 +136,8 @@
         let schedule = self.schedule(order, seen, bounds, now);
         let is_whole = self.is_whole(&schedule, now);
         // Servers of the old version that turn requests away must not raise the part of the new one.
-        let allowed = schedule.canary * f64::from(self.sent.all) + CANARY_EXCESS;
-        is_whole || (draw < schedule.canary && f64::from(self.sent.new) < allowed)
+        let allowed = schedule.mean_share(now) * f64::from(self.sent.all) + CANARY_EXCESS;
+        is_whole || (draw < schedule.share_at(now) && f64::from(self.sent.new) < allowed)
     }
 
     /// Whether the new version takes everything.
--- a/crates/sapphireknot/tests/steering/version_exposure.rs
+++ b/crates/sapphireknot/tests/steering/version_exposure.rs
@@ -18,10 +18,14 @@
 const ALLOWED: (f64, f64) = (0.1, 50.0);
 /// Interval at which hosts tell each other.
 const EXCHANGE_MS: u64 = 400;
+/// The same while a rollout is about to be completed.
+const DECISION_MS: u64 = 100;
 /// Time in which a change of the record reaches the hosts.
 const RECORD_DELAY: Duration = Duration::from_millis(300);
 /// Time from a request to its outcome.
 const WORK_MS: u64 = 300;
+/// Interval at which operators read the state of a rollout.
+const READ_MS: u64 = 500;
 /// Requests of a script at most, for the time of the test.
 const MOST_REQUESTS: f64 = 20_000.0;
 const HOSTS: usize = 12;
@@ -158,7 +162,8 @@
     for millis in (0..script.span_ms).step_by(STEP_MS as usize) {
         let now = at(millis);
         world.deliver(now);
-        if millis % EXCHANGE_MS == 0 {
+        let is_deciding = world.tables.iter().any(|it| it.is_deciding(now));
+        if millis % (if is_deciding { DECISION_MS } else { EXCHANGE_MS }) == 0 {
             world.exchange();
         }
         world.write(now);
@@ -252,9 +257,10 @@
     for_scripts(&[1.0], 0.0, |script, course| {
         let Some((phase, millis)) = course.ended else { panic!("{script:?}: no end") };
         assert_eq!(phase, RolloutPhase::Completed, "{script:?}");
-        assert!(millis + 100 <= script.span_ms, "{script:?}: {millis}");
         // The tenth of a shorter rollout that may be exposed is less than a request and two writes take.
         let has_time = script.span_ms >= 9_000;
+        let margin_ms = if script.span_ms > 9_000 { READ_MS } else { 100 };
+        assert!(millis + margin_ms <= script.span_ms, "{script:?}: {millis}");
         let most = 0.01 * f64::from(course.requests);
         assert!(!has_time || f64::from(course.cut) <= most, "{script:?}: {course:?}");
     });
--- a/crates/sapphireknot/tests/steering/version_ramp.rs
+++ b/crates/sapphireknot/tests/steering/version_ramp.rs
@@ -261,8 +261,8 @@
     late.add_order(order(7), at(11_500));
     assert_eq!(share(&late, at(11_500)), 1.0);
     let due = |millis| late.due_changes(at(millis)).first().map(|it| it.record.phase);
-    assert_eq!(due(15_400), None, "the version may still turn bad");
-    assert_eq!(due(15_700), Some(RolloutPhase::Completed));
+    assert_eq!(due(15_300), None, "the version may still turn bad");
+    assert_eq!(due(15_400), Some(RolloutPhase::Completed));
 }
 
 /// An order with less time than its records take must still be completed before its deadline.
