tests: bound the time for evidence before a rollout is completed

Change: evidence_time asks the schedule for 0.35 s from 9 s on and for 0.5 s from 12 s on, at 10 to 1,088 requests a second.

--- a/crates/sapphireknot/tests/steering/version_exposure.rs
+++ b/crates/sapphireknot/tests/steering/version_exposure.rs
@@ -7,6 +7,7 @@
     ids::ServiceId,
     steering::{
         evidence::{OutcomeQuality, RegionEvidence, VersionCounts},
+        exposure::{ExposureLimit, RolloutSchedule},
         version::{RolloutOrder, RolloutPhase, RolloutRecord, VersionTable},
     },
     time::MonoTime,
@@ -250,6 +251,22 @@
     });
 }
 
+/// Guards against a margin before the deadline that leaves no time for evidence once the version has everything.
+#[test]
+fn evidence_time() {
+    for rate in [10.0, 83.0, 220.0, 1_088.0] {
+        for (span_s, least_ms) in [(9, 350), (12, 500), (16, 500), (60, 500), (86_400, 500)] {
+            let span = Duration::from_secs(span_s);
+            let apply_time = Duration::from_secs(2);
+            let limit = ExposureLimit::default();
+            let schedule = RolloutSchedule::new(at(0), span, rate, limit, apply_time);
+            let evidence_time = schedule.drain_time();
+            let is_enough = evidence_time >= Duration::from_millis(least_ms);
+            assert!(is_enough, "{rate}/s, {span_s} s: {evidence_time:?}");
+        }
+    }
+}
+
 /// Guards against a good version that is not completed by its deadline, or completed while many requests are still at the
 /// old servers, which stop at once.
 #[test]
