--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -9,9 +9,9 @@
 //! [`TOLERATED`], or by one of [`EXCESSES`]. The likelihood ratio, averaged over the excesses, may be read after each
 //! outcome; a version that is no worse than tolerated reaches 1 / [`FALSE_ALARM`] with that probability at most, as far as
 //! the explained rate is exact. While the old version is sound, 3 bad responses of 5 decide, 6 of 30, 11 of 110 or 27 of
-//! 540. What a single host sees does not decide if the others have enough outcomes to tell: without the host that stands out most the
-//! ratio must still reach `SUPPORT`. A region alone may decide, as a version may be bad on a route that only one region
-//! uses.
+//! 540. What a single host sees does not decide if the others have enough outcomes to tell: without the host that stands
+//! out most the ratio must still reach `SUPPORT`. A region alone may decide, as a version may be bad on a route that only
+//! one region uses. The outcomes since earlier moments are judged in the same way ([`EvidenceHistory`]).
 
 mod board;
 mod history;
@@ -32,7 +32,7 @@
 pub const TOLERATED: f64 = 0.02;
 /// Shares of bad outcomes beyond the explained ones for which the ratio is most sensitive.
 pub const EXCESSES: [f64; 3] = [0.06, 0.2, 0.5];
-/// Probability that a version that is no worse than tolerated is ever reverted.
+/// Probability that a version that is no worse than tolerated is ever reverted for the sum of its outcomes.
 pub const FALSE_ALARM: f64 = 0.001;
 /// Likelihood ratio that must remain without the host that stands out most.
 const SUPPORT: f64 = 10.0;
--- a/crates/sapphireknot/src/steering/evidence/history.rs
+++ b/crates/sapphireknot/src/steering/evidence/history.rs
@@ -2,8 +2,8 @@
 //!
 //! A version that turns bad late has many good outcomes already, which hide the bad ones in the sum for long. A host
 //! therefore keeps marks of what it knew at earlier moments and judges the outcomes since each of them as well. The marks
-//! are set by the number of outcomes alone, at a distance that grows with it, so that what a mark costs and the
-//! probability of a false verdict stay bounded.
+//! are set by the number of outcomes alone, at a distance that grows with it, and each gets an equal part of the
+//! probability of a false verdict.
 
 use std::collections::HashMap;
 
