steering: leave the old version a second for its requests in long rollouts

Cause: takes its longer margin from the time in which the new version has everything, 1.58 s of 24 s.

Change: the new version has everything for at least 0.72 of the exposure limit, 1.73 s of 24 s; up to 16.6 s the schedule is the same as before. evidence_time asks for 1.05 s from 24 s on and failed before.

--- a/crates/sapphireknot/src/steering/exposure.rs
+++ b/crates/sapphireknot/src/steering/exposure.rs
@@ -30,6 +30,9 @@
 const WHOLE_PART: RangeInclusive<f64> = 0.65..=0.75;
 /// Parts of the requests beyond the limit that it takes at least and at most.
 const WHOLE_SLACK: RangeInclusive<f64> = 0.2..=0.35;
+/// Part of the limit that it takes at least whatever the traffic, so that the old version has a second for what it has in
+/// rollouts of 24 s and longer.
+const LONG_PART: f64 = 0.72;
 /// Longest time in which the version has everything, as a part of the rollout.
 const MAX_WHOLE: f64 = 0.38;
 /// Time between the completion of a rollout and its deadline: the order is noticed up to 0.3 s late, and operators read
@@ -86,7 +89,8 @@
         let allowed =
             |part: f64, slack_part: f64| part * limit.share * seconds + slack_part * slack;
         let most = allowed(*WHOLE_PART.end(), *WHOLE_SLACK.end()).min(MAX_WHOLE * seconds);
-        let least = allowed(*WHOLE_PART.start(), *WHOLE_SLACK.start()).min(most);
+        let least = allowed(*WHOLE_PART.start(), *WHOLE_SLACK.start());
+        let least = least.max(allowed(LONG_PART, 0.0)).min(most);
         let whole = WHOLE_TIME.as_secs_f64().clamp(least, most);
         let canary = (allowed(USED_PART, USED_SLACK) - whole) / seconds.max(0.001);
         let canary = canary.min(MAX_CANARY);
--- a/crates/sapphireknot/tests/steering/version_exposure.rs
+++ b/crates/sapphireknot/tests/steering/version_exposure.rs
@@ -255,7 +255,9 @@
 #[test]
 fn evidence_time() {
     for rate in [10.0, 83.0, 220.0, 1_088.0] {
-        for (span_s, least_ms) in [(9, 350), (12, 500), (16, 500), (60, 500), (86_400, 500)] {
+        for (span_s, least_ms) in
+            [(9, 350), (12, 500), (16, 500), (24, 1_050), (60, 1_050), (86_400, 1_050)]
+        {
             let span = Duration::from_secs(span_s);
             let apply_time = Duration::from_secs(2);
             let limit = ExposureLimit::default();
