--- a/crates/sapphireknot/src/steering/exposure.rs
+++ b/crates/sapphireknot/src/steering/exposure.rs
@@ -3,8 +3,8 @@
 //! A version may turn bad at any moment, and requests that it had while it was good count as well. Its share therefore
 //! follows from what it may have had at the deadline if nothing is ever found: a small canary share until shortly before
 //! the deadline, and everything for the rest, in which the old version answers what it has before its servers stop. With
-//! a limit of a tenth, the version has everything for 0.065 to 0.075 of the time and the canary share, which rises, is 0.03
-//! to 0.02 in the mean, together less than 0.095 of the requests. The requests that are allowed beyond the part give a
+//! a limit of a tenth, the version has everything for 0.072 to 0.075 of the time and the canary share, which rises, is about
+//! 0.02 in the mean, together less than 0.095 of the requests. The requests that are allowed beyond the part give a
 //! service with little traffic more of both.
 //!
 //! The rollout is announced before the version takes everything, so that each host has the record by then; without the
