evidence: sum the outcomes of all hosts in one place

Cause: the second reading found the sum of a host's counts and those told written three times (known_counts and twice in the marks), the rise of the canary share twice, and a derive that nothing uses. Change: total_counts is called in all three places; mean_share is the mean of the first and the present share; the marks are thinned with a flag instead of an index. Behaviour is the same.

--- a/crates/sapphireknot/src/steering/evidence.rs
+++ b/crates/sapphireknot/src/steering/evidence.rs
@@ -284,6 +284,14 @@
     Region(RegionEvidence),
 }
 
+/// Outcomes on all hosts, by this host's counts and those of `others`.
+pub fn total_counts<'a, I>(own: VersionCounts, others: I) -> VersionCounts
+where
+    I: Iterator<Item = &'a RegionEvidence>,
+{
+    others.fold(own, |sum, it| sum + it.sum)
+}
+
 /// Whether the new version is bad by this host's counts and those of `others`.
 pub fn is_bad<'a, I>(own: VersionCounts, others: I) -> bool
 where
--- a/crates/sapphireknot/src/steering/evidence/history.rs
+++ b/crates/sapphireknot/src/steering/evidence/history.rs
@@ -7,7 +7,9 @@
 
 use std::collections::HashMap;
 
-use super::{DOUBT, FALSE_ALARM, MIN_BAD, MIN_OTHERS, RegionEvidence, SUPPORT, VersionCounts};
+use super::{
+    DOUBT, FALSE_ALARM, MIN_BAD, MIN_OTHERS, RegionEvidence, SUPPORT, VersionCounts, total_counts,
+};
 use crate::ids::RegionId;
 
 /// Outcomes of the new version between two marks at first.
@@ -19,7 +21,7 @@
 type ToldEvidence = HashMap<RegionId, RegionEvidence>;
 
 /// What a host knew at a moment of a rollout.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct EvidenceMark {
     own: VersionCounts,
     told: ToldEvidence,
@@ -58,19 +60,19 @@
 impl EvidenceHistory {
     /// Sets a mark if one is due.
     pub fn record(&mut self, own: VersionCounts, told: &ToldEvidence) {
-        let known = told.values().fold(own, |sum, it| sum + it.sum);
-        if known.new.requests < self.next {
+        let requests = total_counts(own, told.values()).new.requests;
+        if requests < self.next {
             return;
         }
         if self.marks.len() == MAX_MARKS {
-            let mut idx = 0;
+            let mut is_kept = true;
             self.marks.retain(|_| {
-                idx += 1;
-                idx % 2 == 0
+                is_kept = !is_kept;
+                is_kept
             });
             self.distance *= 2;
         }
-        self.next = known.new.requests.saturating_add(self.distance);
+        self.next = requests.saturating_add(self.distance);
         self.marks.push(EvidenceMark { own, told: told.clone() });
     }
 
@@ -95,9 +97,8 @@
     where
         F: Fn(VersionCounts, VersionCounts) -> bool,
     {
-        let bad = told.values().fold(own.new.bad(), |sum, it| sum.saturating_add(it.sum.new.bad()));
         // Spares good versions the work.
-        if bad < MIN_BAD {
+        if total_counts(own, told.values()).new.bad() < MIN_BAD {
             return false;
         }
         self.marks.iter().any(|mark| {
--- a/crates/sapphireknot/src/steering/exposure.rs
+++ b/crates/sapphireknot/src/steering/exposure.rs
@@ -105,19 +105,15 @@
 
     /// Share of the new version before it takes everything.
     pub fn share_at(&self, now: MonoTime) -> f64 {
+        let span = self.whole_at.since(self.started_at).as_secs_f64().max(0.001);
+        let elapsed_part = (now.since(self.started_at).as_secs_f64() / span).min(1.0);
         let (first, last) = CANARY_RISE;
-        self.canary * (first + (last - first) * self.elapsed_part(now))
+        self.canary * (first + (last - first) * elapsed_part)
     }
 
     /// Mean of the share until `now`.
     pub fn mean_share(&self, now: MonoTime) -> f64 {
-        let (first, last) = CANARY_RISE;
-        self.canary * (first + (last - first) * self.elapsed_part(now) / 2.0)
-    }
-
-    fn elapsed_part(&self, now: MonoTime) -> f64 {
-        let span = self.whole_at.since(self.started_at).as_secs_f64().max(0.001);
-        (now.since(self.started_at).as_secs_f64() / span).min(1.0)
+        (self.share_at(self.started_at) + self.share_at(now)) / 2.0
     }
 
     /// Time in which the old version answers what it has.
--- a/crates/sapphireknot/src/steering/version/service_versions.rs
+++ b/crates/sapphireknot/src/steering/version/service_versions.rs
@@ -8,6 +8,7 @@
     steering::{
         evidence::{
             EvidenceHistory, OwnEvidence, RegionEvidence, VersionCounts, is_bad, is_doubtful,
+            total_counts,
         },
         exposure::RolloutSchedule,
         slowness::UsualSpeed,
@@ -100,7 +101,7 @@
 
     /// Outcomes on all hosts as far as this one knows.
     pub(super) fn known_counts(&self) -> VersionCounts {
-        self.told.values().fold(self.own.counts(), |sum, it| sum + it.sum)
+        total_counts(self.own.counts(), self.told.values())
     }
 
     /// Requests per second over all hosts, rather too many than too few: hosts that told nothing yet are taken to have as
