tests: keep the counts of evidence apart from the simulated rollouts

Change: the tests of counts move as they are to evidence_counts; exchange_ms in support has the intervals. No assertion changed.

--- a/crates/sapphireknot/tests/steering/failure_reports.rs
+++ b/crates/sapphireknot/tests/steering/failure_reports.rs
@@ -16,7 +16,7 @@
     time::MonoTime,
 };
 
-use crate::support::{at, bounds, host, id, place, plan, server};
+use crate::support::{at, bounds, exchange_ms, host, id, place, plan, server};
 
 /// Hosts of the region.
 const HOSTS: usize = 20;
@@ -24,8 +24,6 @@
 const SERVERS: usize = 12;
 /// Requests per second over all hosts.
 const RATE: u64 = 200;
-/// Interval of the exchange, in milliseconds.
-const EXCHANGE_MS: u64 = 400;
 
 /// Hosts of a region that exchange reports with their collector.
 struct Region {
@@ -105,7 +103,7 @@
         let mut count = 0;
         for step in from_ms * RATE / 1_000..until_ms * RATE / 1_000 {
             let now = at(step * 1_000 / RATE);
-            if (step * 1_000 / RATE).is_multiple_of(EXCHANGE_MS) {
+            if (step * 1_000 / RATE).is_multiple_of(exchange_ms(false)) {
                 self.exchange(now);
             }
             let idx = self.rng.random_range(0..HOSTS);
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -4,6 +4,7 @@
 mod choice_miss;
 mod cold_reports;
 mod core_state;
+mod evidence_counts;
 mod failure_reports;
 mod feed_copies;
 mod fleet_table;
--- a/crates/sapphireknot/tests/steering/support.rs
+++ b/crates/sapphireknot/tests/steering/support.rs
@@ -24,6 +24,11 @@
 /// Regions, each with one data centre whose name ends in `-a`.
 pub(crate) const REGIONS: [&str; 3] = ["east", "north", "west"];
 
+/// Interval at which hosts tell each other, in milliseconds; shorter while a rollout is about to be completed.
+pub(crate) fn exchange_ms(is_deciding: bool) -> u64 {
+    if is_deciding { 100 } else { 400 }
+}
+
 pub(crate) fn id<T>(text: &str) -> T
 where
     T: FromStr,
--- a/crates/sapphireknot/tests/steering/version_exposure.rs
+++ b/crates/sapphireknot/tests/steering/version_exposure.rs
@@ -13,14 +13,10 @@
     time::MonoTime,
 };
 
-use crate::support::{REGIONS, at, id};
+use crate::support::{REGIONS, at, exchange_ms, id};
 
 /// Part of all requests during a rollout that a bad version may have, and requests beyond it.
 const ALLOWED: (f64, f64) = (0.1, 50.0);
-/// Interval at which hosts tell each other.
-const EXCHANGE_MS: u64 = 400;
-/// The same while a rollout is about to be completed.
-const DECISION_MS: u64 = 100;
 /// Time in which a change of the record reaches the hosts.
 const RECORD_DELAY: Duration = Duration::from_millis(300);
 /// Time from a request to its outcome.
@@ -164,7 +160,7 @@
         let now = at(millis);
         world.deliver(now);
         let is_deciding = world.tables.iter().any(|it| it.is_deciding(now));
-        if millis % (if is_deciding { DECISION_MS } else { EXCHANGE_MS }) == 0 {
+        if millis % exchange_ms(is_deciding) == 0 {
             world.exchange();
         }
         world.write(now);
