Review case 2: a late copy of a 421 passes for the answer of the next attempt

Rule REFUSED. A worker crashes and comes back at its address under a new id; the host sends a booking to the old id, gets 421, and sends it again to the new id on the same pooled connection. A late second copy of the 421 bears the booking's id and is taken for its answer: the caller gets 503 (not run) while the worker runs it.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Case 2; needs the build of the deploy file and review/build.sh. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." && exec target/review/standin memory review/2/record.txt
+# Case 2; needs the build of the deploy file and review/build.sh. TROUBLE=0 leaves the disruptions out.
+cd "$(dirname "$0")/../.." && exec target/review/standin repeat review/2/record.txt
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1018,6 +1018,196 @@
     exit(&record, path, &verdict, i32::from(machines >= 2))
 }
 
+/// A worker that crashes, starts again at its address under another id, and repeats some of its answers.
+struct Restarting {
+    id: Mutex<String>,
+    is_down: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
+    answers: AtomicU64,
+    repeated: AtomicU64,
+    runs: Mutex<Vec<(String, u64)>>,
+    /// Whether it repeats answers.
+    is_faulty: bool,
+}
+
+impl Restarting {
+    /// Serves until the worker crashes, which closes the listener and all connections.
+    fn listen(self: Arc<Self>, listener: TcpListener, record: Arc<Record>) {
+        listener.set_nonblocking(true).unwrap();
+        thread::spawn(move || {
+            while !self.is_down.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(Duration::from_micros(300));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                self.streams.lock().unwrap().push(stream.try_clone().unwrap());
+                let (worker, record) = (self.clone(), record.clone());
+                thread::spawn(move || worker.serve(stream, &record));
+            }
+            drop(listener);
+            for stream in self.streams.lock().unwrap().drain(..) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        });
+    }
+    fn serve(&self, mut stream: TcpStream, record: &Record) {
+        let _ = stream.set_nodelay(true);
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        // A further copy of an answer, which arrives late: at the point where the next answer is expected.
+        let mut extra: Option<String> = None;
+        while let Some(request) = read_message(&mut reader) {
+            if self.is_down.load(Ordering::Relaxed) {
+                return;
+            }
+            let target = request.first.split(' ').nth(1).unwrap_or("").to_owned();
+            let rid = request.header("x-request-id").to_owned();
+            let own = self.id.lock().unwrap().clone();
+            if let Some(copy) = extra.take() {
+                let _ = stream.write_all(copy.as_bytes());
+                record.add(format!("worker {own}: the copy arrives when {rid} is waiting"));
+            }
+            let answers = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+            if request.header("x-target-instance") != own {
+                let text = format!("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {rid}\r\nX-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
+                record.add(format!("worker {own}: 421 for {rid}, which names {}", request.header("x-target-instance")));
+                // At most three of a hundred answers are repeated.
+                if self.is_faulty && (self.repeated.load(Ordering::Relaxed) + 1) * 100 <= answers * 3 {
+                    self.repeated.fetch_add(1, Ordering::Relaxed);
+                    extra = Some(text.clone());
+                }
+                if stream.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            self.runs.lock().unwrap().push((rid.clone(), record.now()));
+            let work = target.rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(10);
+            sleep(ms(work));
+            if self.is_down.load(Ordering::Relaxed) {
+                return;
+            }
+            let signed = format!("X-Request-Id: {rid}\r\nX-Response-Signature: {own}.{rid}\r\nX-Server-Load: 1,0,6\r\n");
+            if !reply(&mut stream, 200, &signed, &format!("{{\"done\":\"{rid}\"}}")) {
+                return;
+            }
+        }
+    }
+}
+
+/// A worker crashes and starts again at its address under a new id; it repeats some of its answers late.
+fn case_repeat(record: Arc<Record>, path: &str, trouble: bool) {
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let mut bed = Bed::start("repeat");
+    bed.store.put("op/config", &config(7, 0, 0).replace("\"sessionAffinity\":false", "\"sessionAffinity\":true"));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let worker = Arc::new(Restarting {
+        id: Mutex::new("i-b-old".into()),
+        is_down: AtomicBool::new(false),
+        streams: Mutex::default(),
+        answers: AtomicU64::new(0),
+        repeated: AtomicU64::new(0),
+        runs: Mutex::default(),
+        is_faulty: trouble && only != "crash",
+    });
+    let entry = |born: u64| {
+        format!(
+            "{{\"address\":\"{address}\",\"born\":{born},\"info\":{{\"service\":\"booking-svc\",\"version\":\"v1\",\"zone\":\"dub-a\",\"slots\":6}},\
+             \"status\":{{\"state\":\"ready\",\"sequence\":4,\"warmupLeftMs\":0}}}}"
+        )
+    };
+    bed.store.put("servers/i-b-old", &entry(1_796_000_000_000));
+    worker.clone().listen(listener, record.clone());
+    let others: Vec<Worker> = ["dub-b"]
+        .iter()
+        .enumerate()
+        .map(|(n, zone)| Worker::start(&record, &bed.store, &format!("i-b-sound-{n}"), "booking-svc", zone, 6, false))
+        .collect();
+    let places: Vec<(&str, &str)> = (0..12).map(|n| ("dublin", ["dub-a", "dub-b"][n % 2])).collect();
+    bed.add_hosts(&places, ZONES, 6, 260);
+    if !bed.wait_ready() {
+        exit(&record, path, "the hosts are not ready", 2);
+    }
+    sleep(ms(1_500));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let answers: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
+    let counter = Arc::new(AtomicU64::new(0));
+    let mut clients = Vec::new();
+    for host in &bed.hosts {
+        for n in 0..2u64 {
+            let (caller, is_over, answers, counter, record) =
+                (host.caller, is_over.clone(), answers.clone(), counter.clone(), record.clone());
+            clients.push(thread::spawn(move || {
+                sleep(ms(100 * n));
+                while !is_over.load(Ordering::Relaxed) {
+                    let begun = Instant::now();
+                    let id = format!("b{:06}", counter.fetch_add(1, Ordering::Relaxed));
+                    if let Ok(mut stream) = TcpStream::connect(caller) {
+                        let _ = stream.set_read_timeout(Some(ms(6_000)));
+                        let object = counter.load(Ordering::Relaxed) * 7919 % 40;
+                        let text = head("POST", "/booking/40", &id, KEY, 5_000, 2).replacen("X-Request-Id", &format!("Cookie: X-Affinity-Key={object}\r\nX-Request-Id"), 1) + "{}";
+                        let _ = stream.write_all(text.as_bytes());
+                        let answer = read_message(&mut BufReader::new(stream));
+                        let status = answer.as_ref().map_or(0, |it| it.status());
+                        if status != 200 {
+                            record.add(format!("client of {id}: {}", outcome(&answer)));
+                        }
+                        answers.lock().unwrap().insert(id, status);
+                    }
+                    sleep(ms(200).saturating_sub(begun.elapsed()));
+                }
+            }));
+        }
+    }
+    sleep(ms(4_000));
+    if trouble && only != "extra" {
+        record.add("worker i-b-old crashes; its entry stays for three heartbeats".into());
+        worker.is_down.store(true, Ordering::Relaxed);
+        // No sooner than `reuseAfterS`.
+        sleep(ms(2_100));
+        let Ok(listener) = TcpListener::bind(address) else { exit(&record, path, "the address is taken", 2) };
+        *worker.id.lock().unwrap() = "i-b-new".into();
+        worker.is_down.store(false, Ordering::Relaxed);
+        worker.clone().listen(listener, record.clone());
+        bed.store.put("servers/i-b-new", &entry(1_796_000_005_000));
+        record.add("it is back at its address as i-b-new".into());
+        sleep(ms(2_300));
+        bed.store.state.0.lock().unwrap().remove("servers/i-b-old");
+        bed.store.state.1.notify_all();
+        record.add("the entry of i-b-old is removed".into());
+    } else {
+        sleep(ms(4_400));
+    }
+    sleep(ms(1_500));
+    is_over.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|it| drop(it.join()));
+    sleep(ms(300));
+    let mut ran: HashMap<String, u32> = HashMap::new();
+    for (id, _) in worker.runs.lock().unwrap().iter() {
+        *ran.entry(id.clone()).or_default() += 1;
+    }
+    for run in others.iter().flat_map(|it| it.runs.lock().unwrap().clone()) {
+        *ran.entry(run.id.clone()).or_default() += 1;
+    }
+    let (mut refused, mut twice) = (0, 0);
+    for (id, status) in answers.lock().unwrap().iter() {
+        let runs = ran.get(id).copied().unwrap_or(0);
+        if [408, 421, 429, 503].contains(status) && runs > 0 {
+            refused += 1;
+            record.add(format!("{id} was answered {status} and has run"));
+        }
+        twice += u32::from(runs > 1);
+    }
+    let (all, repeated) = (worker.answers.load(Ordering::Relaxed), worker.repeated.load(Ordering::Relaxed));
+    let verdict = format!(
+        "REFUSED: {refused} of {} bookings were answered as not run and had run; TWICE: {twice}; the worker repeated {repeated} of {all} answers",
+        answers.lock().unwrap().len()
+    );
+    drop(bed);
+    exit(&record, path, &verdict, i32::from(refused + twice > 0))
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (Some(case), Some(path)) = (arguments.get(1), arguments.get(2)) else {
@@ -1032,6 +1222,7 @@
     let record = Arc::new(Record { started: Instant::now(), lines: Mutex::default() });
     match case.as_str() {
         "term" => case_term(record, path, trouble),
+        "repeat" => case_repeat(record, path, trouble),
         "memory" => case_memory(record, path, trouble),
         "quota" => case_quota(record, path, trouble),
         _ => std::process::exit(2),
