Review: the scripts end their processes also when they are broken off

A case that gave up before its hosts were ready left them running. Hosts are now killed with the program that started them.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -6,6 +6,7 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -15,8 +16,12 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, third: u64, fourth: u64, fifth: u64) -> i32;
 }
 const SIGTERM: i32 = 15;
+const SIGKILL: u64 = 9;
+/// The kernel's option by which a process is killed when the one that started it ends, for a case that is broken off.
+const PR_SET_PDEATHSIG: i32 = 1;
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -681,7 +686,15 @@
     fn spawn(&mut self) {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
         let errors = log.try_clone().unwrap();
-        let child = Command::new("target/release/sapphireknotd")
+        let mut command = Command::new("target/release/sapphireknotd");
+        // SAFETY: one system call, which changes only the process that is being started.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -790,6 +803,7 @@
     }
     bed.add_hosts(&[("dublin", "dub-a"), ("cork", "cork-a"), ("galway", "gal-a")], ZONES, 6, 260);
     if !bed.wait_ready() {
+        drop(bed);
         exit(&record, path, "the hosts are not ready", 2);
     }
     sleep(ms(1_500));
@@ -878,6 +892,7 @@
         (0..12).map(|n| (["dublin", "cork", "galway"][n % 3], zones[n % 6])).collect();
     bed.add_hosts(&places, ZONES, 6, 260);
     if !bed.wait_ready() {
+        drop(bed);
         exit(&record, path, "the hosts are not ready", 2);
     }
     sleep(ms(1_500));
@@ -984,6 +999,7 @@
     let worker = Worker::start(&record, &bed.store, "i-r-0", "reports-svc", "dub-a", 6, false);
     bed.add_hosts(&[("dublin", "dub-a"), ("cork", "cork-a"), ("galway", "gal-a")], ZONES, 6, limit as u32);
     if !bed.wait_ready() {
+        drop(bed);
         exit(&record, path, "the hosts are not ready", 2);
     }
     let mut kills = vec![0; bed.hosts.len()];
@@ -1127,6 +1143,7 @@
     let places: Vec<(&str, &str)> = (0..12).map(|n| ("dublin", ["dub-a", "dub-b"][n % 2])).collect();
     bed.add_hosts(&places, ZONES, 6, 260);
     if !bed.wait_ready() {
+        drop(bed);
         exit(&record, path, "the hosts are not ready", 2);
     }
     sleep(ms(1_500));
@@ -1166,7 +1183,10 @@
         worker.is_down.store(true, Ordering::Relaxed);
         // No sooner than `reuseAfterS`.
         sleep(ms(2_100));
-        let Ok(listener) = TcpListener::bind(address) else { exit(&record, path, "the address is taken", 2) };
+        let Ok(listener) = TcpListener::bind(address) else {
+            drop(bed);
+            exit(&record, path, "the address is taken", 2)
+        };
         *worker.id.lock().unwrap() = "i-b-new".into();
         worker.is_down.store(false, Ordering::Relaxed);
         worker.clone().listen(listener, record.clone());
