--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1034,11 +1034,19 @@
     exit(&record, path, &verdict, i32::from(machines >= 2))
 }
 
-/// A worker that crashes, starts again at its address under another id, and repeats some of its answers.
+/// Slots of that worker.
+const SLOTS: usize = 6;
+
+/// A worker that goes down, starts again at its address under another id, and repeats some of its answers.
 struct Restarting {
     id: Mutex<String>,
+    /// End of the time in which it is cold, and takes twice as long.
+    cold_until: Mutex<Instant>,
     is_down: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
+    /// Requests that run and that wait for a slot.
+    load: Mutex<(usize, usize)>,
+    slot_freed: Condvar,
     answers: AtomicU64,
     repeated: AtomicU64,
     runs: Mutex<Vec<(String, u64)>>,
@@ -1085,7 +1093,7 @@
             }
             let answers = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
             if request.header("x-target-instance") != own {
-                let text = format!("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {rid}\r\nX-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
+                let text = format!("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {rid}\r\nX-Instance-Id: {own}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
                 record.add(format!("worker {own}: 421 for {rid}, which names {}", request.header("x-target-instance")));
                 // At most three of a hundred answers are repeated.
                 if self.is_faulty && (self.repeated.load(Ordering::Relaxed) + 1) * 100 <= answers * 3 {
@@ -1097,13 +1105,38 @@
                 }
                 continue;
             }
-            self.runs.lock().unwrap().push((rid.clone(), record.now()));
-            let work = target.rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(10);
-            sleep(ms(work));
-            if self.is_down.load(Ordering::Relaxed) {
+            let mut load = self.load.lock().unwrap();
+            if load.0 >= SLOTS && load.1 >= 3 * SLOTS {
+                drop(load);
+                let full = format!("X-Request-Id: {rid}\r\nX-Not-Executed: 1\r\n");
+                if !reply(&mut stream, 503, &full, "") {
+                    return;
+                }
+                continue;
+            }
+            load.1 += 1;
+            load = self.slot_freed.wait_while(load, |it| it.0 >= SLOTS).unwrap();
+            *load = (load.0 + 1, load.1 - 1);
+            drop(load);
+            let is_down = self.is_down.load(Ordering::Relaxed);
+            if !is_down {
+                self.runs.lock().unwrap().push((rid.clone(), record.now()));
+                let work = target.rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(10);
+                let is_cold = Instant::now() < *self.cold_until.lock().unwrap();
+                sleep(ms(if is_cold { 2 * work } else { work }));
+            }
+            let mut load = self.load.lock().unwrap();
+            load.0 -= 1;
+            let told = *load;
+            drop(load);
+            self.slot_freed.notify_one();
+            if is_down || self.is_down.load(Ordering::Relaxed) {
                 return;
             }
-            let signed = format!("X-Request-Id: {rid}\r\nX-Response-Signature: {own}.{rid}\r\nX-Server-Load: 1,0,6\r\n");
+            let signed = format!(
+                "X-Request-Id: {rid}\r\nX-Response-Signature: {own}.{rid}\r\nX-Server-Load: {},{},{SLOTS}\r\n",
+                told.0, told.1
+            );
             if !reply(&mut stream, 200, &signed, &format!("{{\"done\":\"{rid}\"}}")) {
                 return;
             }
@@ -1111,36 +1144,43 @@
     }
 }
 
-/// A worker crashes and starts again at its address under a new id; it repeats some of its answers late.
+/// A zone's worker goes down and comes back cold at its address under a new id, several times; it repeats some of its
+/// answers late.
 fn case_repeat(record: Arc<Record>, path: &str, trouble: bool) {
     let only = std::env::var("ONLY").unwrap_or_default();
+    let number = |name: &str, other: u64| std::env::var(name).ok().and_then(|it| it.parse().ok()).unwrap_or(other);
+    let (rounds, down, hosts, each) = (number("ROUNDS", 4), number("DOWN_MS", 500), number("HOSTS", 4), number("EACH", 8));
+    let (work, objects) = (number("WORK_MS", 60), number("OBJECTS", 40));
     let mut bed = Bed::start("repeat");
     bed.store.put("op/config", &config(7, 0, 0).replace("\"sessionAffinity\":false", "\"sessionAffinity\":true"));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let worker = Arc::new(Restarting {
-        id: Mutex::new("i-b-old".into()),
+        id: Mutex::new("i-b-0".into()),
+        cold_until: Mutex::new(Instant::now()),
         is_down: AtomicBool::new(false),
         streams: Mutex::default(),
+        load: Mutex::default(),
+        slot_freed: Condvar::new(),
         answers: AtomicU64::new(0),
         repeated: AtomicU64::new(0),
         runs: Mutex::default(),
         is_faulty: trouble && only != "crash",
     });
-    let entry = |born: u64| {
+    let entry = |born: u64, warmup_left: u64| {
         format!(
             "{{\"address\":\"{address}\",\"born\":{born},\"info\":{{\"service\":\"booking-svc\",\"version\":\"v1\",\"zone\":\"dub-a\",\"slots\":6}},\
-             \"status\":{{\"state\":\"ready\",\"sequence\":4,\"warmupLeftMs\":0}}}}"
+             \"status\":{{\"state\":\"ready\",\"sequence\":4,\"warmupLeftMs\":{warmup_left}}}}}"
         )
     };
-    bed.store.put("servers/i-b-old", &entry(1_796_000_000_000));
+    bed.store.put("servers/i-b-0", &entry(1_796_000_000_000, 0));
     worker.clone().listen(listener, record.clone());
     let others: Vec<Worker> = ["dub-b"]
         .iter()
         .enumerate()
         .map(|(n, zone)| Worker::start(&record, &bed.store, &format!("i-b-sound-{n}"), "booking-svc", zone, 6, false))
         .collect();
-    let places: Vec<(&str, &str)> = (0..12).map(|n| ("dublin", ["dub-a", "dub-b"][n % 2])).collect();
+    let places: Vec<(&str, &str)> = (0..hosts as usize).map(|n| ("dublin", ["dub-a", "dub-b"][n % 2])).collect();
     bed.add_hosts(&places, ZONES, 6, 260);
     if !bed.wait_ready() {
         drop(bed);
@@ -1152,18 +1192,18 @@
     let counter = Arc::new(AtomicU64::new(0));
     let mut clients = Vec::new();
     for host in &bed.hosts {
-        for n in 0..2u64 {
+        for n in 0..each {
             let (caller, is_over, answers, counter, record) =
                 (host.caller, is_over.clone(), answers.clone(), counter.clone(), record.clone());
             clients.push(thread::spawn(move || {
-                sleep(ms(100 * n));
+                sleep(ms(200 * n / each));
                 while !is_over.load(Ordering::Relaxed) {
                     let begun = Instant::now();
                     let id = format!("b{:06}", counter.fetch_add(1, Ordering::Relaxed));
                     if let Ok(mut stream) = TcpStream::connect(caller) {
                         let _ = stream.set_read_timeout(Some(ms(6_000)));
-                        let object = counter.load(Ordering::Relaxed) * 7919 % 40;
-                        let text = head("POST", "/booking/40", &id, KEY, 5_000, 2).replacen("X-Request-Id", &format!("Cookie: X-Affinity-Key={object}\r\nX-Request-Id"), 1) + "{}";
+                        let object = counter.load(Ordering::Relaxed) * 7919 % objects;
+                        let text = head("POST", &format!("/booking/{work}"), &id, KEY, 5_000, 2).replacen("X-Request-Id", &format!("Cookie: X-Affinity-Key={object}\r\nX-Request-Id"), 1) + "{}";
                         let _ = stream.write_all(text.as_bytes());
                         let answer = read_message(&mut BufReader::new(stream));
                         let status = answer.as_ref().map_or(0, |it| it.status());
@@ -1178,28 +1218,35 @@
         }
     }
     sleep(ms(4_000));
-    if trouble && only != "extra" {
-        record.add("worker i-b-old crashes; its entry stays for three heartbeats".into());
-        worker.is_down.store(true, Ordering::Relaxed);
-        // No sooner than `reuseAfterS`.
-        sleep(ms(2_100));
-        let Ok(listener) = TcpListener::bind(address) else {
-            drop(bed);
-            exit(&record, path, "the address is taken", 2)
-        };
-        *worker.id.lock().unwrap() = "i-b-new".into();
-        worker.is_down.store(false, Ordering::Relaxed);
-        worker.clone().listen(listener, record.clone());
-        bed.store.put("servers/i-b-new", &entry(1_796_000_005_000));
-        record.add("it is back at its address as i-b-new".into());
-        sleep(ms(2_300));
-        bed.store.state.0.lock().unwrap().remove("servers/i-b-old");
-        bed.store.state.1.notify_all();
-        record.add("the entry of i-b-old is removed".into());
-    } else {
-        sleep(ms(4_400));
+    for round in 1..=rounds {
+        let begun = Instant::now();
+        if trouble && only != "extra" {
+            let (old, new) = (format!("i-b-{}", round - 1), format!("i-b-{round}"));
+            record.add(format!("worker {old} goes down; its entry stays for three heartbeats"));
+            worker.is_down.store(true, Ordering::Relaxed);
+            sleep(ms(down));
+            let Ok(listener) = TcpListener::bind(address) else {
+                drop(bed);
+                exit(&record, path, "the address is taken", 2)
+            };
+            *worker.id.lock().unwrap() = new.clone();
+            *worker.cold_until.lock().unwrap() = Instant::now() + ms(3_000);
+            worker.is_down.store(false, Ordering::Relaxed);
+            worker.clone().listen(listener, record.clone());
+            let (key, born) = (format!("servers/{new}"), 1_796_000_000_000 + round * 10_000);
+            bed.store.put(&key, &entry(born, 3_000));
+            record.add(format!("it is back at its address as {new}, cold for 3 s"));
+            sleep(ms(1_500));
+            bed.store.put(&key, &entry(born, 1_500));
+            sleep(ms(1_500));
+            bed.store.put(&key, &entry(born, 0));
+            sleep(ms(4_400).saturating_sub(begun.elapsed()));
+            bed.store.state.0.lock().unwrap().remove(&format!("servers/{old}"));
+            bed.store.state.1.notify_all();
+            record.add(format!("the entry of {old} is removed"));
+        }
+        sleep(ms(7_400).saturating_sub(begun.elapsed()));
     }
-    sleep(ms(1_500));
     is_over.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|it| drop(it.join()));
     sleep(ms(300));
