front: count a connection again when its first request starts late

Cause: a connection without a request gave up its place in the count of requests in flight when the closing stage began, and nothing took the place back when its first request was served after all. The process ended with the other requests, 2.5 s before its time limit.

Ruled out: the time limit of the shutdown (5.5 s; the process ended at 3.0 s) and the timeout of a head (all five connections ended together).

Change: ConnectionActivity owns the place of a connection for its whole life, on both request paths. The path of the project's own platform refuses requests in the closing stage, so that it lost nothing.

--- a/crates/sapphireknotd/src/front.rs
+++ b/crates/sapphireknotd/src/front.rs
@@ -1,5 +1,6 @@
 //! HTTP frontend for callers: look-ups, authentication, admission, forwarding and refusals.
 
+pub mod activity;
 pub mod authentication;
 pub mod bodies;
 pub mod connections;
--- a/crates/sapphireknotd/src/front/connections.rs
+++ b/crates/sapphireknotd/src/front/connections.rs
@@ -1,15 +1,6 @@
 //! Accepting and serving connections of callers.
 
-use std::{
-    convert::Infallible,
-    error::Error,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, error::Error, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -26,6 +17,7 @@
 };
 
 use super::{
+    activity::ConnectionActivity,
     pipeline::{PipelineLimits, PipelineService, serve_pipeline},
     write_timeout::WriteTimeoutStream,
 };
@@ -77,7 +69,7 @@
 
 /// Serves one connection until it closes, or until the host is closing and the last request has been answered.
 ///
-/// Holds a clone of `active` while the connection may have a request in flight.
+/// Holds a clone of `active` while the connection may have a request in flight; see [`ConnectionActivity`].
 pub async fn serve_connection<S, F, B>(
     stream: TcpStream,
     limits: ConnectionLimits,
@@ -91,15 +83,14 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let stream = limited_stream(stream, limits);
-    let has_started = AtomicBool::new(false);
+    let activity = ConnectionActivity::new(active);
     let service = service_fn(|request| {
-        has_started.store(true, Ordering::Relaxed);
+        activity.begin_request();
         handler(request)
     });
     let builder = connection_builder(limits);
     let closing = wait_for_stage(drain, DrainStage::Closing);
-    let mut active = ActivityGuard::new(active);
-    let ends_early = || active.ends_early(has_started.load(Ordering::Relaxed));
+    let ends_early = || activity.release_unused();
     if let Err(err) = serve_http1(stream, &builder, service, closing, ends_early).await {
         log::debug!(error:% = err; "connection of a caller ended");
     }
@@ -117,37 +108,16 @@
     S: PipelineService,
 {
     let stream = limited_stream(stream, limits);
+    let activity = ConnectionActivity::new(active);
     let builder = connection_builder(limits);
     let closing = wait_for_stage(drain, DrainStage::Closing);
-    let mut active = ActivityGuard::new(active);
-    let ends_early = |has_started| active.ends_early(has_started);
     let limits = PipelineLimits { max_header_bytes: limits.max_header_bytes, early_permits };
-    let served = serve_pipeline(stream, &builder, limits, service, closing, ends_early).await;
+    let served = serve_pipeline(stream, &builder, limits, service, closing, &activity).await;
     if let Err(err) = served {
         log::debug!(error:% = err; "connection of a caller ended");
     }
 }
 
-/// Guard that counts a connection that may have a request in flight.
-struct ActivityGuard(Option<Arc<()>>);
-
-impl ActivityGuard {
-    /// Must be created before the connection checks the drain stage, so that the end of the closing stage cannot miss
-    /// it.
-    fn new(active: &Arc<()>) -> Self {
-        Self(Some(active.clone()))
-    }
-
-    /// Whether the connection closes when the host is closing, given whether a request has started on it.
-    fn ends_early(&mut self, has_started: bool) -> bool {
-        if !has_started {
-            // The first request is still answered, but shutdown does not wait for it.
-            self.0 = None;
-        }
-        has_started
-    }
-}
-
 fn limited_stream(stream: TcpStream, limits: ConnectionLimits) -> WriteTimeoutStream {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!(error:% = err; "set TCP_NODELAY");
--- a/crates/sapphireknotd/src/front/pipeline.rs
+++ b/crates/sapphireknotd/src/front/pipeline.rs
@@ -29,7 +29,9 @@
     task::JoinHandle,
 };
 
-use super::{pipeline_queue::PipelineQueue, request_scan::RequestScanner};
+use super::{
+    activity::ConnectionActivity, pipeline_queue::PipelineQueue, request_scan::RequestScanner,
+};
 
 /// Maximum number of requests per connection that are processed ahead of their turn.
 const MAX_EARLY_REQUESTS: usize = 16;
@@ -91,8 +93,6 @@
     is_eof: bool,
     scanner: RequestScanner,
     queue: PipelineQueue<EarlyTask<B>>,
-    /// Whether any request has been passed to the service.
-    has_started: bool,
     /// Whether the service is handling a request, which is cancelled if the caller disconnects.
     is_handling: bool,
 }
@@ -234,21 +234,20 @@
 
 /// Serves one connection until it closes.
 ///
-/// When `closing` completes and `ends_early` returns true, the connection closes after the requests that have started.
-/// `ends_early` gets whether any request has started.
-pub async fn serve_pipeline<I, S, C, G>(
+/// When `closing` completes, a connection on which a request has started closes after the requests that have started.
+/// `activity` counts the connection while it may have a request in flight.
+pub async fn serve_pipeline<I, S, C>(
     stream: I,
     builder: &http1::Builder,
     limits: PipelineLimits,
     service: Arc<S>,
     closing: C,
-    ends_early: G,
+    activity: &ConnectionActivity,
 ) -> hyper::Result<()>
 where
     I: AsyncRead + AsyncWrite + Unpin,
     S: PipelineService,
     C: Future<Output = ()>,
-    G: FnOnce(bool) -> bool,
 {
     let shared = Arc::new(Mutex::new(SharedStream {
         stream,
@@ -257,15 +256,17 @@
         is_eof: false,
         scanner: RequestScanner::new(limits.max_header_bytes),
         queue: PipelineQueue::new(MAX_EARLY_REQUESTS),
-        has_started: false,
         is_handling: false,
     }));
-    let ordered_service = service_fn(|request| respond_in_order(&shared, &service, request));
+    let ordered_service = service_fn(|request| {
+        activity.begin_request();
+        respond_in_order(&shared, &service, request)
+    });
     let stream = ReadAheadStream { shared: shared.clone(), service: service.clone() };
     let connection = builder.serve_connection(TokioIo::new(stream), ordered_service);
     tokio::pin!(connection, closing);
-    let mut ends_early = Some(ends_early);
     let mut is_closing = false;
+    let mut has_closed = false;
     std::future::poll_fn(|cx| {
         loop {
             if let Poll::Ready(result) = connection.as_mut().poll(cx) {
@@ -273,9 +274,9 @@
             }
             is_closing = is_closing || closing.as_mut().poll(cx).is_ready();
             // Requests already started ahead of their turn are still answered.
-            if is_closing && !shared.lock().queue.has_early_work() {
-                let has_started = shared.lock().has_started;
-                if ends_early.take().is_some_and(|it| it(has_started)) {
+            if is_closing && !has_closed && !shared.lock().queue.has_early_work() {
+                has_closed = true;
+                if activity.release_unused() {
                     connection.as_mut().graceful_shutdown();
                     continue;
                 }
@@ -303,7 +304,6 @@
 {
     let active = {
         let mut shared = shared.lock();
-        shared.has_started = true;
         shared.is_handling = true;
         shared.queue.activate_next()
     };
