entry: refuse requests that may outlast a closing host

Operators of a similar system told of requests that were taken late in the grace of a planned stop and cut at its end. It could happen here: a closing host sent the first request of a connection, a request with a late body, and retries to a server whatever time was left.

Cause: nothing related the time that a request may take to the time at which the process ends.

Change: the end of the shutdown is known from its start. From the closing stage on a request is sent to a server, first or again, only if its deadline is not later; any other one is refused as not run at once, so that its caller is served by another host.

--- a/crates/sapphireknot/src/drain.rs
+++ b/crates/sapphireknot/src/drain.rs
@@ -31,6 +31,20 @@
     pub longest_request: Duration,
 }
 
+impl DrainStage {
+    /// Whether a host in this stage may send a request to a backend server, if the request may take until `deadline`
+    /// and the shutdown ends at `end` at the latest.
+    ///
+    /// A closing host sends only requests that end before it does; any other could be cut off while it runs.
+    pub fn allows_request(self, deadline: MonoTime, end: Option<MonoTime>) -> bool {
+        match self {
+            Self::Serving | Self::Leaving => true,
+            Self::Closing => end.is_some_and(|it| deadline <= it),
+            Self::Ended => false,
+        }
+    }
+}
+
 /// Progress of a graceful shutdown.
 #[derive(Debug)]
 pub struct DrainTracker {
@@ -62,6 +76,11 @@
         }
     }
 
+    /// Returns the time at which the shutdown ends at the latest.
+    pub fn end(&self) -> MonoTime {
+        self.closing_until
+    }
+
     /// Advances to the next stage if it is due at `now` with `in_flight` requests.
     pub fn advance(&mut self, now: MonoTime, in_flight: usize) {
         // Advances by one stage at a time: `in_flight` can only be final after new requests are rejected.
--- a/crates/sapphireknot/tests/host_order.rs
+++ b/crates/sapphireknot/tests/host_order.rs
@@ -119,3 +119,17 @@
     tracker.advance(at(131), 0);
     assert_eq!(tracker.stage(), DrainStage::Ended);
 }
+
+/// Guards against a closing host that sends a request to a backend server and ends while it runs.
+#[test]
+fn closing_host_sends_short_requests() {
+    let end = MonoTime(10_000_000);
+    let (before, after) = (MonoTime(10_000_000), MonoTime(10_000_001));
+    for stage in [DrainStage::Serving, DrainStage::Leaving] {
+        assert!(stage.allows_request(after, Some(end)), "{stage:?}");
+    }
+    assert!(DrainStage::Closing.allows_request(before, Some(end)));
+    assert!(!DrainStage::Closing.allows_request(after, Some(end)));
+    assert!(!DrainStage::Closing.allows_request(before, None));
+    assert!(!DrainStage::Ended.allows_request(before, Some(end)));
+}
--- a/crates/sapphireknotd/src/entry.rs
+++ b/crates/sapphireknotd/src/entry.rs
@@ -191,6 +191,7 @@
             longest_request: Duration::ZERO,
         };
         let tracker = DrainTracker::begin(state.clock.now(), limits);
+        state.drain_end.get_or_init(|| tracker.end());
         state.drain.send_replace(tracker.stage());
         log::info!(in_flight = self.server.in_flight(); "graceful shutdown started");
         let deregistration = self.host.call(HostMessage::Deregister, Some(DEREGISTER_TIMEOUT));
--- a/crates/sapphireknotd/src/entry/caller_server.rs
+++ b/crates/sapphireknotd/src/entry/caller_server.rs
@@ -20,7 +20,7 @@
 use super::{
     caller_body::EntryBody,
     fleet_actor::FleetMessage,
-    forward::EntryRequest,
+    forward::{EntryRequest, draining_refusal},
     quota_client::QuotaClient,
     request_log::{AttemptSummary, RequestContext},
     request_report::{RequestReport, RequestResult},
@@ -196,6 +196,9 @@
         let caller_timeout = metadata.caller_timeout.unwrap_or(route.timeout);
         let deadline = started.after(caller_timeout.min(route.timeout));
         let caller_deadline = metadata.caller_timeout.map(|it| started.after(it));
+        if !self.state.allows_request(deadline) {
+            return Err(draining_refusal(self.state.clock.now()).into());
+        }
         let (max_bytes, until) = (plan.limits.max_body_bytes, self.state.clock.instant(deadline));
         let body = match body {
             Some(body) => read_body(&self.buffers, &parts.headers, body, max_bytes, until).await?,
--- a/crates/sapphireknotd/src/entry/forward.rs
+++ b/crates/sapphireknotd/src/entry/forward.rs
@@ -80,6 +80,8 @@
 enum SelectionFailure {
     /// The deadline of the request has passed.
     Deadline,
+    /// The host is shutting down and may end before the request does.
+    Draining,
     /// No server can be selected.
     Choice(ChoiceError),
 }
@@ -94,6 +96,7 @@
     {
         match self {
             Self::Deadline => RequestRefusal::not_run(RefusalReason::Deadline),
+            Self::Draining => draining_refusal(now),
             Self::Choice(ChoiceError::NoServer { .. }) => {
                 let retry_at = next_return().unwrap_or(now.after(MIN_RETRY_AFTER * 3));
                 RequestRefusal::not_run(RefusalReason::NoServer).retry_at(retry_at)
@@ -107,7 +110,7 @@
 
     fn into_choice(self) -> Option<ChoiceError> {
         match self {
-            Self::Deadline => None,
+            Self::Deadline | Self::Draining => None,
             Self::Choice(error) => Some(error),
         }
     }
@@ -253,6 +256,9 @@
         if now >= request.deadline {
             return Err(SelectionFailure::Deadline);
         }
+        if !self.state.allows_request(request.deadline) {
+            return Err(SelectionFailure::Draining);
+        }
         let query = ChoiceQuery {
             target_ms: target_ms(request.route),
             priority: request.priority,
@@ -279,6 +285,11 @@
         .min(request.deadline)
 }
 
+/// Refusal of a request that this host may not complete before it shuts down; other hosts serve it at once.
+pub(super) fn draining_refusal(now: MonoTime) -> RequestRefusal {
+    RequestRefusal::not_run(RefusalReason::Draining).retry_at(now)
+}
+
 /// Result of the last attempt, or `refusal` if there was none.
 fn final_result(
     policy: &RetryPolicy,
--- a/crates/sapphireknotd/src/entry/state.rs
+++ b/crates/sapphireknotd/src/entry/state.rs
@@ -1,6 +1,9 @@
 //! State of an entry host that is shared by requests, actors and listeners.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
@@ -42,6 +45,8 @@
     pub plan: ArcSwapOption<RoutingPlan>,
     /// Stage of the graceful shutdown.
     pub drain: watch::Sender<DrainStage>,
+    /// Latest end of the graceful shutdown, once it has started.
+    pub drain_end: OnceLock<MonoTime>,
     /// Metrics.
     pub meters: EntryMeters,
     /// Rate-limited log of request decisions.
@@ -70,6 +75,7 @@
             relay: FeedRelay::default(),
             plan: ArcSwapOption::empty(),
             drain: watch::Sender::new(DrainStage::Serving),
+            drain_end: OnceLock::new(),
             meters: EntryMeters::default(),
             log_limiter: LogLimiter::new(clock.now()),
             store_failures: watch::Sender::new(None),
@@ -105,6 +111,12 @@
         self.store_failures.subscribe()
     }
 
+    /// Whether a request that may take until `deadline` may be sent to a backend server, given the stage of the graceful
+    /// shutdown.
+    pub fn allows_request(&self, deadline: MonoTime) -> bool {
+        self.drain.borrow().allows_request(deadline, self.drain_end.get().copied())
+    }
+
     /// Whether callers may be directed to this host.
     ///
     /// A host that is not registered yet has only a small part of the quotas and would briefly refuse callers, so that
