steering: keep who holds shares of the limits in the store

Cause, the same for both: a process that starts took the hosts that are registered at that moment for all that use a part. Hosts that the store turns away lapse and serve on. A third order (all registrations lapse, then all hosts start) follows from the same belief.

Ruled out: full buckets after a start (the excess is a constant rate until the store serves the hosts again, 4 x 1/2 + 8/12 of the quota) and two owners of one part (the excess would end when the lists agree).

Change: with its registration each host writes a record as share holder, in the same transaction and bound to no lease. Limits are divided among the registered hosts and those with a record; one host removes a record 60 s after the registration ended. A host without a record uses no part, as no other host counts it: it asks the owners, and a host that is no longer registered lends it from its own part.

--- a/crates/sapphireknot-platform/src/fleet.rs
+++ b/crates/sapphireknot-platform/src/fleet.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use sapphireknot::steering::{
-    core::FleetChange, feed_copy::RawEntry, fleet::HostRecord, version::RecordChange,
+use sapphireknot::{
+    ids::HostId,
+    steering::{core::FleetChange, feed_copy::RawEntry, fleet::HostRecord, version::RecordChange},
 };
 use thiserror::Error;
 
@@ -96,13 +97,17 @@
     /// Ends a lease and deletes the entries bound to it.
     async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
 
-    /// Writes the registration of a host, bound to a lease.
+    /// Writes the registration of a host, bound to a lease, and its record as a share holder, bound to none.
     async fn register_host(
         &self,
         host: &HostRecord,
         lease: LeaseId,
     ) -> Result<WriteOutcome, StoreError>;
 
+    /// Removes the record of a share holder if it is still at `revision`.
+    async fn remove_holder(&self, host: &HostId, revision: u64)
+    -> Result<WriteOutcome, StoreError>;
+
     /// Writes the record of a rollout and the status that operators read.
     async fn write_rollout(&self, change: &RecordChange) -> Result<WriteOutcome, StoreError>;
 
--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -17,19 +17,20 @@
 };
 
 use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use self::quotas::QuotaState;
 use super::{
     choice::{ServicePicker, ServicePickers},
     evidence::{EvidenceTable, OutcomeQuality},
     exposure::ExposureLimit,
-    fleet::{FleetTable, HostRecord, ServerRecord},
+    fleet::{FleetTable, HolderRecord, HostRecord, ServerRecord},
     loads::{LoadReport, LoadReportTable, ReportPosition},
     plan::{RequestPriority, RouteRule, RoutingPlan},
     query::{ChoiceQuery, ChosenServer},
     rejection::{ChoiceError, RejectionCause},
     server_state::{ServerLoad, server_hash},
-    shares::{HostShare, QuotaSlack, WarmupSenders},
+    shares::{HostShare, QuotaSlack, WarmupSenders, host_of},
     version::{RolloutBounds, RolloutOrder, RolloutRecord, VersionTable},
 };
 use crate::{
@@ -91,6 +92,10 @@
     Host(HostRecord),
     /// A host's registration ended.
     HostGone(HostId),
+    /// The record of a share holder changed, at the given revision of the store.
+    Holder(HolderRecord, u64),
+    /// The record of a share holder was removed.
+    HolderGone(HostId),
     /// The record of a rollout changed, at the given revision of the store.
     Rollout(RolloutRecord, u64),
 }
@@ -164,11 +169,13 @@
     /// Replaces everything that a complete read of the store covers.
     pub fn replace(&mut self, changes: Vec<FleetChange>, now: MonoTime) {
         let (mut servers, mut hosts, mut rest) = (Vec::new(), Vec::new(), Vec::new());
+        let mut holders = Vec::new();
         let (mut ordered, mut evacuated) = (HashSet::new(), HashSet::new());
         for change in changes {
             match change {
                 FleetChange::Server(record) => servers.push(record),
                 FleetChange::Host(record) => hosts.push(record),
+                FleetChange::Holder(record, revision) => holders.push((record, revision)),
                 other => {
                     match &other {
                         FleetChange::Order(order) => drop(ordered.insert(order.service.clone())),
@@ -181,6 +188,7 @@
         }
         self.fleet.replace_servers(servers, now);
         self.fleet.replace_hosts(hosts, now);
+        self.fleet.replace_holders(holders, now);
         let services: Vec<ServiceId> = self.pickers.keys().cloned().collect();
         for service in services.iter().filter(|it| !ordered.contains(*it)) {
             self.versions.remove_order(service);
@@ -223,6 +231,8 @@
             }
             FleetChange::Host(record) => self.fleet.add_host(record, now),
             FleetChange::HostGone(id) => self.fleet.remove_host(&id, now),
+            FleetChange::Holder(record, revision) => self.fleet.add_holder(record, revision, now),
+            FleetChange::HolderGone(id) => self.fleet.remove_holder(&id),
             FleetChange::Rollout(record, revision) => {
                 self.versions.add_record(record, revision, now)
             }
@@ -431,7 +441,20 @@
 
     /// This host's share of the global limits.
     pub fn share(&self, now: MonoTime) -> HostShare {
-        HostShare::new(&self.fleet.host_counts(now), &self.location.region)
+        let share = HostShare::new(&self.fleet.host_counts(now), &self.location.region);
+        let is_counted = self.fleet.is_holder(&self.location.host, now);
+        if is_counted { share } else { share.of_uncounted_host() }
+    }
+
+    /// Returns the records of share holders that this host has to remove from the store, with their revisions.
+    pub fn take_lapsed_holders(&mut self, now: MonoTime) -> Vec<(HostId, u64)> {
+        let lapsed = self.fleet.take_lapsed_holders(now);
+        let own = &self.location.host;
+        let is_own_task = |id: &HostId| {
+            let remover = host_of(xxh3_64(id.as_str().as_bytes()), self.fleet.hosts());
+            remover.is_some_and(|it| it.id == *own)
+        };
+        lapsed.into_iter().filter(|(id, _)| is_own_task(id)).collect()
     }
 
     /// Identifier of this host.
--- a/crates/sapphireknot/src/steering/core/quotas.rs
+++ b/crates/sapphireknot/src/steering/core/quotas.rs
@@ -110,19 +110,25 @@
         self.quotas.pool.refund(organisation, now);
     }
 
-    /// Host that owns the own region's share of a quota; `None` while this host is not registered.
+    /// Whether this host obtains admissions from the owners of quotas rather than from its own share: while it is
+    /// registered, or while it has no share because the other hosts do not count it.
+    fn asks_owners(&self, now: MonoTime) -> bool {
+        self.is_registered(now) || !self.fleet.is_holder(&self.location.host, now)
+    }
+
+    /// Host that owns the own region's share of a quota; `None` while this host uses its own share.
     pub fn quota_owner(&self, organisation: &OrganisationId, now: MonoTime) -> Option<&HostRecord> {
         let hosts = self.fleet.hosts().filter(|it| it.region == self.location.region);
-        quota_owner(organisation, hosts).filter(|_| self.is_registered(now))
+        quota_owner(organisation, hosts).filter(|_| self.asks_owners(now))
     }
 
-    /// Owners of the quota shares of other regions; none while this host is not registered.
+    /// Owners of the quota shares of other regions; none while this host uses its own share.
     pub fn remote_owners(&self, organisation: &OrganisationId, now: MonoTime) -> Vec<HostRecord> {
         let regions: BTreeSet<&RegionId> = self
             .fleet
             .hosts()
             .map(|it| &it.region)
-            .filter(|it| **it != self.location.region && self.is_registered(now))
+            .filter(|it| **it != self.location.region && self.asks_owners(now))
             .collect();
         let owner = |region: &RegionId| {
             quota_owner(organisation, self.fleet.hosts().filter(|it| it.region == *region))
@@ -144,6 +150,18 @@
         Some(self.quotas.owned.take(organisation, count, now))
     }
 
+    /// Grants admissions from this host's own share to a host that has none; `None` while this host is registered, as the
+    /// owner then has most of that share.
+    pub fn lend(
+        &mut self,
+        organisation: &OrganisationId,
+        count: u32,
+        now: MonoTime,
+    ) -> Option<Result<u32, MonoTime>> {
+        let uses_own_share = !self.asks_owners(now);
+        uses_own_share.then(|| self.quotas.fallback.take(organisation, count, now))
+    }
+
     /// Admits one request from this host's own share because no owner can be reached.
     pub fn admit_locally(
         &mut self,
--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -21,6 +21,8 @@
 /// Time for which a host that is no longer registered still counts in the division of shares; it may be cut off and
 /// still serve requests.
 const HOST_RETENTION: Duration = Duration::from_secs(60);
+/// Pause before the store is asked again to remove the record of a lapsed share holder.
+const REMOVAL_RETRY: Duration = Duration::from_secs(5);
 
 /// Difference between the cold periods of two reports up to which they are considered equal.
 const COLD_TOLERANCE: Duration = Duration::from_millis(300);
@@ -81,6 +83,27 @@
     pub capacity: HostCapacity,
 }
 
+/// Record of a host that may use a share of the global limits.
+///
+/// It outlives the host's registration, so that a host that starts knows of those that the store turns away.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HolderRecord {
+    /// Identifier of the host.
+    pub id: HostId,
+    /// Region of the host.
+    pub region: RegionId,
+}
+
+/// Host that counts in the division of shares.
+#[derive(Debug, Clone)]
+struct ShareHolder {
+    region: RegionId,
+    /// Revision of its record in the store, if there is one.
+    stored: Option<u64>,
+    /// End of the time for which it counts after its registration.
+    until: MonoTime,
+}
+
 /// Registered backend server.
 #[derive(Debug, Clone)]
 pub struct FleetServer {
@@ -101,13 +124,20 @@
 pub struct FleetTable {
     servers: HashMap<ServerId, FleetServer>,
     hosts: HashMap<HostId, HostRecord>,
-    /// Hosts that count in the division of shares, with their region and the end of that time.
-    share_holders: HashMap<HostId, (RegionId, MonoTime)>,
+    /// Hosts that count in the division of shares.
+    share_holders: HashMap<HostId, ShareHolder>,
     /// Time until which an ended registration does not mean that the server is gone.
     stale_until: MonoTime,
     notices: ServerNotices,
 }
 
+impl ShareHolder {
+    /// Whether it counts although the host is not registered.
+    fn counts(&self, now: MonoTime) -> bool {
+        self.stored.is_some() || now < self.until
+    }
+}
+
 impl FleetTable {
     /// Records that the store could not be read until `now`.
     pub fn record_outage(&mut self, now: MonoTime) {
@@ -223,7 +253,7 @@
     /// Removes servers that did not register again in time, and hosts that no longer count in the division of shares.
     pub fn expire(&mut self, now: MonoTime) {
         self.servers.retain(|_, it| it.removed_at.is_none_or(|until| now < until));
-        self.share_holders.retain(|_, (_, until)| now < *until);
+        self.share_holders.retain(|_, it| it.stored.is_some() || now < it.until);
         self.notices.expire(now);
     }
 
@@ -234,16 +264,63 @@
 
     /// Adds or updates the registration of a host.
     pub fn add_host(&mut self, record: HostRecord, now: MonoTime) {
-        let holder = (record.region.clone(), now.after(HOST_RETENTION));
-        self.share_holders.insert(record.id.clone(), holder);
+        self.retain_holder(&record.id, &record.region, now);
         self.hosts.insert(record.id.clone(), record);
     }
 
     /// Ends the registration of a host.
     pub fn remove_host(&mut self, id: &HostId, now: MonoTime) {
         if let Some(record) = self.hosts.remove(id) {
-            self.share_holders.insert(record.id, (record.region, now.after(HOST_RETENTION)));
+            self.retain_holder(&record.id, &record.region, now);
+        }
+    }
+
+    /// Counts a host in the division of shares for [`HOST_RETENTION`], or for as long as its record is stored.
+    fn retain_holder(&mut self, id: &HostId, region: &RegionId, now: MonoTime) {
+        let stored = self.share_holders.get(id).and_then(|it| it.stored);
+        let until = now.after(HOST_RETENTION);
+        let holder = ShareHolder { region: region.clone(), stored, until };
+        self.share_holders.insert(id.clone(), holder);
+    }
+
+    /// Adds or updates the record of a share holder, at the given revision of the store.
+    pub fn add_holder(&mut self, record: HolderRecord, revision: u64, now: MonoTime) {
+        let until = now.after(HOST_RETENTION);
+        let holder = ShareHolder { region: record.region, stored: Some(revision), until };
+        self.share_holders.insert(record.id, holder);
+    }
+
+    /// Ends the record of a share holder. A host that still counted it has removed it long after its registration ended.
+    pub fn remove_holder(&mut self, id: &HostId) {
+        self.share_holders.remove(id);
+    }
+
+    /// Replaces all records of share holders.
+    pub fn replace_holders(&mut self, records: Vec<(HolderRecord, u64)>, now: MonoTime) {
+        self.share_holders.retain(|_, it| it.stored.is_none());
+        for (record, revision) in records {
+            self.add_holder(record, revision, now);
+        }
+    }
+
+    /// Whether a host counts in the division of shares.
+    pub fn is_holder(&self, id: &HostId, now: MonoTime) -> bool {
+        let holder = self.share_holders.get(id);
+        self.hosts.contains_key(id) || holder.is_some_and(|it| it.counts(now))
+    }
+
+    /// Returns the records of share holders that are to be removed, with their revisions: those of hosts that have not
+    /// been registered for [`HOST_RETENTION`]. A record that is still there is returned again after a pause.
+    pub fn take_lapsed_holders(&mut self, now: MonoTime) -> Vec<(HostId, u64)> {
+        let mut lapsed = Vec::new();
+        for (id, holder) in &mut self.share_holders {
+            let Some(revision) = holder.stored.filter(|_| now >= holder.until) else { continue };
+            if !self.hosts.contains_key(id) {
+                holder.until = now.after(REMOVAL_RETRY);
+                lapsed.push((id.clone(), revision));
+            }
         }
+        lapsed
     }
 
     /// Replaces all registered hosts.
@@ -274,8 +351,8 @@
         let left = self
             .share_holders
             .iter()
-            .filter(|(id, (_, until))| !self.hosts.contains_key(*id) && now < *until);
-        for region in registered.chain(left.map(|(_, (region, _))| region)) {
+            .filter(|(id, holder)| !self.hosts.contains_key(*id) && holder.counts(now));
+        for region in registered.chain(left.map(|(_, holder)| &holder.region)) {
             *counts.entry(region.clone()).or_default() += 1;
         }
         counts
--- a/crates/sapphireknot/src/steering/shares.rs
+++ b/crates/sapphireknot/src/steering/shares.rs
@@ -2,7 +2,8 @@
 //!
 //! Each host uses its share of a limit, and the shares add up to no more than the whole: they are computed from the
 //! hosts that are registered or were until recently, so that a host that is cut off and keeps serving still has its
-//! share. Traffic is assumed to be even over regions and over the hosts of a region, as callers choose among the hosts
+//! share. A host without a record among them ([`HolderRecord`](super::fleet::HolderRecord)) uses no share of the
+//! traffic, as the others do not count it. Traffic is assumed to be even over regions and over the hosts of a region, as callers choose among the hosts
 //! of their region at random.
 //!
 //! With many hosts, shares of quotas would be too small for single requests. The registered hosts of a region therefore
@@ -72,13 +73,21 @@
 
 impl HostShare {
     /// Computes the share of a host in `region`, where `counts` holds the number of hosts of each region.
+    ///
+    /// A host in a region without counted hosts is not counted itself, and has no share of the traffic.
     pub fn new(counts: &HashMap<RegionId, u32>, region: &RegionId) -> Self {
         let hosts: u32 = counts.values().sum::<u32>().max(1);
         let regions = u32::try_from(counts.len()).unwrap_or(u32::MAX).max(1);
-        let region_hosts = counts.get(region).copied().unwrap_or(1).max(1);
-        let parts = TrafficShare::WHOLE.0 / regions.saturating_mul(region_hosts);
+        let region_hosts = counts.get(region).copied().unwrap_or_default();
+        let divisor = regions.saturating_mul(region_hosts);
+        let parts = TrafficShare::WHOLE.0.checked_div(divisor).unwrap_or_default();
         Self { traffic: TrafficShare(parts), hosts }
     }
+
+    /// Share of a host that is not counted: none of the traffic.
+    pub fn of_uncounted_host(self) -> Self {
+        Self { traffic: TrafficShare(0), ..self }
+    }
 }
 
 /// Hosts that may send requests to cold servers, by their hashes.
--- a/crates/sapphireknot/tests/steering/main.rs
+++ b/crates/sapphireknot/tests/steering/main.rs
@@ -12,6 +12,7 @@
 mod load_reports;
 mod object_placement;
 mod quota_owners;
+mod quota_restarts;
 mod recent_changes;
 mod route_index;
 mod server_notices;
--- a/crates/sapphireknot/tests/steering/quota_owners.rs
+++ b/crates/sapphireknot/tests/steering/quota_owners.rs
@@ -17,13 +17,13 @@
 use crate::support::{at, bounds, host, id, location, organisation, plan};
 
 /// Rate and burst of the organisation.
-const RATE: u64 = 40;
+pub(crate) const RATE: u64 = 40;
 
-fn acme() -> OrganisationId {
+pub(crate) fn acme() -> OrganisationId {
     id("acme")
 }
 
-fn records(count: usize) -> Vec<HostRecord> {
+pub(crate) fn records(count: usize) -> Vec<HostRecord> {
     let regions = crate::support::REGIONS;
     (0..count).map(|it| host(&format!("h-{it:02}"), regions[it % regions.len()])).collect()
 }
@@ -46,7 +46,12 @@
 
 /// Sends one request to the host `idx`; `is_reached` says whether its calls reach the owner. Returns whether the
 /// request is admitted.
-fn request(cores: &mut [SteeringCore], idx: usize, now: MonoTime, is_reached: bool) -> bool {
+pub(crate) fn request(
+    cores: &mut [SteeringCore],
+    idx: usize,
+    now: MonoTime,
+    is_reached: bool,
+) -> bool {
     let count = match cores[idx].admit(&acme(), now) {
         AdmissionDecision::Admitted => return true,
         AdmissionDecision::Denied(_) => return false,
@@ -74,7 +79,7 @@
 }
 
 /// Highest number of admitted requests in any window of 5 s.
-fn most_in_window(admitted: &[MonoTime]) -> usize {
+pub(crate) fn most_in_window(admitted: &[MonoTime]) -> usize {
     let window = |(idx, start): (usize, &MonoTime)| {
         let end = start.after(Duration::from_secs(5));
         admitted[idx..].iter().take_while(|it| **it <= end).count()
@@ -83,8 +88,13 @@
 }
 
 /// Number of requests that may be admitted in 5 s: rate and burst with tolerance and slack.
-fn allowed() -> usize {
-    ((RATE as f64 * 5.0 + RATE as f64) * 1.1 + 20.0) as usize
+pub(crate) fn allowed() -> usize {
+    allowed_in(Duration::from_secs(5)) as usize
+}
+
+/// Number of requests that may be admitted in `window`.
+pub(crate) fn allowed_in(window: Duration) -> f64 {
+    (RATE as f64 * window.as_secs_f64() + RATE as f64) * 1.1 + 20.0
 }
 
 /// Hosts with the same list of hosts must determine the same owner, or two owners would grant the same share.
--- a/crates/sapphireknotd/src/entry/fleet_actor.rs
+++ b/crates/sapphireknotd/src/entry/fleet_actor.rs
@@ -13,7 +13,7 @@
 
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use sapphireknot::{
-    ids::ServiceId,
+    ids::{HostId, ServiceId},
     steering::{
         copy_search::CopyAnswer,
         core::FleetChange,
@@ -158,6 +158,7 @@
                 actor.state.core.lock().tick(now);
                 actor.log_services(now);
                 actor.write_due(now);
+                actor.remove_lapsed_holders(now);
                 if let Some(next) = actor.next_write(now) {
                     myself.send_after(now.until(next), || FleetMessage::WriteDue);
                 }
@@ -265,6 +266,18 @@
         write_times.chain(next).min().filter(|it| *it < now.after(TICK))
     }
 
+    /// Starts the removal of the records of hosts that have not been registered for long.
+    fn remove_lapsed_holders(&self, now: MonoTime) {
+        if self.is_down || self.has_peer_copy() {
+            // Registrations may have changed in the meantime.
+            return;
+        }
+        let lapsed = self.state.core.lock().take_lapsed_holders(now);
+        for (host, revision) in lapsed {
+            tokio::spawn(remove_holder(self.state.clone(), host, revision));
+        }
+    }
+
     /// Starts the writes of records that are due and that this host may make now.
     fn write_due(&mut self, now: MonoTime) {
         if self.is_down || self.has_peer_copy() {
@@ -297,6 +310,16 @@
     }
 }
 
+async fn remove_holder(state: Arc<EntryState>, host: HostId, revision: u64) {
+    match state.platform.store.remove_holder(&host, revision).await {
+        Ok(outcome) => log::info!(lapsed:% = host, revision, outcome:?; "share holder removed"),
+        Err(err) => {
+            state.meters.count_store_failure("remove share holder");
+            log::warn!(lapsed:% = host, error:% = err; "remove share holder");
+        }
+    }
+}
+
 async fn write_rollout(state: Arc<EntryState>, change: RecordChange) {
     let (service, phase) = (&change.record.service, change.record.phase);
     // Evidence at the time of the decision, for the log.
--- a/crates/sapphireknotd/src/entry/peer_server.rs
+++ b/crates/sapphireknotd/src/entry/peer_server.rs
@@ -69,7 +69,11 @@
         let organisation = organisation.parse::<OrganisationId>();
         let organisation = organisation.map_err(|err| Status::invalid_argument(err.to_string()))?;
         let now = self.state.clock.now();
-        let grant = self.state.core.lock().grant(&organisation, count, now);
+        let grant = {
+            let mut core = self.state.core.lock();
+            let granted = core.grant(&organisation, count, now);
+            granted.or_else(|| core.lend(&organisation, count, now))
+        };
         let reply = match grant {
             None => TakeTokensReply::default(),
             Some(Ok(granted)) => TakeTokensReply { is_owner: true, granted, retry_ms: 0 },
--- a/crates/sapphireknotd/src/entry/quota_client.rs
+++ b/crates/sapphireknotd/src/entry/quota_client.rs
@@ -79,12 +79,17 @@
         let (own_grant, owner, far) = {
             let mut core = state.core.lock();
             let grant = core.grant(organisation, count, now);
-            let owner = core.quota_owner(organisation, now)?.clone();
+            let owner = core.quota_owner(organisation, now).cloned();
             (grant, owner, core.remote_owners(organisation, now))
         };
-        let own_part = match own_grant {
-            Some(grant) => grant,
-            None => self.request_from_owner(state, &owner, organisation, count).await?,
+        let own_part = match (own_grant, owner) {
+            (Some(grant), _) => grant,
+            (None, Some(owner)) => {
+                self.request_from_owner(state, &owner, organisation, count).await?
+            }
+            // A host that no other one counts may be the only one of its region.
+            (None, None) if !far.is_empty() => Err(now),
+            (None, None) => return None,
         };
         let mut retry_at = match own_part {
             Ok(granted) => return Some((granted, now)),
