steering: describe who has a share of the limits

The head of the module spoke of hosts that were registered until recently; it is the record in the store that counts now. No change of behaviour.

--- a/crates/sapphireknot/src/steering/shares.rs
+++ b/crates/sapphireknot/src/steering/shares.rs
@@ -1,10 +1,10 @@
 //! Division of global limits among the hosts.
 //!
 //! Each host uses its share of a limit, and the shares add up to no more than the whole: they are computed from the
-//! hosts that are registered or were until recently, so that a host that is cut off and keeps serving still has its
-//! share. A host without a record among them ([`HolderRecord`](super::fleet::HolderRecord)) uses no share of the
-//! traffic, as the others do not count it. Traffic is assumed to be even over regions and over the hosts of a region, as callers choose among the hosts
-//! of their region at random.
+//! hosts that are registered and those with a record as share holder ([`HolderRecord`](super::fleet::HolderRecord)), so
+//! that a host that is cut off and keeps serving still has its share. A host that is neither uses no share of the
+//! traffic, as the others do not count it; it obtains admissions from them. Traffic is assumed to be even over regions
+//! and over the hosts of a region, as callers choose among the hosts of their region at random.
 //!
 //! With many hosts, shares of quotas would be too small for single requests. The registered hosts of a region therefore
 //! pool theirs, and one of them owns the sum for each organisation ([`quota_owner`]). A host whose registration lapsed
@@ -74,7 +74,7 @@
 impl HostShare {
     /// Computes the share of a host in `region`, where `counts` holds the number of hosts of each region.
     ///
-    /// A host in a region without counted hosts is not counted itself, and has no share of the traffic.
+    /// In a region without counted hosts it is none.
     pub fn new(counts: &HashMap<RegionId, u32>, region: &RegionId) -> Self {
         let hosts: u32 = counts.values().sum::<u32>().max(1);
         let regions = u32::try_from(counts.len()).unwrap_or(u32::MAX).max(1);
