--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -310,7 +310,7 @@
     }
 
     /// Returns the records of share holders that are to be removed, with their revisions: those of hosts that have not
-    /// been registered for [`HOST_RETENTION`]. A record that is still there is returned again after a pause.
+    /// been registered for a minute. A record that is still there is returned again after a pause.
     pub fn take_lapsed_holders(&mut self, now: MonoTime) -> Vec<(HostId, u64)> {
         let mut lapsed = Vec::new();
         for (id, holder) in &mut self.share_holders {
