steering: lend a share to a host that reaches no owner of quotas

A host that no other one counts has no share and asks the owner of its region.

Cause: the log of a failing run has `host lost` for the owner (frozen) and for the next host (killed); the third one answered that it is not the owner, as it lent only after its own registration had lapsed.

Change: a host without a share asks up to three hosts of its region, the owner first, with the time limit of far calls, as it has nothing to fall back on. A host lends from the part that it uses itself without the owner, whether or not it is registered, so that the sum stays as it was.

--- a/crates/sapphireknot/src/steering/core.rs
+++ b/crates/sapphireknot/src/steering/core.rs
@@ -442,8 +442,7 @@
     /// This host's share of the global limits.
     pub fn share(&self, now: MonoTime) -> HostShare {
         let share = HostShare::new(&self.fleet.host_counts(now), &self.location.region);
-        let is_counted = self.fleet.is_holder(&self.location.host, now);
-        if is_counted { share } else { share.of_uncounted_host() }
+        if self.has_share(now) { share } else { share.of_uncounted_host() }
     }
 
     /// Returns the records of share holders that this host has to remove from the store, with their revisions.
--- a/crates/sapphireknot/src/steering/core/quotas.rs
+++ b/crates/sapphireknot/src/steering/core/quotas.rs
@@ -19,6 +19,9 @@
 /// quota to other hosts at the same time, which the tolerance of quotas covers.
 const OWNERLESS_PART: f64 = 0.3;
 
+/// Maximum number of hosts of its region that a host without a share asks for admissions.
+const MAX_GRANTORS: usize = 3;
+
 /// Quotas on one host.
 #[derive(Debug, Default)]
 pub(super) struct QuotaState {
@@ -113,7 +116,12 @@
     /// Whether this host obtains admissions from the owners of quotas rather than from its own share: while it is
     /// registered, or while it has no share because the other hosts do not count it.
     fn asks_owners(&self, now: MonoTime) -> bool {
-        self.is_registered(now) || !self.fleet.is_holder(&self.location.host, now)
+        self.is_registered(now) || !self.has_share(now)
+    }
+
+    /// Whether this host has a share of the limits, as the other hosts count it.
+    pub fn has_share(&self, now: MonoTime) -> bool {
+        self.fleet.is_holder(&self.location.host, now)
     }
 
     /// Host that owns the own region's share of a quota; `None` while this host uses its own share.
@@ -122,6 +130,24 @@
         quota_owner(organisation, hosts).filter(|_| self.asks_owners(now))
     }
 
+    /// Hosts of the own region to ask for admissions, in this order: the owner, or, for a host without a share of its own,
+    /// the owner and others that may lend theirs if the owner does not answer.
+    pub fn local_grantors(&self, organisation: &OrganisationId, now: MonoTime) -> Vec<HostRecord> {
+        if self.has_share(now) {
+            return self.quota_owner(organisation, now).cloned().into_iter().collect();
+        }
+        let mut hosts: Vec<&HostRecord> =
+            self.fleet.hosts().filter(|it| it.region == self.location.region).collect();
+        let mut grantors = Vec::new();
+        while grantors.len() < MAX_GRANTORS
+            && let Some(next) = quota_owner(organisation, hosts.iter().copied()).cloned()
+        {
+            hosts.retain(|it| it.id != next.id);
+            grantors.push(next);
+        }
+        grantors
+    }
+
     /// Owners of the quota shares of other regions; none while this host uses its own share.
     pub fn remote_owners(&self, organisation: &OrganisationId, now: MonoTime) -> Vec<HostRecord> {
         let regions: BTreeSet<&RegionId> = self
@@ -150,16 +176,15 @@
         Some(self.quotas.owned.take(organisation, count, now))
     }
 
-    /// Grants admissions from this host's own share to a host that has none; `None` while this host is registered, as the
-    /// owner then has most of that share.
+    /// Grants admissions to a host that has no share and cannot reach the owner, from the part of its own share that this
+    /// host uses without the owner; `None` if it has no share itself.
     pub fn lend(
         &mut self,
         organisation: &OrganisationId,
         count: u32,
         now: MonoTime,
     ) -> Option<Result<u32, MonoTime>> {
-        let uses_own_share = !self.asks_owners(now);
-        uses_own_share.then(|| self.quotas.fallback.take(organisation, count, now))
+        self.has_share(now).then(|| self.quotas.fallback.take(organisation, count, now))
     }
 
     /// Admits one request from this host's own share because no owner can be reached.
--- a/crates/sapphireknotd/src/entry/quota_client.rs
+++ b/crates/sapphireknotd/src/entry/quota_client.rs
@@ -12,7 +12,7 @@
 use sapphireknot_wire::entry::{TakeTokensReply, TakeTokensRequest};
 
 use super::{
-    peer_channels::{PeerChannels, call_limit},
+    peer_channels::{FAR_CALL_TIMEOUT, PeerChannels},
     state::EntryState,
 };
 
@@ -76,20 +76,25 @@
         count: u32,
     ) -> Option<(u32, MonoTime)> {
         let now = state.clock.now();
-        let (own_grant, owner, far) = {
+        let (mut own_part, grantors, far, limit) = {
             let mut core = state.core.lock();
             let grant = core.grant(organisation, count, now);
-            let owner = core.quota_owner(organisation, now).cloned();
-            (grant, owner, core.remote_owners(organisation, now))
+            let grantors = core.local_grantors(organisation, now);
+            // A host without a share has nothing to fall back on.
+            let limit = if core.has_share(now) { CALL_TIMEOUT } else { FAR_CALL_TIMEOUT };
+            (grant, grantors, core.remote_owners(organisation, now), limit)
         };
-        let own_part = match (own_grant, owner) {
-            (Some(grant), _) => grant,
-            (None, Some(owner)) => {
-                self.request_from_owner(state, &owner, organisation, count).await?
+        for grantor in &grantors {
+            if own_part.is_none() {
+                own_part =
+                    self.request_from_owner(state, grantor, organisation, count, limit).await;
             }
+        }
+        let own_part = match own_part {
+            Some(part) => part,
             // A host that no other one counts may be the only one of its region.
-            (None, None) if !far.is_empty() => Err(now),
-            (None, None) => return None,
+            None if grantors.is_empty() && !far.is_empty() => Err(now),
+            None => return None,
         };
         let mut retry_at = match own_part {
             Ok(granted) => return Some((granted, now)),
@@ -97,7 +102,8 @@
         };
         // The calls run concurrently, because the request waits for a round trip to another region.
         let part = count.div_ceil(u32::try_from(far.len()).unwrap_or(u32::MAX).max(1));
-        let calls = far.iter().map(|it| self.request_from_owner(state, it, organisation, part));
+        let request = |it| self.request_from_owner(state, it, organisation, part, FAR_CALL_TIMEOUT);
+        let calls = far.iter().map(request);
         let mut granted = 0;
         for result in join_all(calls).await.into_iter().flatten() {
             match result {
@@ -118,10 +124,10 @@
         owner: &HostRecord,
         organisation: &OrganisationId,
         count: u32,
+        limit: Duration,
     ) -> Option<Result<u32, MonoTime>> {
         let call = TakeTokensRequest { organisation: organisation.to_string(), count };
         let mut client = self.channels.client(owner, state.clock.now())?;
-        let limit = call_limit(owner, &state.record, CALL_TIMEOUT);
         let cause = match tokio::time::timeout(limit, client.take_tokens(call)).await {
             Ok(Ok(reply)) => {
                 self.channels.record_success(owner);
