--- a/crates/sapphireknot/src/steering/fleet.rs
+++ b/crates/sapphireknot/src/steering/fleet.rs
@@ -253,7 +253,7 @@
     /// Removes servers that did not register again in time, and hosts that no longer count in the division of shares.
     pub fn expire(&mut self, now: MonoTime) {
         self.servers.retain(|_, it| it.removed_at.is_none_or(|until| now < until));
-        self.share_holders.retain(|_, it| it.stored.is_some() || now < it.until);
+        self.share_holders.retain(|_, it| it.counts(now));
         self.notices.expire(now);
     }
 
